--- /dev/null
+++ b/include/eelgrasscove/messages.h
@@ -0,0 +1,256 @@
+#pragma once
+
+/// Messages between the system's own processes. Every message travels in an Envelope that names its
+/// sender; fields are only ever added, so that old and new processes run side by side.
+
+#include <eelgrasscove/names.h>
+#include <eelgrasscove/nametable.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace eelgrasscove {
+
+/// Version of the message set that this build writes; readers take any version up to it and above.
+constexpr std::uint32_t messageVersion = 1;
+
+/// Whether a request was run, as told to callers and between processes.
+enum class RunState {
+    NotRun,
+    Ran,
+    OutcomeUnknown,
+};
+
+constexpr NameTable<RunState, 3> runStateNames = {{
+    {RunState::NotRun, "not_run"},
+    {RunState::Ran, "ran"},
+    {RunState::OutcomeUnknown, "outcome_unknown"},
+}};
+
+/// Why a target process, or an entry, did not run a request or lost its outcome.
+enum class Reason {
+    None,
+    QueueFull,
+    Leaving,
+    WrongIncarnation,
+    KeyWithdrawn,
+    UnknownRoute,
+    AdapterLoadFailed,
+    EngineDown,
+    EngineCrashed,
+    SuspectedKiller,
+    Tombstone,
+    DeadlinePassed,
+    Cancelled,
+    LinkLost,
+    RulesStale,
+    TargetError,
+};
+
+constexpr NameTable<Reason, 16> reasonNames = {{
+    {Reason::None, "none"},
+    {Reason::QueueFull, "queue_full"},
+    {Reason::Leaving, "leaving"},
+    {Reason::WrongIncarnation, "wrong_incarnation"},
+    {Reason::KeyWithdrawn, "key_withdrawn"},
+    {Reason::UnknownRoute, "unknown_route"},
+    {Reason::AdapterLoadFailed, "adapter_load_failed"},
+    {Reason::EngineDown, "engine_down"},
+    {Reason::EngineCrashed, "engine_crashed"},
+    {Reason::SuspectedKiller, "suspected_killer"},
+    {Reason::Tombstone, "tombstone"},
+    {Reason::DeadlinePassed, "deadline_passed"},
+    {Reason::Cancelled, "cancelled"},
+    {Reason::LinkLost, "link_lost"},
+    {Reason::RulesStale, "rules_stale"},
+    {Reason::TargetError, "target_error"},
+}};
+
+/// How urgent a request is at the target.
+enum class Priority {
+    Interactive,
+    Batch,
+};
+
+constexpr NameTable<Priority, 2> priorityNames = {{
+    {Priority::Interactive, "interactive"},
+    {Priority::Batch, "batch"},
+}};
+
+/// Entry -> target process: run this attempt. Carries the account and the key's id, never the key.
+struct Offer
+{
+    AttemptId attempt_;
+    RequestId request_;
+    /// The target process's run that the entry means; any other refuses as not run.
+    Incarnation targetIncarnation_;
+    AccountName account_;
+    /// Empty on routes open to all.
+    KeyId keyId_;
+    RouteName route_;
+    /// Rules the entry decided by; the target process holds the key and route against its own.
+    Revision rulesRevision_;
+    /// Empty for a plain service.
+    AdapterKey adapter_;
+    bool idempotent_ = true;
+    Priority priority_ = Priority::Interactive;
+    /// Tokens reserved for the attempt: the prompt's and the most it may generate.
+    std::int64_t reservedTokens_ = 0;
+    /// Time the entry still waits for the end of the answer, in microseconds from receipt.
+    std::int64_t timeLeftMicros_ = 0;
+    std::string method_;
+    /// Path and query as the target shall see them.
+    std::string path_;
+    std::string contentType_;
+    std::string body_;
+    bool stream_ = false;
+    Fingerprint fingerprint_;
+    std::string traceparent_;
+};
+
+/// Target process -> entry: the attempt is queued or running here.
+struct OfferAccepted
+{
+    AttemptId attempt_;
+};
+
+/// Target process -> entry: the attempt was not run here and never will be.
+struct OfferRefused
+{
+    AttemptId attempt_;
+    Reason reason_ = Reason::None;
+    /// When to try again, in milliseconds; 0 where unknown.
+    std::int64_t retryAfterMillis_ = 0;
+};
+
+/// Target process -> entry: status and type of the answer, before its first byte.
+struct AnswerHead
+{
+    AttemptId attempt_;
+    std::uint32_t status_ = 200;
+    std::string contentType_;
+};
+
+/// Target process -> entry: a part of the answer's body. offset_ is in bytes from the body's start.
+struct AnswerChunk
+{
+    AttemptId attempt_;
+    std::uint64_t offset_ = 0;
+    std::string bytes_;
+    /// Tokens run for the attempt so far, the prompt's included.
+    std::int64_t tokensRun_ = 0;
+};
+
+/// Target process -> entry: the answer is whole when the caller has length_ bytes.
+struct AnswerEnd
+{
+    AttemptId attempt_;
+    std::uint64_t length_ = 0;
+    /// Tokens run in all, the prompt's included; 0 for plain services.
+    std::int64_t tokensRun_ = 0;
+};
+
+/// Target process -> entry: the accepted attempt came to no answer.
+struct AttemptFailed
+{
+    AttemptId attempt_;
+    RunState runState_ = RunState::OutcomeUnknown;
+    Reason reason_ = Reason::None;
+    std::int64_t tokensRun_ = 0;
+};
+
+/// Entry -> target process: what became of this attempt? An attempt that has not started is
+/// tombstoned and answered with OfferRefused; a started one resumes its answer at haveOffset_.
+struct AttemptQuery
+{
+    AttemptId attempt_;
+    Incarnation targetIncarnation_;
+    std::uint64_t haveOffset_ = 0;
+};
+
+/// Entry -> target process: the caller has gone; stop the attempt.
+struct AttemptCancel
+{
+    AttemptId attempt_;
+};
+
+/// Entry -> target process: the answer has arrived whole; its log may be dropped.
+struct AnswerReceived
+{
+    AttemptId attempt_;
+};
+
+/// Role of a process of the system.
+enum class Role {
+    Entry,
+    Target,
+};
+
+constexpr NameTable<Role, 2> roleNames = {{
+    {Role::Entry, "entry"},
+    {Role::Target, "target"},
+}};
+
+/// How one resident adapter stands at a target.
+struct ResidentAdapter
+{
+    AdapterKey adapter_;
+    std::uint32_t running_ = 0;
+};
+
+/// A strike against a request that was running when its target crashed.
+struct Strike
+{
+    Fingerprint fingerprint_;
+    std::uint32_t count_ = 0;
+};
+
+/// Process -> peers, periodically and at once when leaving.
+struct Heartbeat
+{
+    Role role_ = Role::Entry;
+    DataCentreName dataCentre_;
+    bool leaving_ = false;
+    Revision rulesRevision_;
+    /// Only from target processes, below.
+    TargetGroup group_;
+    bool engineUp_ = true;
+    std::uint32_t queued_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint32_t batchSlots_ = 0;
+    std::uint32_t adapterSlots_ = 0;
+    std::vector<ResidentAdapter> residents_;
+    std::vector<Strike> strikes_;
+};
+
+/// Process -> peer: send me the rules above this revision.
+struct RulesRequest
+{
+    Revision have_;
+};
+
+/// Process -> peer: one whole revision of the rule file's text.
+struct RulesText
+{
+    Revision revision_;
+    std::string text_;
+};
+
+using Message = std::variant<Offer, OfferAccepted, OfferRefused, AnswerHead, AnswerChunk, AnswerEnd,
+                             AttemptFailed, AttemptQuery, AttemptCancel, AnswerReceived, Heartbeat,
+                             RulesRequest, RulesText>;
+
+/// A message with its sender.
+struct Envelope
+{
+    std::uint32_t version_ = messageVersion;
+    VmName from_;
+    Incarnation incarnation_;
+    /// Where the sender receives, for example "tcp://127.0.0.1:7401".
+    std::string replyAddress_;
+    Message message_;
+};
+
+} // namespace eelgrasscove
