Link the processes over nng, one inbox each and one PUSH socket a peer

Cause: the parts need messages carried between separate processes, with the link's loss made known and no silent drop.

Ruled out: pair1 in its many-peers mode (drops messages in silence when a peer's queue of 2 is full); one pair0 socket a link (the listener can't know its peers beforehand).

Before: no links. Conclusion: PULL inbox with PUSH per peer carries the attempt protocol; the listening address is also the lock that keeps a second process out.

--- /dev/null
+++ b/Source/Link/linkservice.cpp
@@ -0,0 +1,281 @@
+#include "Link/linkservice.h"
+
+#include "Link/messagecodec.h"
+#include "Observe/log.h"
+#include "Vm/boundedring.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+#include <optional>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace eelgrasscove {
+
+namespace {
+
+constexpr std::size_t sendRingMessages = 16384;
+constexpr std::size_t largestMessageBytes = 64 * 1024 * 1024;
+constexpr nng_duration receiveWaitMillis = 50;
+constexpr nng_duration shortestReconnectMillis = 50;
+constexpr nng_duration longestReconnectMillis = 1000;
+constexpr Duration sendWait = std::chrono::milliseconds(20);
+constexpr Duration retryWait = std::chrono::milliseconds(1);
+constexpr Duration forgetDownLinkAfter = std::chrono::minutes(10);
+constexpr Duration flushTime = std::chrono::milliseconds(200);
+
+/// An empty message only opens the link.
+struct Outgoing
+{
+    std::string address_;
+    std::optional<Message> message_;
+};
+
+/// The sending end of the link to one peer.
+struct PeerLink
+{
+    std::string address_;
+    nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+    std::atomic<bool> up_ = false;
+    /// What the receiver was last told.
+    bool reportedUp_ = false;
+    Time downSince_;
+};
+
+LinkError linkError(std::string_view what, int code)
+{
+    return LinkError{std::string(what) + ": " + nng_strerror(code)};
+}
+
+void linkUp(nng_pipe /*pipe*/, nng_pipe_ev /*event*/, void *peer)
+{
+    static_cast<PeerLink *>(peer)->up_ = true;
+}
+
+void linkDown(nng_pipe /*pipe*/, nng_pipe_ev /*event*/, void *peer)
+{
+    static_cast<PeerLink *>(peer)->up_ = false;
+}
+
+} // namespace
+
+struct LinkService::Impl
+{
+    LinkSettings settings_;
+    LinkIdentity identity_;
+    Deliver deliver_;
+    nng_socket inbox_ = NNG_SOCKET_INITIALIZER;
+    BoundedRing<Outgoing> outgoing_{sendRingMessages};
+    std::atomic<bool> stopping_ = false;
+    std::thread receiver_;
+    std::thread sender_;
+    /// Only the sender's thread touches it.
+    std::map<std::string, std::unique_ptr<PeerLink>> peers_;
+
+    Result<Done, LinkError> listen();
+    void receiveAll();
+    void receiveOne(std::string_view bytes);
+    void deliverSurely(LinkEvent event);
+    void sendAll();
+    void sendOne(Outgoing outgoing);
+    PeerLink *peerAt(const std::string &address);
+    bool open(PeerLink &peer);
+    void reportChanges();
+    void forgetLongDown(Time now);
+    void closePeers();
+};
+
+Result<Done, LinkError> LinkService::Impl::listen()
+{
+    int code = nng_pull0_open(&inbox_);
+    if (code != 0)
+        return linkError("can't open the inbox", code);
+    nng_socket_set_ms(inbox_, NNG_OPT_RECVTIMEO, receiveWaitMillis);
+    nng_socket_set_size(inbox_, NNG_OPT_RECVMAXSZ, largestMessageBytes);
+    code = nng_listen(inbox_, settings_.listen_.c_str(), nullptr, 0);
+    if (code != 0)
+        return linkError("can't listen on " + settings_.listen_, code);
+    return Done{};
+}
+
+void LinkService::Impl::deliverSurely(LinkEvent event)
+{
+    while (!stopping_ && !deliver_(std::move(event)))
+        std::this_thread::sleep_for(retryWait);
+}
+
+void LinkService::Impl::receiveOne(std::string_view bytes)
+{
+    Result<Envelope, CodecError> decoded = decodeEnvelope(bytes);
+    if (!ok(decoded)) {
+        logEvent(LogLevel::Warning, "link_message_unreadable",
+                 {{"error", errorOf(decoded).message_}});
+        return;
+    }
+    deliverSurely(std::move(valueOf(decoded)));
+}
+
+void LinkService::Impl::receiveAll()
+{
+    while (!stopping_) {
+        nng_msg *message = nullptr;
+        const int code = nng_recvmsg(inbox_, &message, 0);
+        if (code == NNG_ECLOSED)
+            return;
+        if (code != 0)
+            continue;
+        receiveOne({static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message)});
+        nng_msg_free(message);
+    }
+}
+
+bool LinkService::Impl::open(PeerLink &peer)
+{
+    if (nng_push0_open(&peer.socket_) != 0)
+        return false;
+    nng_socket_set_int(peer.socket_, NNG_OPT_SENDBUF,
+                       static_cast<int>(settings_.peerQueueMessages_));
+    nng_socket_set_ms(peer.socket_, NNG_OPT_RECONNMINT, shortestReconnectMillis);
+    nng_socket_set_ms(peer.socket_, NNG_OPT_RECONNMAXT, longestReconnectMillis);
+    nng_pipe_notify(peer.socket_, NNG_PIPE_EV_ADD_POST, linkUp, &peer);
+    nng_pipe_notify(peer.socket_, NNG_PIPE_EV_REM_POST, linkDown, &peer);
+    return nng_dial(peer.socket_, peer.address_.c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
+}
+
+PeerLink *LinkService::Impl::peerAt(const std::string &address)
+{
+    const auto found = peers_.find(address);
+    if (found != peers_.end())
+        return found->second.get();
+    auto peer = std::make_unique<PeerLink>();
+    peer->address_ = address;
+    peer->downSince_ = monotonicNow();
+    if (!open(*peer)) {
+        logEvent(LogLevel::Warning, "link_address_unusable", {{"address", address}});
+        nng_close(peer->socket_);
+        return nullptr;
+    }
+    return peers_.emplace(address, std::move(peer)).first->second.get();
+}
+
+void LinkService::Impl::sendOne(Outgoing outgoing)
+{
+    PeerLink *peer = peerAt(outgoing.address_);
+    if (!outgoing.message_)
+        return;
+    const bool needsLink = std::holds_alternative<Offer>(*outgoing.message_);
+    if (peer == nullptr || (needsLink && !peer->up_)) {
+        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
+        return;
+    }
+    const Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_,
+                            settings_.advertise_, *outgoing.message_};
+    std::string bytes = encodeEnvelope(envelope);
+    const int code = nng_send(peer->socket_, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+    if (code != 0)
+        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
+}
+
+void LinkService::Impl::reportChanges()
+{
+    for (auto &[address, peer] : peers_) {
+        const bool up = peer->up_;
+        if (up == peer->reportedUp_)
+            continue;
+        peer->reportedUp_ = up;
+        peer->downSince_ = monotonicNow();
+        deliverSurely(LinkChanged{address, up});
+    }
+}
+
+void LinkService::Impl::forgetLongDown(Time now)
+{
+    std::erase_if(peers_, [now](const auto &entry) {
+        const PeerLink &peer = *entry.second;
+        if (peer.up_ || peer.reportedUp_ || now - peer.downSince_ < forgetDownLinkAfter)
+            return false;
+        nng_close(peer.socket_);
+        return true;
+    });
+}
+
+void LinkService::Impl::sendAll()
+{
+    Time lastForget = monotonicNow();
+    while (true) {
+        std::optional<Outgoing> outgoing = outgoing_.pop(sendWait);
+        if (outgoing)
+            sendOne(std::move(*outgoing));
+        else if (outgoing_.closed())
+            return;
+        reportChanges();
+        const Time now = monotonicNow();
+        if (now - lastForget > std::chrono::seconds(1)) {
+            forgetLongDown(now);
+            lastForget = now;
+        }
+    }
+}
+
+void LinkService::Impl::closePeers()
+{
+    for (const auto &entry : peers_)
+        nng_close(entry.second->socket_);
+    peers_.clear();
+}
+
+LinkService::LinkService(LinkSettings settings, LinkIdentity identity, Deliver deliver)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->settings_ = std::move(settings);
+    impl_->identity_ = std::move(identity);
+    impl_->deliver_ = std::move(deliver);
+    if (impl_->settings_.advertise_.empty())
+        impl_->settings_.advertise_ = impl_->settings_.listen_;
+}
+
+LinkService::~LinkService()
+{
+    stop();
+}
+
+Result<Done, LinkError> LinkService::start()
+{
+    Result<Done, LinkError> listening = impl_->listen();
+    if (!ok(listening))
+        return listening;
+    impl_->receiver_ = std::thread([this] { impl_->receiveAll(); });
+    impl_->sender_ = std::thread([this] { impl_->sendAll(); });
+    return Done{};
+}
+
+void LinkService::stop()
+{
+    if (!impl_->sender_.joinable())
+        return;
+    impl_->outgoing_.close();
+    impl_->sender_.join();
+    // nng closes a socket with what it still holds unsent; give it the time to write.
+    std::this_thread::sleep_for(flushTime);
+    impl_->stopping_ = true;
+    nng_close(impl_->inbox_);
+    impl_->receiver_.join();
+    impl_->closePeers();
+}
+
+void LinkService::connect(const std::string &address)
+{
+    impl_->outgoing_.tryPush({address, std::nullopt});
+}
+
+bool LinkService::send(const std::string &address, Message message)
+{
+    return impl_->outgoing_.tryPush({address, std::move(message)});
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Link/messagecodec.cpp
@@ -0,0 +1,290 @@
+#include "Link/messagecodec.h"
+
+#include <array>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+namespace eelgrasscove {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// Names of the message kinds on the wire, in the order of the Message variant.
+constexpr std::array messageNames = {
+    "offer",      "offer_accepted", "offer_refused", "answer_head",    "answer_chunk",
+    "answer_end", "attempt_failed", "attempt_query", "attempt_cancel", "answer_received",
+    "heartbeat",  "rules_request",  "rules_text",
+};
+static_assert(messageNames.size() == std::variant_size_v<Message>);
+
+/// A field and its name on the wire, so that each struct is described once for both directions.
+template <class Member>
+struct Field
+{
+    const char *name_;
+    Member member_;
+};
+
+template <class Member>
+Field(const char *, Member) -> Field<Member>;
+
+template <class T>
+constexpr auto fieldsOf = nullptr;
+
+template <class T>
+constexpr bool hasFields = !std::is_same_v<std::remove_cv_t<decltype(fieldsOf<T>)>, std::nullptr_t>;
+
+template <>
+constexpr auto fieldsOf<Offer> = std::tuple{
+    Field{"attempt", &Offer::attempt_},
+    Field{"request", &Offer::request_},
+    Field{"target_incarnation", &Offer::targetIncarnation_},
+    Field{"account", &Offer::account_},
+    Field{"key_id", &Offer::keyId_},
+    Field{"route", &Offer::route_},
+    Field{"rules_revision", &Offer::rulesRevision_},
+    Field{"adapter", &Offer::adapter_},
+    Field{"idempotent", &Offer::idempotent_},
+    Field{"priority", &Offer::priority_},
+    Field{"reserved_tokens", &Offer::reservedTokens_},
+    Field{"time_left_micros", &Offer::timeLeftMicros_},
+    Field{"method", &Offer::method_},
+    Field{"path", &Offer::path_},
+    Field{"content_type", &Offer::contentType_},
+    Field{"body", &Offer::body_},
+    Field{"stream", &Offer::stream_},
+    Field{"fingerprint", &Offer::fingerprint_},
+    Field{"traceparent", &Offer::traceparent_},
+};
+
+template <>
+constexpr auto fieldsOf<OfferAccepted> = std::tuple{Field{"attempt", &OfferAccepted::attempt_}};
+
+template <>
+constexpr auto fieldsOf<OfferRefused> = std::tuple{
+    Field{"attempt", &OfferRefused::attempt_},
+    Field{"reason", &OfferRefused::reason_},
+    Field{"retry_after_millis", &OfferRefused::retryAfterMillis_},
+};
+
+template <>
+constexpr auto fieldsOf<AnswerHead> = std::tuple{
+    Field{"attempt", &AnswerHead::attempt_},
+    Field{"status", &AnswerHead::status_},
+    Field{"content_type", &AnswerHead::contentType_},
+};
+
+template <>
+constexpr auto fieldsOf<AnswerChunk> = std::tuple{
+    Field{"attempt", &AnswerChunk::attempt_},
+    Field{"offset", &AnswerChunk::offset_},
+    Field{"bytes", &AnswerChunk::bytes_},
+    Field{"tokens_run", &AnswerChunk::tokensRun_},
+};
+
+template <>
+constexpr auto fieldsOf<AnswerEnd> = std::tuple{
+    Field{"attempt", &AnswerEnd::attempt_},
+    Field{"length", &AnswerEnd::length_},
+    Field{"tokens_run", &AnswerEnd::tokensRun_},
+};
+
+template <>
+constexpr auto fieldsOf<AttemptFailed> = std::tuple{
+    Field{"attempt", &AttemptFailed::attempt_},
+    Field{"run_state", &AttemptFailed::runState_},
+    Field{"reason", &AttemptFailed::reason_},
+    Field{"tokens_run", &AttemptFailed::tokensRun_},
+};
+
+template <>
+constexpr auto fieldsOf<AttemptQuery> = std::tuple{
+    Field{"attempt", &AttemptQuery::attempt_},
+    Field{"target_incarnation", &AttemptQuery::targetIncarnation_},
+    Field{"have_offset", &AttemptQuery::haveOffset_},
+};
+
+template <>
+constexpr auto fieldsOf<AttemptCancel> = std::tuple{Field{"attempt", &AttemptCancel::attempt_}};
+
+template <>
+constexpr auto fieldsOf<AnswerReceived> = std::tuple{Field{"attempt", &AnswerReceived::attempt_}};
+
+template <>
+constexpr auto fieldsOf<AdapterKey> = std::tuple{
+    Field{"adapter", &AdapterKey::adapter_},
+    Field{"version", &AdapterKey::version_},
+};
+
+template <>
+constexpr auto fieldsOf<ResidentAdapter> = std::tuple{
+    Field{"adapter", &ResidentAdapter::adapter_},
+    Field{"running", &ResidentAdapter::running_},
+};
+
+template <>
+constexpr auto fieldsOf<Strike> = std::tuple{
+    Field{"fingerprint", &Strike::fingerprint_},
+    Field{"count", &Strike::count_},
+};
+
+template <>
+constexpr auto fieldsOf<Heartbeat> = std::tuple{
+    Field{"role", &Heartbeat::role_},
+    Field{"data_centre", &Heartbeat::dataCentre_},
+    Field{"leaving", &Heartbeat::leaving_},
+    Field{"rules_revision", &Heartbeat::rulesRevision_},
+    Field{"group", &Heartbeat::group_},
+    Field{"engine_up", &Heartbeat::engineUp_},
+    Field{"queued", &Heartbeat::queued_},
+    Field{"running", &Heartbeat::running_},
+    Field{"batch_slots", &Heartbeat::batchSlots_},
+    Field{"adapter_slots", &Heartbeat::adapterSlots_},
+    Field{"residents", &Heartbeat::residents_},
+    Field{"strikes", &Heartbeat::strikes_},
+};
+
+template <>
+constexpr auto fieldsOf<RulesRequest> = std::tuple{Field{"have", &RulesRequest::have_}};
+
+template <>
+constexpr auto fieldsOf<RulesText> = std::tuple{
+    Field{"revision", &RulesText::revision_},
+    Field{"text", &RulesText::text_},
+};
+
+template <>
+constexpr auto fieldsOf<Envelope> = std::tuple{
+    Field{"v", &Envelope::version_},
+    Field{"from", &Envelope::from_},
+    Field{"incarnation", &Envelope::incarnation_},
+    Field{"reply", &Envelope::replyAddress_},
+};
+
+template <class T>
+constexpr bool isName = false;
+template <class Tag>
+constexpr bool isName<Name<Tag>> = true;
+template <class T>
+constexpr bool isNumber = false;
+template <class Tag>
+constexpr bool isNumber<Number<Tag>> = true;
+template <class T>
+constexpr bool isVector = false;
+template <class T>
+constexpr bool isVector<std::vector<T>> = true;
+
+template <class T>
+Json encode(const T &value);
+
+template <class T>
+Json encodeFields(const T &value)
+{
+    Json object = Json::object();
+    std::apply(
+        [&](const auto &...field) { ((object[field.name_] = encode(value.*field.member_)), ...); },
+        fieldsOf<T>);
+    return object;
+}
+
+template <class T>
+Json encode(const T &value)
+{
+    if constexpr (isName<T>) {
+        return value.text_;
+    } else if constexpr (isNumber<T>) {
+        return value.value_;
+    } else if constexpr (isVector<T>) {
+        Json array = Json::array();
+        for (const auto &element : value)
+            array.push_back(encode(element));
+        return array;
+    } else if constexpr (std::is_enum_v<T>) {
+        return static_cast<std::uint32_t>(value);
+    } else if constexpr (hasFields<T>) {
+        return encodeFields(value);
+    } else {
+        return value;
+    }
+}
+
+template <class T>
+void decode(const Json &json, T &value);
+
+template <class T>
+void decodeFields(const Json &object, T &value)
+{
+    const auto take = [&](const auto &field) {
+        const auto found = object.find(field.name_);
+        if (found != object.end())
+            decode(*found, value.*field.member_);
+    };
+    std::apply([&](const auto &...field) { (take(field), ...); }, fieldsOf<T>);
+}
+
+template <class T>
+void decode(const Json &json, T &value)
+{
+    if constexpr (isName<T>) {
+        json.get_to(value.text_);
+    } else if constexpr (isNumber<T>) {
+        json.get_to(value.value_);
+    } else if constexpr (isVector<T>) {
+        for (const Json &element : json)
+            decode(element, value.emplace_back());
+    } else if constexpr (std::is_enum_v<T>) {
+        value = static_cast<T>(json.get<std::uint32_t>());
+    } else if constexpr (hasFields<T>) {
+        decodeFields(json, value);
+    } else {
+        json.get_to(value);
+    }
+}
+
+template <std::size_t Index = 0>
+bool decodeMessage(std::string_view name, const Json &body, Message &message)
+{
+    if constexpr (Index == std::variant_size_v<Message>) {
+        return false;
+    } else {
+        if (name != messageNames[Index])
+            return decodeMessage<Index + 1>(name, body, message);
+        decode(body, message.template emplace<Index>());
+        return true;
+    }
+}
+
+} // namespace
+
+std::string encodeEnvelope(const Envelope &envelope)
+{
+    Json json = encodeFields(envelope);
+    json["kind"] = messageNames[envelope.message_.index()];
+    json["body"] =
+        std::visit([](const auto &message) { return encode(message); }, envelope.message_);
+    std::string bytes;
+    Json::to_msgpack(json, bytes);
+    return bytes;
+}
+
+// The JSON library reports wrong types by exceptions; they end here.
+Result<Envelope, CodecError> decodeEnvelope(std::string_view bytes)
+{
+    try {
+        const Json json = Json::from_msgpack(bytes, true, true);
+        Envelope envelope;
+        decode(json, envelope);
+        const std::string kind = json.at("kind").get<std::string>();
+        if (!decodeMessage(kind, json.at("body"), envelope.message_))
+            return CodecError{"unknown kind of message '" + kind + "'"};
+        return envelope;
+    } catch (const Json::exception &error) {
+        return CodecError{error.what()};
+    }
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Tests/Link/messagecodectest.cpp
@@ -0,0 +1,81 @@
+#define BOOST_TEST_MODULE Link
+#include "Link/messagecodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+
+namespace {
+
+Envelope envelopeOf(Message message)
+{
+    return {messageVersion, VmName{"entry-1"}, Incarnation{7}, "tcp://127.0.0.1:1",
+            std::move(message)};
+}
+
+template <class T>
+T throughCodec(const T &message)
+{
+    const auto decoded = decodeEnvelope(encodeEnvelope(envelopeOf(message)));
+    BOOST_REQUIRE(ok(decoded));
+    BOOST_TEST(valueOf(decoded).from_.text_ == "entry-1");
+    BOOST_TEST(valueOf(decoded).incarnation_.value_ == 7U);
+    return std::get<T>(valueOf(decoded).message_);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(offerKeepsItsFields)
+{
+    Offer offer;
+    offer.attempt_ = {"entry-1.7.1"};
+    offer.adapter_ = {AdapterName{"oak-legs"}, AdapterVersion{"3"}};
+    offer.idempotent_ = false;
+    offer.priority_ = Priority::Batch;
+    offer.reservedTokens_ = 120;
+    offer.body_ = std::string("\0\xff\n", 3);
+    const Offer decoded = throughCodec(offer);
+    BOOST_TEST(decoded.attempt_.text_ == offer.attempt_.text_);
+    BOOST_TEST(engineModelName(decoded.adapter_) == "oak-legs@3");
+    BOOST_TEST(!decoded.idempotent_);
+    BOOST_TEST((decoded.priority_ == Priority::Batch));
+    BOOST_TEST(decoded.reservedTokens_ == 120);
+    BOOST_TEST(decoded.body_ == offer.body_);
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatKeepsItsLists)
+{
+    Heartbeat heartbeat;
+    heartbeat.role_ = Role::Target;
+    heartbeat.residents_ = {{{AdapterName{"a"}, AdapterVersion{"1"}}, 2}};
+    heartbeat.strikes_ = {{Fingerprint{"f"}, 1}};
+    const Heartbeat decoded = throughCodec(heartbeat);
+    BOOST_REQUIRE(decoded.residents_.size() == 1U);
+    BOOST_TEST(decoded.residents_[0].running_ == 2U);
+    BOOST_REQUIRE(decoded.strikes_.size() == 1U);
+    BOOST_TEST(decoded.strikes_[0].fingerprint_.text_ == "f");
+}
+
+BOOST_AUTO_TEST_CASE(everyKindSurvives)
+{
+    throughCodec(OfferAccepted{AttemptId{"x"}});
+    throughCodec(OfferRefused{});
+    throughCodec(AnswerHead{});
+    throughCodec(AnswerChunk{});
+    throughCodec(AnswerEnd{});
+    throughCodec(AttemptFailed{});
+    throughCodec(AttemptQuery{});
+    throughCodec(AttemptCancel{});
+    throughCodec(AnswerReceived{});
+    throughCodec(RulesRequest{});
+    throughCodec(RulesText{});
+}
+
+BOOST_AUTO_TEST_CASE(bytesThatAreNoEnvelopeAreRefused)
+{
+    BOOST_TEST(!ok(decodeEnvelope("")));
+    BOOST_TEST(!ok(decodeEnvelope("\x81\xa1v\x01")));
+    std::string cut = encodeEnvelope(envelopeOf(Offer{}));
+    cut.resize(cut.size() / 2);
+    BOOST_TEST(!ok(decodeEnvelope(cut)));
+}
