--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -105,6 +105,7 @@
 
 void LinkService::Impl::deliverSurely(LinkEvent event)
 {
+    // A refusal leaves the event untouched. NOLINTNEXTLINE(bugprone-use-after-move)
     while (!stopping_ && !deliver_(std::move(event)))
         std::this_thread::sleep_for(retryWait);
 }
