Keep track of peers by their own words and the lagging list

Cause: an entry must know, without asking anyone on the request path, which target processes may get work. The platform's list lags and a silent peer may be frozen or cut off, so neither source is enough alone. Ruled out: trusting a restarted process on a VM that the list shows as leaving (the VM goes whatever its process says); resetting a link's state on a new incarnation (the link's own event may have come first and would not come again). Conclusion: list and own words are joined in fleet.cpp; heartbeats go to all peers at home and to two rendezvous-chosen ones in each other data centre.

--- /dev/null
+++ b/Source/DataCentre/fleet.cpp
@@ -0,0 +1,167 @@
+#include "DataCentre/fleet.h"
+
+#include "DataCentre/rendezvous.h"
+
+#include <algorithm>
+
+namespace eelgrasscove {
+
+namespace {
+
+void setAddress(const Fleet &fleet, Peer &peer, const std::string &address)
+{
+    peer.listed_.address_ = address;
+    peer.linkUp_ = fleet.linksUp_.contains(address);
+}
+
+void takeListedVm(Fleet &fleet, const ListedVm &vm, Time now)
+{
+    Peer &peer = fleet.peers_[vm.vm_];
+    peer.onList_ = true;
+    peer.listed_.region_ = vm.region_;
+    peer.listed_.leaving_ = vm.leaving_;
+    if (heardLately(fleet, peer, now))
+        return;
+    peer.listed_ = vm;
+    setAddress(fleet, peer, vm.address_);
+}
+
+void forgetSilentPeers(Fleet &fleet, Time now)
+{
+    std::erase_if(fleet.peers_, [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        if (peer.onList_)
+            return false;
+        return !peer.lastHeard_ || now - *peer.lastHeard_ > fleet.policy_.forgetAfter_;
+    });
+}
+
+/// The region of a data centre as far as the list has told it.
+RegionName regionOf(const Fleet &fleet, const DataCentreName &dataCentre)
+{
+    if (dataCentre == fleet.dataCentre_)
+        return fleet.region_;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.dataCentre_ == dataCentre && !peer.listed_.region_.empty())
+            return peer.listed_.region_;
+    }
+    return {};
+}
+
+void takeOwnWords(Fleet &fleet, Peer &peer, const Envelope &envelope, const Heartbeat &heartbeat)
+{
+    ListedVm &listed = peer.listed_;
+    if (listed.region_.empty())
+        listed.region_ = regionOf(fleet, heartbeat.dataCentre_);
+    listed.vm_ = envelope.from_;
+    listed.dataCentre_ = heartbeat.dataCentre_;
+    listed.role_ = heartbeat.role_;
+    listed.group_ = heartbeat.group_;
+    setAddress(fleet, peer, envelope.replyAddress_);
+}
+
+bool leaving(const Peer &peer)
+{
+    return peer.listed_.leaving_ || peer.heartbeat_.leaving_;
+}
+
+struct OtherDataCentre
+{
+    std::vector<VmName> entries_;
+    std::vector<VmName> targets_;
+};
+
+std::vector<VmName> chosenAcross(const Fleet &fleet, const OtherDataCentre &other)
+{
+    const std::size_t wanted = fleet.policy_.heartbeatsAcross_;
+    std::vector<VmName> chosen = rendezvousRank(fleet.self_.text_, other.entries_, wanted);
+    const std::size_t missing = wanted - chosen.size();
+    for (VmName &vm : rendezvousRank(fleet.self_.text_, other.targets_, missing))
+        chosen.push_back(std::move(vm));
+    return chosen;
+}
+
+} // namespace
+
+void takeVmList(Fleet &fleet, const VmList &list, Time now)
+{
+    for (auto &[vm, peer] : fleet.peers_)
+        peer.onList_ = false;
+    fleet.selfListedLeaving_ = false;
+    for (const ListedVm &vm : list.vms_) {
+        if (vm.vm_ == fleet.self_) {
+            fleet.selfListedLeaving_ = vm.leaving_;
+        } else {
+            takeListedVm(fleet, vm, now);
+        }
+    }
+    forgetSilentPeers(fleet, now);
+}
+
+void takeHeartbeat(Fleet &fleet, const Envelope &envelope, const Heartbeat &heartbeat, Time now)
+{
+    if (envelope.from_ == fleet.self_)
+        return;
+    Peer &peer = fleet.peers_[envelope.from_];
+    if (envelope.incarnation_ < peer.incarnation_)
+        return;
+    const bool sameRun = envelope.incarnation_ == peer.incarnation_;
+    const bool saidLeaving = sameRun && peer.heartbeat_.leaving_;
+    peer.incarnation_ = envelope.incarnation_;
+    peer.lastHeard_ = now;
+    peer.heartbeat_ = heartbeat;
+    peer.heartbeat_.leaving_ = heartbeat.leaving_ || saidLeaving;
+    takeOwnWords(fleet, peer, envelope, heartbeat);
+}
+
+void takeLinkChange(Fleet &fleet, const std::string &address, bool up)
+{
+    if (up) {
+        fleet.linksUp_.insert(address);
+    } else {
+        fleet.linksUp_.erase(address);
+    }
+    for (auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.address_ == address)
+            peer.linkUp_ = up;
+    }
+}
+
+bool heardLately(const Fleet &fleet, const Peer &peer, Time now)
+{
+    return peer.lastHeard_ && now - *peer.lastHeard_ <= fleet.policy_.silentAfter_;
+}
+
+bool acceptsWork(const Fleet &fleet, const Peer &peer, Time now)
+{
+    if (peer.listed_.role_ != Role::Target || !peer.linkUp_)
+        return false;
+    if (leaving(peer) || !peer.heartbeat_.engineUp_)
+        return false;
+    return heardLately(fleet, peer, now);
+}
+
+std::vector<std::string> heartbeatAddresses(const Fleet &fleet)
+{
+    std::vector<std::string> addresses;
+    std::map<DataCentreName, OtherDataCentre> others;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.address_.empty())
+            continue;
+        if (peer.listed_.dataCentre_ == fleet.dataCentre_) {
+            addresses.push_back(peer.listed_.address_);
+            continue;
+        }
+        if (leaving(peer))
+            continue;
+        OtherDataCentre &other = others[peer.listed_.dataCentre_];
+        (peer.listed_.role_ == Role::Entry ? other.entries_ : other.targets_).push_back(vm);
+    }
+    for (const auto &[dataCentre, other] : others) {
+        for (const VmName &vm : chosenAcross(fleet, other))
+            addresses.push_back(fleet.peers_.at(vm).listed_.address_);
+    }
+    return addresses;
+}
+
+} // namespace eelgrasscove
--- a/Source/DataCentre/fleet.h
+++ b/Source/DataCentre/fleet.h
@@ -7,8 +7,10 @@
 #include <eelgrasscove/platform.h>
 #include <eelgrasscove/time.h>
 
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,11 @@
 {
     /// A target process that has been silent for so long gets no new work.
     Duration silentAfter_ = std::chrono::seconds(2);
+    /// A peer that is off the list is forgotten after so long without a word. It is longer than the
+    /// list lags, so that a late message of an earlier incarnation still meets its successor's.
+    Duration forgetAfter_ = std::chrono::minutes(5);
+    /// Processes of each other data centre that hear this one's heartbeats.
+    std::size_t heartbeatsAcross_ = 2;
 };
 
 struct Fleet
@@ -40,20 +47,31 @@
     DataCentreName dataCentre_;
     FleetPolicy policy_;
     std::map<VmName, Peer> peers_;
+    /// Addresses whose link is up, also those of peers not known yet.
+    std::set<std::string> linksUp_;
+    /// The list says that this process's own VM is leaving.
+    bool selfListedLeaving_ = false;
 };
 
 /// Takes in a reading of the platform's list. Peers that left it are kept while they still speak.
+/// Where a peer speaks for itself, the list, which lags, adds only its region and that it leaves.
 void takeVmList(Fleet &fleet, const VmList &list, Time now);
 
-/// Takes in what a peer says of itself. A lower incarnation than known is ignored.
+/// Takes in what a peer says of itself. A lower incarnation than known is ignored, a higher one
+/// replaces all that was said before. Within one incarnation, leaving is final.
 void takeHeartbeat(Fleet &fleet, const Envelope &envelope, const Heartbeat &heartbeat, Time now);
 
 void takeLinkChange(Fleet &fleet, const std::string &address, bool up);
 
-/// Whether new work may go to the peer now.
+/// Whether the peer has spoken within the policy's time.
+bool heardLately(const Fleet &fleet, const Peer &peer, Time now);
+
+/// Whether new work may go to the peer now. A peer that the list shows as leaving gets none even
+/// after a restart: the VM goes, whatever its process says.
 bool acceptsWork(const Fleet &fleet, const Peer &peer, Time now);
 
-/// Addresses that this process should send its heartbeats to.
+/// Addresses that this process should send its heartbeats to: all peers of its data centre and a
+/// few of each other one, entries before target processes, by rendezvous hashing.
 std::vector<std::string> heartbeatAddresses(const Fleet &fleet);
 
 } // namespace eelgrasscove
--- /dev/null
+++ b/Tests/Fleet/fleettest.cpp
@@ -0,0 +1,239 @@
+#define BOOST_TEST_MODULE Fleet
+#include "DataCentre/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+using namespace eelgrasscove;
+
+namespace {
+
+constexpr Duration second = std::chrono::seconds(1);
+const Time start = Time(std::chrono::hours(1));
+
+ListedVm listedVm(const std::string &name, Role role, const std::string &dataCentre)
+{
+    ListedVm vm;
+    vm.vm_ = {name};
+    vm.region_ = {"region-of-" + dataCentre};
+    vm.dataCentre_ = {dataCentre};
+    vm.role_ = role;
+    vm.address_ = "tcp://" + name;
+    vm.group_ = {role == Role::Target ? "advice" : ""};
+    return vm;
+}
+
+Fleet fleetOf(const std::vector<ListedVm> &vms)
+{
+    Fleet fleet;
+    fleet.self_ = {"entry-self"};
+    fleet.region_ = {"region-of-utrecht"};
+    fleet.dataCentre_ = {"utrecht"};
+    takeVmList(fleet, {vms}, start);
+    return fleet;
+}
+
+void hear(Fleet &fleet, const std::string &name, std::uint64_t incarnation, Heartbeat heartbeat,
+          Time now)
+{
+    Envelope envelope;
+    envelope.from_ = {name};
+    envelope.incarnation_ = {incarnation};
+    envelope.replyAddress_ = "tcp://" + name;
+    heartbeat.dataCentre_ = {"utrecht"};
+    heartbeat.role_ = Role::Target;
+    heartbeat.group_ = {"advice"};
+    takeHeartbeat(fleet, envelope, heartbeat, now);
+}
+
+bool takesWork(const Fleet &fleet, const std::string &name, Time now)
+{
+    return acceptsWork(fleet, fleet.peers_.at({name}), now);
+}
+
+/// One target process, listed, linked and heard at the start.
+Fleet fleetWithOneTarget()
+{
+    Fleet fleet = fleetOf({listedVm("target", Role::Target, "utrecht")});
+    takeLinkChange(fleet, "tcp://target", true);
+    hear(fleet, "target", 1, {}, start);
+    return fleet;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(listedLinkedAndHeardTargetTakesWork)
+{
+    const Fleet fleet = fleetWithOneTarget();
+    BOOST_TEST(takesWork(fleet, "target", start));
+}
+
+BOOST_AUTO_TEST_CASE(targetNeverHeardTakesNoWork)
+{
+    Fleet fleet = fleetOf({listedVm("target", Role::Target, "utrecht")});
+    takeLinkChange(fleet, "tcp://target", true);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+}
+
+BOOST_AUTO_TEST_CASE(entryTakesNoWork)
+{
+    Fleet fleet = fleetOf({listedVm("entry", Role::Entry, "utrecht")});
+    takeLinkChange(fleet, "tcp://entry", true);
+    Envelope envelope;
+    envelope.from_ = {"entry"};
+    envelope.replyAddress_ = "tcp://entry";
+    takeHeartbeat(fleet, envelope, {}, start);
+    BOOST_TEST(!takesWork(fleet, "entry", start));
+}
+
+BOOST_AUTO_TEST_CASE(announcedLeaveEndsWorkAtOnceAndForThatIncarnation)
+{
+    Fleet fleet = fleetWithOneTarget();
+    Heartbeat last;
+    last.leaving_ = true;
+    hear(fleet, "target", 1, last, start);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+    // A heartbeat from before the announcement, overtaken on its way.
+    hear(fleet, "target", 1, {}, start);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+}
+
+BOOST_AUTO_TEST_CASE(leaveAndReturnTakesWorkAgain)
+{
+    Fleet fleet = fleetWithOneTarget();
+    Heartbeat last;
+    last.leaving_ = true;
+    hear(fleet, "target", 1, last, start);
+    hear(fleet, "target", 2, {}, start + second);
+    BOOST_TEST(takesWork(fleet, "target", start + second));
+}
+
+BOOST_AUTO_TEST_CASE(listedLeaveEndsWorkWhateverTheProcessSays)
+{
+    Fleet fleet = fleetWithOneTarget();
+    ListedVm vm = listedVm("target", Role::Target, "utrecht");
+    vm.leaving_ = true;
+    takeVmList(fleet, {{vm}}, start);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+    hear(fleet, "target", 2, {}, start);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+    vm.leaving_ = false;
+    takeVmList(fleet, {{vm}}, start);
+    BOOST_TEST(takesWork(fleet, "target", start));
+}
+
+BOOST_AUTO_TEST_CASE(silenceEndsWorkAndAWordBringsItBack)
+{
+    Fleet fleet = fleetWithOneTarget();
+    const Time atLimit = start + fleet.policy_.silentAfter_;
+    BOOST_TEST(takesWork(fleet, "target", atLimit));
+    BOOST_TEST(!takesWork(fleet, "target", atLimit + Duration(1)));
+    hear(fleet, "target", 1, {}, atLimit + second);
+    BOOST_TEST(takesWork(fleet, "target", atLimit + second));
+}
+
+BOOST_AUTO_TEST_CASE(linkDownOrEngineDownEndsWork)
+{
+    Fleet fleet = fleetWithOneTarget();
+    takeLinkChange(fleet, "tcp://target", false);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+    takeLinkChange(fleet, "tcp://target", true);
+    Heartbeat engineDown;
+    engineDown.engineUp_ = false;
+    hear(fleet, "target", 1, engineDown, start);
+    BOOST_TEST(!takesWork(fleet, "target", start));
+}
+
+BOOST_AUTO_TEST_CASE(lowerIncarnationIsIgnored)
+{
+    Fleet fleet = fleetWithOneTarget();
+    hear(fleet, "target", 5, {}, start);
+    Heartbeat late;
+    late.leaving_ = true;
+    late.queued_ = 9;
+    hear(fleet, "target", 4, late, start + second);
+    const Peer &peer = fleet.peers_.at({"target"});
+    BOOST_TEST(peer.incarnation_.value_ == 5);
+    BOOST_TEST(peer.heartbeat_.queued_ == 0);
+    BOOST_TEST((peer.lastHeard_ == start));
+    BOOST_TEST(takesWork(fleet, "target", start));
+}
+
+BOOST_AUTO_TEST_CASE(higherIncarnationReplacesWhatWasSaid)
+{
+    Fleet fleet = fleetWithOneTarget();
+    Heartbeat full;
+    full.residents_.push_back({{{"oak"}, {"3"}}, 2});
+    hear(fleet, "target", 1, full, start);
+    hear(fleet, "target", 2, {}, start);
+    BOOST_TEST(fleet.peers_.at({"target"}).heartbeat_.residents_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(peerThatTheListLacksIsTakenInByItsHeartbeat)
+{
+    Fleet fleet = fleetOf({});
+    takeLinkChange(fleet, "tcp://early", true);
+    hear(fleet, "early", 1, {}, start);
+    BOOST_TEST(takesWork(fleet, "early", start));
+    takeVmList(fleet, {}, start + second);
+    BOOST_TEST(takesWork(fleet, "early", start + second));
+    const Peer &peer = fleet.peers_.at({"early"});
+    BOOST_TEST(!peer.onList_);
+    BOOST_TEST(peer.listed_.region_.text_ == "region-of-utrecht");
+}
+
+BOOST_AUTO_TEST_CASE(ownWordsGoBeforeALaggingListUntilSilent)
+{
+    Fleet fleet = fleetWithOneTarget();
+    ListedVm stale = listedVm("target", Role::Target, "utrecht");
+    stale.address_ = "tcp://former";
+    takeVmList(fleet, {{stale}}, start);
+    BOOST_TEST(fleet.peers_.at({"target"}).listed_.address_ == "tcp://target");
+    takeVmList(fleet, {{stale}}, start + 3 * second);
+    BOOST_TEST(fleet.peers_.at({"target"}).listed_.address_ == "tcp://former");
+    BOOST_TEST(!fleet.peers_.at({"target"}).linkUp_);
+}
+
+BOOST_AUTO_TEST_CASE(peerOffTheListIsForgottenAfterLongSilence)
+{
+    Fleet fleet = fleetWithOneTarget();
+    takeVmList(fleet, {}, start + fleet.policy_.forgetAfter_);
+    BOOST_TEST(fleet.peers_.size() == 1);
+    takeVmList(fleet, {}, start + fleet.policy_.forgetAfter_ + Duration(1));
+    BOOST_TEST(fleet.peers_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(selfIsNoPeerButSeesThatItIsListedLeaving)
+{
+    ListedVm self = listedVm("entry-self", Role::Entry, "utrecht");
+    self.leaving_ = true;
+    Fleet fleet = fleetOf({self});
+    BOOST_TEST(fleet.selfListedLeaving_);
+    hear(fleet, "entry-self", 1, {}, start);
+    BOOST_TEST(fleet.peers_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatsGoToAllAtHomeAndToAFewEntriesElsewhere)
+{
+    std::vector<ListedVm> vms;
+    for (int number = 0; number < 20; ++number) {
+        vms.push_back(listedVm(fmt::format("home{}", number), Role::Target, "utrecht"));
+        vms.push_back(listedVm(fmt::format("target{}", number), Role::Target, "leiden"));
+        vms.push_back(listedVm(fmt::format("entry{}", number), Role::Entry, "leiden"));
+    }
+    vms.push_back(listedVm("delft-entry", Role::Entry, "delft"));
+    vms.push_back(listedVm("delft-target", Role::Target, "delft"));
+    const Fleet fleet = fleetOf(vms);
+    const std::vector<std::string> addresses = heartbeatAddresses(fleet);
+    const auto beginWith = [&](const std::string &start) {
+        return std::count_if(addresses.begin(), addresses.end(),
+                             [&](const std::string &each) { return each.starts_with(start); });
+    };
+    BOOST_TEST(beginWith("tcp://home") == 20);
+    BOOST_TEST(beginWith("tcp://entry") == 2);
+    BOOST_TEST(beginWith("tcp://target") == 0);
+    BOOST_TEST(beginWith("tcp://delft") == 2);
+    BOOST_TEST(addresses.size() == 24U);
+}
