Carry an offer's prompt tokens apart

Cause: a target process charges the prompt as soon as an attempt runs, but knew only the sum of prompt and most generated tokens. Ruled out: counting the prompt again from the body, which would put the contract's definition into two processes. Conclusion: an added field; absent reads as 0.

--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -51,6 +51,7 @@
     Field{"idempotent", &Offer::idempotent_},
     Field{"priority", &Offer::priority_},
     Field{"reserved_tokens", &Offer::reservedTokens_},
+    Field{"prompt_tokens", &Offer::promptTokens_},
     Field{"time_left_micros", &Offer::timeLeftMicros_},
     Field{"method", &Offer::method_},
     Field{"path", &Offer::path_},
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -98,6 +98,8 @@
     Priority priority_ = Priority::Interactive;
     /// Tokens reserved for the attempt: the prompt's and the most it may generate.
     std::int64_t reservedTokens_ = 0;
+    /// The prompt's part of them, charged as soon as the attempt runs.
+    std::int64_t promptTokens_ = 0;
     /// Time the entry still waits for the end of the answer, in microseconds from receipt.
     std::int64_t timeLeftMicros_ = 0;
     std::string method_;
