Parse settings and rule files, and report every fault at once

Cause: processes and the operators' tool need one checked reading of the INI settings and of the rule file, with line, column and remedy for each fault.

The INI library names only the first malformed line and carries lines over by indentation; both are ruled out: its reader callback counts lines, malformed ones are blanked and the text is read again, multi-line values are off. Service routes of the same method and prefix are refused where an account could match both; else the longest prefix wins, then an exact method. Paths that a target could read as another one have no route.

The comparison operator of the names needs a NOLINT: the linter takes the literal zero in the compiler's rewritten comparison for a null pointer.

--- a/Source/Observe/log.cpp
+++ b/Source/Observe/log.cpp
@@ -1,7 +1,5 @@
 #include "Observe/log.h"
 
-#include <eelgrasscove/nametable.h>
-
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -12,13 +10,6 @@
 
 namespace {
 
-constexpr NameTable<LogLevel, 4> logLevelNames = {{
-    {LogLevel::Debug, "debug"},
-    {LogLevel::Info, "info"},
-    {LogLevel::Warning, "warning"},
-    {LogLevel::Error, "error"},
-}};
-
 std::string processName;
 std::atomic<LogLevel> least = LogLevel::Info;
 std::mutex writing;
--- a/Source/Observe/log.h
+++ b/Source/Observe/log.h
@@ -2,6 +2,8 @@
 
 /// Logs as JSON lines on standard error, with stable event names.
 
+#include <eelgrasscove/nametable.h>
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -16,6 +18,13 @@
     Error,
 };
 
+constexpr NameTable<LogLevel, 4> logLevelNames = {{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}};
+
 /// One field of a log line. Values are escaped; never pass a caller's key.
 struct LogField
 {
--- /dev/null
+++ b/Tests/Vm/settingstest.cpp
@@ -0,0 +1,108 @@
+#include "Vm/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+
+namespace {
+
+const std::string entryText = R"([vm]
+role = entry
+vm = entry-1
+region = randstad
+data_centre = utrecht
+[link]
+listen = tcp://127.0.0.1:7401
+[platform]
+key_value_url = http://127.0.0.1:2379
+vm_list_url = http://127.0.0.1:2379/vms
+[callers]
+listen = 127.0.0.1:8080
+[keys]
+digest_secret = 0123456789abcdef
+)";
+
+std::vector<SettingsError> errorsOf(const std::string &text)
+{
+    const auto result = parseSettings(text, "vm.ini");
+    BOOST_REQUIRE(!ok(result));
+    return errorOf(result);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(readsAnEntryAndKeepsDefaults)
+{
+    const std::string more = "body_bytes = 2 MB ; of one request\n";
+    std::string text = entryText;
+    text.insert(text.find("[keys]"), more + "caller_timeout = 1500ms\n");
+    const auto result = parseSettings(text, "vm.ini");
+    if (!ok(result))
+        BOOST_FAIL(describeSettingsErrors(errorOf(result)));
+    const Settings &settings = valueOf(result);
+    BOOST_TEST((settings.vm_.role_ == Role::Entry));
+    BOOST_TEST(settings.vm_.dataCentre_.text_ == "utrecht");
+    BOOST_TEST(settings.link_.advertise_ == "tcp://127.0.0.1:7401");
+    BOOST_TEST(settings.callers_.bodyBytes_ == 2U * 1024 * 1024);
+    BOOST_TEST((settings.callers_.callerTimeout_ == std::chrono::milliseconds(1500)));
+    BOOST_TEST(settings.callers_.connections_ == CallerSettings().connections_);
+}
+
+BOOST_AUTO_TEST_CASE(reportsEveryFaultAtOnceWithItsLine)
+{
+    const std::string text = "[vm]\n"
+                             "role = driver\n"
+                             "colour = red\n"
+                             "vm = entry-1\n"
+                             "vm = entry-2\n"
+                             "nonsense\n"
+                             "region = r\n"
+                             "data_centre = d\n"
+                             "[link]\n"
+                             "listen = 127.0.0.1:7401\n"
+                             "heartbeat_period = 250\n"
+                             "peer_queue_messages = 0\n"
+                             "more nonsense\n"
+                             "[platform]\n"
+                             "key_value_url = http://127.0.0.1:2379\n"
+                             "call_timeout = 2 days\n"
+                             "[weather]\n"
+                             "wind = west\n";
+    const std::vector<std::uint32_t> expected = {2, 3, 5, 6, 10, 11, 12, 13, 16, 18, 0, 0, 0};
+    std::vector<std::uint32_t> lines;
+    for (const SettingsError &error : errorsOf(text)) {
+        lines.push_back(error.line_);
+        BOOST_TEST(error.file_ == "vm.ini");
+        BOOST_TEST(!error.message_.empty());
+        BOOST_TEST(!error.remedy_.empty());
+    }
+    BOOST_TEST(lines == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(targetNeedsItsOwnSettings)
+{
+    std::string text = entryText;
+    text.replace(text.find("role = entry"), 12, "role = target");
+    const std::string described = describeSettingsErrors(errorsOf(text));
+    BOOST_TEST(described
+               == "vm.ini: [target] group is missing; add it under [target]\n"
+                  "vm.ini: [target] url is missing; add it under [target]\n");
+}
+
+BOOST_AUTO_TEST_CASE(secretIsNeverRepeated)
+{
+    std::string text = entryText;
+    text.replace(text.find("0123456789abcdef"), 16, "hushhush");
+    const std::string described = describeSettingsErrors(errorsOf(text));
+    BOOST_TEST(described.find("hushhush") == std::string::npos);
+    BOOST_TEST(described.find("vm.ini:14:") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(oddLinesAreFaultsNotCrashes)
+{
+    const std::string zero("[vm]\nvm = a\0b\n", 14);
+    BOOST_TEST(errorsOf(zero).front().line_ == 2U);
+    const std::string longLine = "[vm]\nvm = " + std::string(10000, 'x') + "\n";
+    BOOST_TEST(errorsOf(longLine).front().line_ == 2U);
+    BOOST_TEST(errorsOf("").front().line_ == 0U);
+}
--- a/include/eelgrasscove/names.h
+++ b/include/eelgrasscove/names.h
@@ -17,7 +17,7 @@
     std::string text_;
 
     bool empty() const { return text_.empty(); }
-    auto operator<=>(const Name &) const = default;
+    auto operator<=>(const Name &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A number of one kind of thing; Tag keeps the kinds apart.
@@ -26,7 +26,7 @@
 {
     std::uint64_t value_ = 0;
 
-    auto operator<=>(const Number &) const = default;
+    auto operator<=>(const Number &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A virtual machine of the platform, as its list names it.
@@ -63,7 +63,7 @@
     AdapterVersion version_;
 
     bool empty() const { return adapter_.empty(); }
-    auto operator<=>(const AdapterKey &) const = default;
+    auto operator<=>(const AdapterKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// The name an engine serves the adapter under, for example "oak-legs@3".
--- a/include/eelgrasscove/rules.h
+++ b/include/eelgrasscove/rules.h
@@ -62,6 +62,8 @@
     std::map<RouteName, RouteRule> routes_;
     /// Keys by digest, derived from keys_.
     std::map<std::string, KeyId> keyByDigest_;
+    /// Service routes by path prefix (without a trailing slash), derived from routes_.
+    std::map<std::string, std::vector<RouteName>> servicesByPrefix_;
 };
 
 } // namespace eelgrasscove
