Decide at the entry: key, route, allowance, attempts, answers

Cause: a caller's request needs one place that knows whose it is, where it runs and what became of every try.

Ruled out: a query that always tombstones (a queued attempt behind a healthy link would be killed by it; AttemptQuery says whether it gives up); settling an attempt of unknown outcome by its last report (the account could then run more than its contract: the whole reservation counts as run).

Conclusion: ready to be joined with the target process.

--- /dev/null
+++ b/Source/Caller/entry.h
@@ -0,0 +1,188 @@
+#pragma once
+
+/// The decisions of an entry, pure: state, one input and its time go in, actions come out.
+
+#include "Caller/callermessages.h"
+#include "ClientAccount/allowance.h"
+#include "DataCentre/fleet.h"
+#include "DataCentre/routing.h"
+#include "Link/linkservice.h"
+
+#include <eelgrasscove/platform.h>
+#include <eelgrasscove/rules.h>
+#include <eelgrasscove/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace eelgrasscove {
+
+struct EntryPolicy
+{
+    Duration requestTimeout_ = std::chrono::seconds(120);
+    /// Longest time a request waits for its account's tokens before it is refused.
+    Duration allowanceHold_ = std::chrono::seconds(2);
+    /// Longest time a request waits until some target process accepts it.
+    Duration placementHold_ = std::chrono::seconds(5);
+    /// Wait before the next try after a refusal that a little time may cure.
+    Duration retryPause_ = std::chrono::milliseconds(50);
+    /// Silence of an attempt after which its target process is asked about it.
+    Duration answerSilence_ = std::chrono::seconds(1);
+    /// Runs of an idempotent request whose earlier run came to no answer.
+    std::uint32_t reruns_ = 2;
+    std::uint32_t requests_ = 4096;
+    /// Largest answer collected before it is passed on, and the largest that is resumed, in bytes.
+    std::uint32_t answerBytes_ = 4 * 1024 * 1024;
+    /// Crashes after which a request is refused here without asking a target, and for how long.
+    std::uint32_t strikes_ = 2;
+    Duration strikeMemory_ = std::chrono::minutes(10);
+    RoutingPolicy routing_;
+};
+
+/// Where a request stands.
+enum class Stage {
+    AwaitingAllowance,
+    AwaitingTarget,
+    /// Offered; whether it was taken isn't known yet.
+    Offered,
+    /// Taken by a target process.
+    Accepted,
+};
+
+/// A request in hand.
+struct PendingRequest
+{
+    CallerRequest call_;
+    RequestId id_;
+    RouteRule route_;
+    AccountName account_;
+    KeyId keyId_;
+    Revision rulesRevision_;
+    Fingerprint fingerprint_;
+    Stage stage_ = Stage::AwaitingAllowance;
+    Time deadline_;
+    /// When the present wait, for tokens or for a target, is given up.
+    Time heldUntil_;
+    Time nextTry_;
+    std::vector<VmName> tried_;
+    std::uint32_t reruns_ = 0;
+    AttemptId attempt_;
+    /// Why the latest try wasn't run.
+    Reason lastReason_ = Reason::None;
+    std::uint32_t retryAfter_ = 0;
+    bool callerGone_ = false;
+    bool headReceived_ = false;
+    AnswerHead head_;
+    /// Bytes of the answer received, without gap.
+    std::uint64_t received_ = 0;
+    /// The answer so far where it isn't streamed.
+    std::string answer_;
+};
+
+/// One try at one target.
+struct Attempt
+{
+    AttemptId id_;
+    RequestId request_;
+    VmName vm_;
+    std::string address_;
+    Incarnation incarnation_;
+    AccountName account_;
+    std::int64_t reservedTokens_ = 0;
+    Time heardAt_;
+    Time deadline_;
+    /// The request goes on elsewhere, or has ended; only the account is still to be settled.
+    bool abandoned_ = false;
+};
+
+/// What this entry sent to a target since the target's last heartbeat.
+struct SentSinceReport
+{
+    std::vector<AdapterKey> adapters_;
+};
+
+/// A request's strikes as the target processes told them.
+struct KnownStrike
+{
+    std::uint32_t count_ = 0;
+    Time heardAt_;
+};
+
+struct Entry
+{
+    LinkIdentity identity_;
+    EntryPolicy policy_;
+    Rules rules_;
+    bool haveRules_ = false;
+    bool leaving_ = false;
+    Allowance allowance_;
+    Fleet fleet_;
+    std::map<RequestId, PendingRequest> requests_;
+    std::map<CallerHandle, RequestId> requestByHandle_;
+    std::map<AttemptId, Attempt> attempts_;
+    std::map<VmName, SentSinceReport> sentSinceReport_;
+    std::map<Fingerprint, KnownStrike> strikes_;
+    std::uint64_t lastRequestNumber_ = 0;
+    std::uint64_t lastAttemptNumber_ = 0;
+    /// Messages that matched no attempt.
+    std::uint64_t unmatchedMessages_ = 0;
+};
+
+/// A new reading of the rules, parsed.
+struct AdoptRules
+{
+    Rules rules_;
+};
+
+struct Tick
+{
+};
+
+/// No new requests; those in hand are finished.
+struct StopRequested
+{
+};
+
+using EntryInput =
+    std::variant<CallerRequest, CallerGone, Envelope, LinkChanged, SendFailed, VmList, AdoptRules,
+                 KvOutcome, PlatformReachable, Tick, StopRequested>;
+
+struct SendMessage
+{
+    std::string address_;
+    Message message_;
+};
+
+/// How a request ended, for logs, metrics and traces.
+struct RequestRecord
+{
+    RequestId id_;
+    RouteName route_;
+    AccountName account_;
+    VmName target_;
+    std::uint32_t status_ = 0;
+    std::string code_;
+    RunState run_ = RunState::Ran;
+    TraceContext trace_;
+    std::string parentSpanId_;
+    Time arrivedAt_;
+};
+
+using EntryAction = std::variant<SendMessage, CallerReply, RequestRecord, KvOperation>;
+using EntryActions = std::vector<EntryAction>;
+
+void step(Entry &entry, EntryInput &&input, Time now, EntryActions &actions);
+
+/// Sends this entry's heartbeat to its peers.
+void sendHeartbeats(const Entry &entry, EntryActions &actions);
+
+/// Whether nothing is in hand any more.
+bool idle(const Entry &entry);
+
+/// The entry's state for operators, as a JSON object.
+std::string entryStatusJson(const Entry &entry);
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Caller/entryprocess.cpp
@@ -0,0 +1,284 @@
+#include "Caller/entryprocess.h"
+
+#include "Caller/callerserver.h"
+#include "Caller/entry.h"
+#include "Contract/rulefile.h"
+#include "Link/linkservice.h"
+#include "Observe/log.h"
+#include "Observe/metrics.h"
+#include "Observe/statusboard.h"
+#include "Platform/platformservice.h"
+#include "Vm/boundedring.h"
+#include "Vm/exitcode.h"
+#include "Vm/timerservice.h"
+
+#include <atomic>
+#include <chrono>
+#include <fmt/core.h>
+#include <optional>
+#include <thread>
+#include <type_traits>
+#include <variant>
+
+namespace eelgrasscove {
+
+namespace {
+
+constexpr std::size_t inputRingInputs = 16384;
+constexpr Duration inputWait = std::chrono::milliseconds(100);
+constexpr Duration tickPeriod = std::chrono::milliseconds(20);
+constexpr Duration statusPeriod = std::chrono::milliseconds(250);
+
+/// Greater for every restart of the process, and so are the ids built on it unique.
+Incarnation startIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    return {static_cast<std::uint64_t>(millis)};
+}
+
+EntryPolicy policyFrom(const Settings &settings)
+{
+    EntryPolicy policy;
+    policy.requestTimeout_ = settings.callers_.requestTimeout_;
+    policy.requests_ = settings.callers_.requests_;
+    policy.strikes_ = settings.target_.strikes_;
+    policy.strikeMemory_ = settings.target_.strikeMemory_;
+    return policy;
+}
+
+Entry entryFrom(const Settings &settings)
+{
+    Entry entry;
+    entry.identity_ = {settings.vm_.vm_, startIncarnation()};
+    entry.policy_ = policyFrom(settings);
+    entry.fleet_.self_ = settings.vm_.vm_;
+    entry.fleet_.region_ = settings.vm_.region_;
+    entry.fleet_.dataCentre_ = settings.vm_.dataCentre_;
+    return entry;
+}
+
+/// Rules as text from the store or a peer, read on the thread that brought them.
+std::optional<EntryInput> inputFrom(PlatformEvent &&event)
+{
+    const auto *stored = std::get_if<StoredRules>(&event);
+    if (stored == nullptr)
+        return std::visit(
+            [](auto &body) -> std::optional<EntryInput> {
+                if constexpr (std::is_same_v<std::decay_t<decltype(body)>, StoredRules>)
+                    return std::nullopt;
+                else
+                    return EntryInput(std::move(body));
+            },
+            event);
+    Result<Rules, std::vector<RuleError>> rules =
+        parseRules(stored->text_, "stored rules", stored->revision_);
+    if (ok(rules))
+        return EntryInput(AdoptRules{valueOf(std::move(rules))});
+    logEvent(LogLevel::Error, "stored_rules_unreadable",
+             {{"errors", describeRuleErrors(errorOf(rules))}});
+    return std::nullopt;
+}
+
+class EntryProcess
+{
+public:
+    EntryProcess(const Settings &settings, StopSignal &stop)
+        : settings_(settings), stop_(stop), entry_(entryFrom(settings)),
+          callers_(settings.callers_, settings.keys_, board_,
+                   [this](CallerEvent &&event) { return pushCaller(std::move(event)); }),
+          links_(settings.link_, entry_.identity_,
+                 [this](LinkEvent &&event) { return push(std::move(event)); }),
+          platform_(settings.platform_,
+                    [this](PlatformEvent &&event) { return pushPlatform(std::move(event)); })
+    { }
+
+    int run()
+    {
+        if (const int code = start(); code != ExitStopped)
+            return code;
+        decide();
+        const bool forced = !idle(entry_);
+        callers_.stop();
+        timer_.stop();
+        platform_.stop();
+        links_.stop();
+        logEvent(LogLevel::Info, "stopped", {{"forced", forced ? "true" : "false"}});
+        return forced ? ExitForced : ExitStopped;
+    }
+
+private:
+    int start()
+    {
+        const Result<Done, LinkError> linked = links_.start();
+        if (!ok(linked)) {
+            logEvent(LogLevel::Error, "start_failed", {{"error", errorOf(linked).message_}});
+            return ExitAddress;
+        }
+        const Result<Done, CallerServerError> serving = callers_.start();
+        if (!ok(serving)) {
+            logEvent(LogLevel::Error, "start_failed", {{"error", errorOf(serving).message_}});
+            return ExitAddress;
+        }
+        platform_.start();
+        timer_.subscribe(tickPeriod, [this](Time) { inputs_.tryPush(Tick()); });
+        timer_.subscribe(settings_.link_.heartbeatPeriod_, [this](Time) { heartbeatDue_ = true; });
+        timer_.subscribe(statusPeriod, [this](Time) { statusDue_ = true; });
+        logEvent(LogLevel::Info, "started", {{"listen", settings_.callers_.listen_}});
+        return ExitStopped;
+    }
+
+    bool pushCaller(CallerEvent &&event) { return push(std::move(event)); }
+
+    /// Moves the event's body into the ring; a full ring leaves the event untouched.
+    template <class... Bodies>
+    bool push(std::variant<Bodies...> &&event)
+    {
+        return std::visit(
+            [this](auto &body) {
+                EntryInput input(std::move(body));
+                if (inputs_.tryPush(std::move(input)))
+                    return true;
+                body = std::get<std::decay_t<decltype(body)>>(std::move(input));
+                return false;
+            },
+            event);
+    }
+
+    bool pushPlatform(PlatformEvent &&event)
+    {
+        std::optional<EntryInput> input = inputFrom(std::move(event));
+        if (!input)
+            return true;
+        while (!inputs_.tryPush(std::move(*input))) {
+            if (inputs_.closed())
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return true;
+    }
+
+    void decide()
+    {
+        EntryActions actions;
+        while (!finished()) {
+            std::optional<EntryInput> input = inputs_.pop(inputWait);
+            const Time now = monotonicNow();
+            if (input)
+                step(entry_, std::move(*input), now, actions);
+            takeStop(now, actions);
+            if (heartbeatDue_.exchange(false))
+                sendHeartbeats(entry_, actions);
+            perform(actions);
+            if (statusDue_.exchange(false))
+                showStatus();
+        }
+        inputs_.close();
+    }
+
+    /// First unready but serving, then refusing, then gone once nothing is in hand.
+    void takeStop(Time now, EntryActions &actions)
+    {
+        if (!stop_.requested())
+            return;
+        if (!leavingSince_) {
+            leavingSince_ = now;
+            board_.setReady(false);
+            callers_.beginLeaving();
+            logEvent(LogLevel::Info, "leaving");
+        }
+        if (!entry_.leaving_ && now - *leavingSince_ >= settings_.stop_.announce_)
+            step(entry_, StopRequested(), now, actions);
+    }
+
+    bool finished() const
+    {
+        if (!leavingSince_)
+            return false;
+        const bool overdue = monotonicNow() - *leavingSince_ > settings_.stop_.graceful_;
+        return (entry_.leaving_ && idle(entry_)) || overdue || stop_.forced();
+    }
+
+    void perform(EntryActions &actions)
+    {
+        for (EntryAction &action : actions)
+            std::visit([this](auto &body) { performOne(std::move(body)); }, action);
+        actions.clear();
+    }
+
+    void performOne(SendMessage &&send)
+    {
+        if (links_.send(send.address_, send.message_))
+            return;
+        // The links' ring is full: the message was not sent, as if its link were down.
+        countMetric("eelgrasscove_link_ring_full_total");
+        inputs_.tryPush(SendFailed{send.address_, std::move(send.message_)});
+    }
+
+    void performOne(CallerReply &&reply) { callers_.reply(std::move(reply)); }
+
+    void performOne(KvOperation &&operation)
+    {
+        const std::uint64_t tag = operation.tag_;
+        if (!platform_.submit(std::move(operation)))
+            inputs_.tryPush(KvOutcome{tag, KvStatus::NotSent, {}, 0});
+    }
+
+    void performOne(RequestRecord &&record)
+    {
+        const Time now = monotonicNow();
+        const std::string code = record.code_.empty() ? "ok" : record.code_;
+        const std::string labels =
+            fmt::format(R"(route="{}",code="{}")", escapeJson(record.route_.text_), code);
+        countMetric("eelgrasscove_requests_total", labels);
+        observeDuration("eelgrasscove_request_seconds", {}, now - record.arrivedAt_);
+        emitSpan({"entry",
+                  record.trace_,
+                  record.parentSpanId_,
+                  record.arrivedAt_,
+                  now,
+                  {{"request", record.id_.text_},
+                   {"route", record.route_.text_},
+                   {"account", record.account_.text_},
+                   {"target", record.target_.text_},
+                   {"code", code},
+                   {"run", std::string(nameOf(runStateNames, record.run_))}}});
+        if (!record.code_.empty())
+            logEvent(LogLevel::Info, "request_failed",
+                     {{"request", record.id_.text_},
+                      {"route", record.route_.text_},
+                      {"code", code},
+                      {"run", std::string(nameOf(runStateNames, record.run_))}});
+    }
+
+    void showStatus()
+    {
+        board_.setStatus(entryStatusJson(entry_));
+        board_.setReady(entry_.haveRules_ && !leavingSince_);
+        setGauge("eelgrasscove_requests_in_hand", {}, static_cast<double>(entry_.requests_.size()));
+        setGauge("eelgrasscove_rules_revision", {},
+                 static_cast<double>(entry_.rules_.revision_.value_));
+    }
+
+    const Settings settings_;
+    StopSignal &stop_;
+    Entry entry_;
+    StatusBoard board_;
+    BoundedRing<EntryInput> inputs_{inputRingInputs};
+    std::atomic<bool> heartbeatDue_ = true;
+    std::atomic<bool> statusDue_ = true;
+    std::optional<Time> leavingSince_;
+    CallerServer callers_;
+    LinkService links_;
+    PlatformService platform_;
+    TimerService timer_;
+};
+
+} // namespace
+
+int runEntryProcess(const Settings &settings, StopSignal &stop)
+{
+    return EntryProcess(settings, stop).run();
+}
+
+} // namespace eelgrasscove
--- a/Source/Vm/settings.h
+++ b/Source/Vm/settings.h
@@ -117,6 +117,9 @@
 {
     /// Time for running requests to finish after SIGTERM.
     Duration graceful_ = std::chrono::seconds(150);
+    /// Time after SIGTERM in which an entry is unready but still serves, so that the platform's
+    /// balancer can turn away from it first.
+    Duration announce_ = std::chrono::seconds(3);
 };
 
 struct Settings
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -163,13 +163,15 @@
     std::int64_t tokensRun_ = 0;
 };
 
-/// Entry -> target process: what became of this attempt? An attempt that has not started is
-/// tombstoned and answered with OfferRefused; a started one resumes its answer at haveOffset_.
+/// Entry -> target process: what became of this attempt? A started one resumes its answer at
+/// haveOffset_. One that has not started is tombstoned and answered with OfferRefused if the entry
+/// gives it up; else a queued one is answered with OfferAccepted.
 struct AttemptQuery
 {
     AttemptId attempt_;
     Incarnation targetIncarnation_;
     std::uint64_t haveOffset_ = 0;
+    bool giveUp_ = true;
 };
 
 /// Entry -> target process: the caller has gone; stop the attempt.
