--- a/Tests/StandIns/engine.cpp
+++ b/Tests/StandIns/engine.cpp
@@ -50,12 +50,13 @@
 Json choiceJson(const EngineRun &run, const std::string &text, bool last)
 {
     Json choice = {{"index", 0}};
-    if (run.chat_ && run.stream_)
+    if (run.chat_ && run.stream_) {
         choice["delta"] = {{"role", "assistant"}, {"content", text}};
-    else if (run.chat_)
+    } else if (run.chat_) {
         choice["message"] = {{"role", "assistant"}, {"content", text}};
-    else
+    } else {
         choice["text"] = text;
+    }
     choice["finish_reason"] = last ? Json("length") : Json(nullptr);
     return choice;
 }
@@ -138,22 +139,23 @@
     const std::string_view path = pathOf(request);
     const bool post = request.method_ == "POST";
     try {
-        if (post && path == "/v1/completions")
+        if (post && path == "/v1/completions") {
             complete(request, exchange, false);
-        else if (post && path == "/v1/chat/completions")
+        } else if (post && path == "/v1/chat/completions") {
             complete(request, exchange, true);
-        else if (post && path == "/v1/load_lora_adapter")
+        } else if (post && path == "/v1/load_lora_adapter") {
             load(request, exchange);
-        else if (post && path == "/v1/unload_lora_adapter")
+        } else if (post && path == "/v1/unload_lora_adapter") {
             unload(request, exchange);
-        else if (post && path == "/cancel")
+        } else if (post && path == "/cancel") {
             cancel(request, exchange);
-        else if (path == "/state")
+        } else if (path == "/state") {
             exchange->send({.body_ = state()});
-        else if (path == "/health")
+        } else if (path == "/health") {
             exchange->send({.body_ = "{}"});
-        else
+        } else {
             exchange->send(errorResponse(404, "no such path"));
+        }
     } catch (const Json::exception &error) {
         exchange->send(errorResponse(400, error.what()));
     }
@@ -407,10 +409,11 @@
         const Json answer = Json::parse(result.response_.body_, nullptr, false);
         if (incarnation != incarnation_)
             return;
-        if (result.end_ == CallEnd::Whole && answer.is_object())
+        if (result.end_ == CallEnd::Whole && answer.is_object()) {
             loadAfter(adapter, Micros(answer.value("rest_us", std::int64_t(0))));
-        else
+        } else {
             endLoad(adapter, incarnation, false);
+        }
     };
     HttpCall::start(loop_, *options_.weightStore_, request, weightStoreTimeout, nullptr, ended);
 }
@@ -444,10 +447,11 @@
                        {"adapter", adapter},
                        {"loaded", loaded}}));
     for (const ExchangePtr &exchange : waiting) {
-        if (loaded)
+        if (loaded) {
             exchange->send({.body_ = dump({{"loaded", adapter}})});
-        else
+        } else {
             exchange->send(errorResponse(500, "the adapter failed to load"));
+        }
     }
 }
 
--- a/Tests/StandIns/http.cpp
+++ b/Tests/StandIns/http.cpp
@@ -1,7 +1,8 @@
 #include "StandIns/http.h"
 
+#include "StandIns/asioloop.h"
+
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -93,11 +94,6 @@
 
 // ---- EventLoop
 
-struct EventLoop::Impl
-{
-    asio::io_context context_;
-};
-
 EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) { }
 EventLoop::~EventLoop() = default;
 
@@ -173,10 +169,11 @@
         parser_->header_limit(headerLimitBytes);
         http::async_read(socket_, buffer_, *parser_,
                          [self = shared_from_this()](ErrorCode error, std::size_t) {
-                             if (error)
+                             if (error) {
                                  self->close();
-                             else
+                             } else {
                                  self->handleRequest();
+                             }
                          });
     }
 
@@ -235,10 +232,11 @@
             return;
         }
         writes_.pop_front();
-        if (!writes_.empty())
+        if (!writes_.empty()) {
             writeNext();
-        else if (ending_)
+        } else if (ending_) {
             finishExchange();
+        }
     }
 
     void finishExchange()
@@ -246,10 +244,11 @@
         busy_ = false;
         ending_ = false;
         callerGone_ = nullptr;
-        if (keepAlive_)
+        if (keepAlive_) {
             readNext();
-        else
+        } else {
             close();
+        }
     }
 
     /// Notices a caller that goes while its answer is being made.
@@ -269,10 +268,11 @@
             return;
         char byte = 0;
         const auto received = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+        if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
             close();
-        else if (received < 0)
+        } else if (received < 0) {
             watch();
+        }
     }
 
     tcp::socket socket_;
@@ -483,10 +483,11 @@
         const auto address = asio::ip::make_address(to.host_, error);
         socket_.async_connect(tcp::endpoint(address, to.port_),
                               [self = shared_from_this()](ErrorCode failure) {
-                                  if (failure)
+                                  if (failure) {
                                       self->end(CallEnd::Refused);
-                                  else
+                                  } else {
                                       self->write();
+                                  }
                               });
     }
 
@@ -535,12 +536,13 @@
         if (body.size() > seen_ && onPart_)
             onPart_(std::string_view(body).substr(seen_));
         seen_ = body.size();
-        if (parser_.is_done())
+        if (parser_.is_done()) {
             end(CallEnd::Whole);
-        else if (error)
+        } else if (error) {
             end(parser_.is_header_done() ? CallEnd::Truncated : CallEnd::NoAnswer);
-        else
+        } else {
             read();
+        }
     }
 
     void end(CallEnd how)
--- a/Tests/StandIns/platform.cpp
+++ b/Tests/StandIns/platform.cpp
@@ -148,14 +148,15 @@
     if (list == nullptr)
         return operations;
     for (const Json &item : *list) {
-        if (const Json *range = findField(item, "request_range"))
+        if (const Json *range = findField(item, "request_range")) {
             operations.push_back(parseOperation(*range, StoreOperationKind::Range));
-        else if (const Json *put = findField(item, "request_put"))
+        } else if (const Json *put = findField(item, "request_put")) {
             operations.push_back(parseOperation(*put, StoreOperationKind::Put));
-        else if (const Json *erase = findField(item, "request_delete_range"))
+        } else if (const Json *erase = findField(item, "request_delete_range")) {
             operations.push_back(parseOperation(*erase, StoreOperationKind::Delete));
-        else
+        } else {
             throw BadCall("unknown request in txn");
+        }
     }
     return operations;
 }
@@ -370,25 +371,27 @@
         const auto &success = transaction.success_;
         const auto &failure = transaction.failure_;
         if (std::any_of(success.begin(), success.end(), writes)
-            || std::any_of(failure.begin(), failure.end(), writes))
+            || std::any_of(failure.begin(), failure.end(), writes)) {
             counters_.writes_ += 1;
-        else
+        } else {
             counters_.reads_ += 1;
+        }
     }
 
     std::optional<CallOutcome> storeCall(std::string_view path, const Json &call)
     {
         StoreTransaction transaction;
-        if (path == "/v3/kv/range")
+        if (path == "/v3/kv/range") {
             transaction = singleOperation(call, StoreOperationKind::Range);
-        else if (path == "/v3/kv/put")
+        } else if (path == "/v3/kv/put") {
             transaction = singleOperation(call, StoreOperationKind::Put);
-        else if (path == "/v3/kv/deleterange")
+        } else if (path == "/v3/kv/deleterange") {
             transaction = singleOperation(call, StoreOperationKind::Delete);
-        else if (path == "/v3/kv/txn")
+        } else if (path == "/v3/kv/txn") {
             transaction = parseTransaction(call);
-        else
+        } else {
             return std::nullopt;
+        }
         countTransaction(transaction);
         return runStore(transaction, path == "/v3/kv/txn");
     }
@@ -461,15 +464,17 @@
             counters_.droppedReplies_ += 1;
         }
         const auto finish = [exchange, drop, response = outcome.response_] {
-            if (drop)
+            if (drop) {
                 exchange->close();
-            else
+            } else {
                 exchange->send(response);
+            }
         };
-        if (mode_ == PlatformMode::Slow)
+        if (mode_ == PlatformMode::Slow) {
             loop_.after(std::chrono::milliseconds(delayMillis_), finish);
-        else
+        } else {
             finish();
+        }
     }
 
     void handleCall(const HttpRequest &request, const ExchangePtr &exchange)
@@ -479,10 +484,11 @@
                 openWatch(Json::parse(request.body_, nullptr, false), exchange);
                 return;
             }
-            if (const auto outcome = answer(request))
+            if (const auto outcome = answer(request)) {
                 reply(*outcome, exchange);
-            else
+            } else {
                 exchange->send(errorResponse(404, 5, "no such call in this stand-in"));
+            }
         } catch (const BadCall &error) {
             exchange->send(errorResponse(400, 3, error.what()));
         }
@@ -557,14 +563,15 @@
         listLagMillis_ = call.value("list_lag_ms", listLagMillis_);
         dropReplies_ = call.value("drop_next_replies", dropReplies_);
         const std::string mode = call.value("mode", "");
-        if (mode == "up")
+        if (mode == "up") {
             mode_ = PlatformMode::Up;
-        else if (mode == "slow")
+        } else if (mode == "slow") {
             mode_ = PlatformMode::Slow;
-        else if (mode == "down")
+        } else if (mode == "down") {
             goDown();
-        else if (!mode.empty())
+        } else if (!mode.empty()) {
             return "mode must be up, down or slow";
+        }
         return {};
     }
 
@@ -586,10 +593,11 @@
         } catch (const Json::exception &fault) {
             error = fault.what();
         }
-        if (error.empty())
+        if (error.empty()) {
             exchange->send(jsonResponse({{"ok", true}}));
-        else
+        } else {
             exchange->send(errorResponse(400, 3, error));
+        }
     }
 
     Json countersJson()
--- a/Tests/StandIns/program.cpp
+++ b/Tests/StandIns/program.cpp
@@ -30,10 +30,11 @@
     try {
         const auto parsed = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, false);
         for (const auto &[name, value] : parsed) {
-            if (value.isBool())
+            if (value.isBool()) {
                 options.flags_[name] = value.asBool();
-            else if (value.isString())
+            } else if (value.isString()) {
                 options.values_[name] = value.asString();
+            }
         }
     } catch (const docopt::DocoptExitHelp &) {
         fmt::print("{}\n", usage);
@@ -64,9 +65,10 @@
     double number = 0;
     const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     const bool whole = error == std::errc() && stop == text.data() + text.size();
-    if (!whole || !std::isfinite(number) || number < 0)
+    if (!whole || !std::isfinite(number) || number < 0) {
         fail(options.program_,
              fmt::format("{} must be a number of zero or more, not \"{}\"", name, text));
+    }
     return number;
 }
 
@@ -75,9 +77,10 @@
     const std::string text = textOption(options, name);
     std::uint16_t port = 0;
     const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), port);
-    if (error != std::errc() || stop != text.data() + text.size())
+    if (error != std::errc() || stop != text.data() + text.size()) {
         fail(options.program_,
              fmt::format("{} must be a port, 0 to 65535, not \"{}\"", name, text));
+    }
     return port;
 }
 
--- a/Tests/StandIns/service.cpp
+++ b/Tests/StandIns/service.cpp
@@ -34,12 +34,13 @@
 void PlainService::handle(const HttpRequest &request, const ExchangePtr &exchange)
 {
     const std::string_view path = pathOf(request);
-    if (path == "/log" && request.method_ == "GET")
+    if (path == "/log" && request.method_ == "GET") {
         exchange->send(recordLogResponse(log_));
-    else if (path == "/control" && request.method_ == "POST")
+    } else if (path == "/control" && request.method_ == "POST") {
         control(request, exchange);
-    else
+    } else {
         call(request, exchange);
+    }
 }
 
 void PlainService::control(const HttpRequest &request, const ExchangePtr &exchange)
