Speak with the platform and keep rule revisions in its key-value service

Cause: processes need the VM list, the stored rules and exact outcomes of key-value calls; operators need changes that never overwrite one another.

Outcomes: a call counts as not sent only where its request didn't go out whole or the service turned it down; a timeout while writing counts as unknown, as it can overtake the news that all bytes went out.

VMs drained by operators stand under rules/drain/, seen by the same watch, and are delivered as leaving.

KvOutcome and KvOperation gain fields for leases and error texts.

--- a/Source/Platform/platformservice.h
+++ b/Source/Platform/platformservice.h
@@ -2,6 +2,10 @@
 
 /// The thread that speaks with the platform: polls the VM list, watches the stored rules and makes
 /// key-value calls. Everything it learns goes to one sink.
+///
+/// Keys are written without the settings' prefix. VMs that operators have drained (keys under
+/// rules/drain/) are delivered as leaving, whatever the platform's list says. Revisions of the
+/// rules are delivered in rising order only, though some may be left out.
 
 #include "Vm/settings.h"
 
@@ -28,8 +32,13 @@
     void start();
     void stop();
 
-    /// Queues one call; its KvOutcome comes through the sink with the same tag. False where the
-    /// queue is full; the call is then not made.
+    /// Whether this process reads and watches the rules and the drained VMs itself; it does unless
+    /// told otherwise. Safe from any thread.
+    void setWatching(bool watching);
+
+    /// Queues one call; its KvOutcome comes through the sink with the same tag. Calls under way
+    /// together may take effect in any order. False where the queue is full; the call is then not
+    /// made. Safe from any thread.
     bool submit(KvOperation operation);
 
 private:
--- a/include/eelgrasscove/platform.h
+++ b/include/eelgrasscove/platform.h
@@ -32,6 +32,9 @@
     std::vector<ListedVm> vms_;
 };
 
+/// Keys are written without the system's prefix, for example "rules/head"; the platform service
+/// adds and removes it.
+
 /// Holds where the key's last change has this revision; 0 demands that the key doesn't exist.
 struct KvCondition
 {
@@ -62,6 +65,8 @@
     std::vector<KvCondition> conditions_;
     std::vector<KvWrite> writes_;
     std::vector<KvRead> reads_;
+    /// Above 0, the call grants a lease of so many seconds and does nothing else.
+    std::int64_t grantLeaseSeconds_ = 0;
 };
 
 struct KvPair
@@ -75,7 +80,7 @@
     Succeeded,
     /// A condition didn't hold; nothing was written.
     ConditionFailed,
-    /// The call never reached the service; nothing was written.
+    /// The call never reached the service, or was turned down by it; nothing was written.
     NotSent,
     /// No reply came; the writes may have taken effect.
     Unknown,
@@ -95,6 +100,10 @@
     std::vector<KvPair> reads_;
     /// The service's revision when it answered.
     std::int64_t revision_ = 0;
+    /// The lease granted, if one was asked for.
+    std::int64_t leaseId_ = 0;
+    /// What went wrong, for logs; empty on success.
+    std::string error_;
 };
 
 /// The platform's key-value service holds a rule file of this revision.
