Spread rule revisions by watchers, a tree of pushes and anti-entropy

Cause: 1,720 processes that each read the platform's rules would take most of what its service gives, and a stale reading must never take a process back. Ruled out: adopting what the last reading says (stale readings); a delta taken without checking its result (a wrong base would corrupt the text unseen); waiting for the platform at start (peers know the newest revision in an outage).

--- /dev/null
+++ b/Tests/RuleSpread/rulespreadtest.cpp
@@ -0,0 +1,368 @@
+#define BOOST_TEST_MODULE RuleSpread
+#include "DataCentre/rulespread.h"
+#include "DataCentre/rulesdelta.h"
+#include "spreadsim.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace eelgrasscove;
+using namespace eelgrasscove::sim;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const Time start = Time(hours(1));
+
+SpreadView viewOf(std::size_t entries)
+{
+    SpreadView view;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+        view.members_.push_back({{"entry" + std::to_string(entry)}, {"utrecht"}, Role::Entry});
+    view.members_.push_back({{"target"}, {"utrecht"}, Role::Target});
+    return view;
+}
+
+RuleSpread spreadOf(const std::string &name)
+{
+    RuleSpread spread;
+    spread.self_ = {name};
+    spread.dataCentre_ = {"utrecht"};
+    spread.lastSource_ = start;
+    return spread;
+}
+
+template <class T>
+std::size_t countOf(const SpreadActions &actions)
+{
+    return static_cast<std::size_t>(
+        std::count_if(actions.begin(), actions.end(), [](const SpreadAction &action) {
+            return std::holds_alternative<T>(action);
+        }));
+}
+
+std::size_t watchersAmong(const SpreadView &view)
+{
+    std::size_t watchers = 0;
+    for (const SpreadMember &member : view.members_) {
+        RuleSpread spread = spreadOf(member.vm_.text_);
+        tickSpread(spread, view, start);
+        watchers += spread.watching_ ? 1 : 0;
+    }
+    return watchers;
+}
+
+void startAll(SpreadSim &sim)
+{
+    for (std::size_t process = 0; process < sim.processes().size(); ++process)
+        sim.start(process);
+}
+
+/// All processes run and hold revision 1.
+SpreadSim settledSim(const SimOptions &options)
+{
+    SpreadSim sim(options);
+    startAll(sim);
+    sim.preload(rulesText(50, 0));
+    sim.runFor(seconds(3));
+    return sim;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(onlyHigherRevisionsAreAdopted)
+{
+    const SpreadView view = viewOf(2);
+    RuleSpread spread = spreadOf("entry0");
+    BOOST_TEST(countOf<AdoptRules>(takeStoredRules(spread, view, {{5}, "five"}, start)) == 1U);
+    BOOST_TEST(takeStoredRules(spread, view, {{4}, "four"}, start).empty());
+    BOOST_TEST(takeStoredRules(spread, view, {{5}, "other"}, start).empty());
+    BOOST_TEST(takeRulesText(spread, view, {"entry1"}, {{3}, "three"}, start).empty());
+    const RulesDelta back = makeRulesDelta("five", "two", {5}, {2});
+    BOOST_TEST(takeRulesDelta(spread, view, {"entry1"}, back, start).empty());
+    RulesPart part;
+    part.revision_ = {4};
+    part.parts_ = 1;
+    part.bytes_ = "four";
+    part.digest_ = textDigest("four");
+    BOOST_TEST(takeRulesPart(spread, view, {"entry1"}, part, start).empty());
+    BOOST_TEST(spread.revision_.value_ == 5U);
+    BOOST_TEST(spread.text_ == "five");
+}
+
+BOOST_AUTO_TEST_CASE(damagedDeltaIsNotAdopted)
+{
+    const SpreadView view = viewOf(2);
+    RuleSpread spread = spreadOf("entry0");
+    takeStoredRules(spread, view, {{5}, "a\nb\n"}, start);
+    RulesDelta delta = makeRulesDelta("a\nb\n", "a\nc\n", {5}, {6});
+    delta.edits_.front().lines_.front() = "d";
+    const SpreadActions actions = takeRulesDelta(spread, view, {"entry1"}, delta, start);
+    BOOST_TEST(countOf<AdoptRules>(actions) == 0U);
+    BOOST_TEST(countOf<SendToPeer>(actions) == 1U);
+    BOOST_TEST(spread.revision_.value_ == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(twoEntriesWatchAndAnotherReplacesOneThatIsGone)
+{
+    SpreadView view = viewOf(5);
+    BOOST_TEST(watchersAmong(view) == 2U);
+    const std::vector<VmName> order = spreadOrder(view, {"utrecht"});
+    RuleSpread next = spreadOf(order[2].text_);
+    tickSpread(next, view, start);
+    BOOST_TEST(!next.watching_);
+    std::erase_if(view.members_, [&](const SpreadMember &each) { return each.vm_ == order[0]; });
+    BOOST_TEST(countOf<WatchPlatformRules>(tickSpread(next, view, start)) == 1U);
+    BOOST_TEST(next.watching_);
+    BOOST_TEST(watchersAmong(viewOf(0)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lowerAsksTheHigherAndGetsTheDeltas)
+{
+    const SpreadView view = viewOf(2);
+    RuleSpread high = spreadOf("entry0");
+    RuleSpread low = spreadOf("entry1");
+    takeStoredRules(high, view, {{1}, "a\n"}, start);
+    takeStoredRules(low, view, {{1}, "a\n"}, start);
+    takeStoredRules(high, view, {{2}, "a\nb\n"}, start);
+    takeStoredRules(high, view, {{3}, "c\nb\n"}, start);
+    const SpreadActions asked = takePeerRevision(low, {"entry0"}, {3}, start);
+    BOOST_REQUIRE(asked.size() == 1U);
+    BOOST_TEST(takePeerRevision(low, {"entry0"}, {3}, start).empty());
+    const auto &request = std::get<RulesRequest>(std::get<SendToPeer>(asked[0]).message_);
+    const SpreadActions answers = takeRulesRequest(high, {"entry1"}, request, start);
+    BOOST_TEST(answers.size() == 2U);
+    for (const SpreadAction &answer : answers) {
+        const auto &delta = std::get<RulesDelta>(std::get<SendToPeer>(answer).message_);
+        takeRulesDelta(low, view, {"entry0"}, delta, start);
+    }
+    BOOST_TEST(low.revision_.value_ == 3U);
+    BOOST_TEST(low.text_ == "c\nb\n");
+}
+
+BOOST_AUTO_TEST_CASE(keyedRoutesStopWithoutAnySourceAndNotInAPlatformOutage)
+{
+    const SpreadView view = viewOf(2);
+    RuleSpread spread = spreadOf("entry0");
+    BOOST_TEST(!servesKeyedRoutes(spread, start));
+    takeStoredRules(spread, view, {{1}, "a"}, start);
+    takePlatformReachable(spread, true, start);
+    takePlatformReachable(spread, false, start + hours(1));
+    const Time late = start + hours(1) + spread.policy_.staleAfter_;
+    BOOST_TEST(servesKeyedRoutes(spread, late));
+    BOOST_TEST(!servesKeyedRoutes(spread, late + Duration(1)));
+    takePeerRevision(spread, {"entry1"}, {1}, late);
+    BOOST_TEST(servesKeyedRoutes(spread, late + hours(1)));
+}
+
+BOOST_AUTO_TEST_CASE(rulesSettleOnceEnoughPeersAnsweredOrHadTheTime)
+{
+    const SpreadView view = viewOf(3);
+    RuleSpread asking = spreadOf("entry0");
+    startSpread(asking, view, start);
+    takeStoredRules(asking, view, {{1}, "stale"}, start);
+    tickSpread(asking, view, start);
+    BOOST_TEST(!rulesSettled(asking));
+    RuleSpread alone = asking;
+    tickSpread(alone, view, start + alone.policy_.startWait_);
+    BOOST_TEST(rulesSettled(alone));
+    takePeerRevision(asking, {"entry1"}, {2}, start);
+    tickSpread(asking, view, start + asking.policy_.startWait_);
+    BOOST_TEST(!rulesSettled(asking));
+    takeRulesText(asking, view, {"entry1"}, {{2}, "fresh"}, start);
+    tickSpread(asking, view, start + asking.policy_.startWait_);
+    BOOST_TEST(rulesSettled(asking));
+}
+
+BOOST_AUTO_TEST_CASE(partsThatDontMakeTheTextAreNotAdopted)
+{
+    const SpreadView view = viewOf(3);
+    RuleSpread spread = spreadOf("entry0");
+    RulesPart part;
+    part.revision_ = {9};
+    part.parts_ = 1;
+    part.digest_ = textDigest("route");
+    part.bytes_ = "rout";
+    BOOST_TEST(takeRulesPart(spread, view, {"entry1"}, part, start).empty());
+    BOOST_TEST(spread.revision_.value_ == 0U);
+    part.bytes_ = "route";
+    BOOST_TEST(countOf<AdoptRules>(takeRulesPart(spread, view, {"entry1"}, part, start)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(fetchWhoseHoldersAreGoneIsGivenUp)
+{
+    const SpreadView view = viewOf(3);
+    RuleSpread spread = spreadOf("entry0");
+    RulesPart part;
+    part.revision_ = {9};
+    part.parts_ = 2;
+    part.digest_ = "0";
+    takeRulesPart(spread, view, {"entry1"}, part, start);
+    BOOST_TEST(takePeerRevision(spread, {"entry2"}, {8}, start).empty());
+    tickSpread(spread, view, start + minutes(1));
+    BOOST_TEST(!takePeerRevision(spread, {"entry2"}, {8}, start + minutes(1)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(staleReadAtStartIsCorrectedByPeersBeforeItIsUsed)
+{
+    SimOptions options;
+    options.processes_ = 20;
+    options.dataCentres_ = 2;
+    SpreadSim sim = settledSim(options);
+    sim.accept(rulesText(50, 1));
+    BOOST_REQUIRE(sim.runUntilAllHave(seconds(5)));
+    sim.setStaleReads(Revision{1});
+    for (std::size_t process = 0; process < sim.processes().size(); ++process) {
+        sim.start(process);
+        for (int step = 0; step < 600; ++step) {
+            sim.runFor(milliseconds(10));
+            const RuleSpread &spread = sim.processes()[process].spread_;
+            BOOST_REQUIRE(!rulesSettled(spread) || spread.revision_.value_ == 2U);
+        }
+        BOOST_TEST(rulesSettled(sim.processes()[process].spread_));
+    }
+    BOOST_TEST(sim.fault().text_ == "");
+}
+
+BOOST_AUTO_TEST_CASE(oneWatcherToldBeforeTheOutageIsEnough)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SimOptions options;
+        options.processes_ = 60;
+        options.dataCentres_ = 6;
+        options.watchersTold_ = 1;
+        options.loss_ = 0.05;
+        options.seed_ = seed;
+        SpreadSim sim = settledSim(options);
+        sim.accept(rulesText(50, 1));
+        BOOST_REQUIRE_MESSAGE(sim.runUntilAllHave(seconds(18)), "seed " << seed);
+        BOOST_TEST(!sim.platformUp());
+        sim.runFor(seconds(30));
+        BOOST_TEST(sim.holding({2}) == 60U);
+        BOOST_TEST(sim.fault().text_ == "", "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(largeFileIsFetchedInPartsWithLoss)
+{
+    SimOptions options;
+    options.processes_ = 12;
+    options.dataCentres_ = 3;
+    options.loss_ = 0.1;
+    SpreadSim sim(options);
+    startAll(sim);
+    sim.preload(rulesText(4000, 0));
+    sim.runFor(seconds(3));
+    sim.start(5);
+    BOOST_TEST(sim.runUntilAllHave(minutes(5)));
+    BOOST_TEST(sim.fault().text_ == "");
+}
+
+BOOST_AUTO_TEST_CASE(startOfManyDoesNotCrowdThePlatform)
+{
+    SimOptions options;
+    options.processes_ = 200;
+    SpreadSim sim(options);
+    sim.accept(rulesText(50, 1));
+    startAll(sim);
+    BOOST_TEST(sim.runUntilAllHave(seconds(18)));
+    // Two watchers in each of 13 data centres, a watch and a reading each.
+    BOOST_TEST(sim.counts().platformReads_ <= 2U * 2U * 13U + 26U);
+}
+
+BOOST_AUTO_TEST_CASE(startOfManyInAnOutageBacksOff)
+{
+    SimOptions options;
+    options.processes_ = 200;
+    SpreadSim sim(options);
+    sim.accept(rulesText(50, 1));
+    sim.setPlatformUp(false);
+    startAll(sim);
+    sim.runFor(minutes(10));
+    BOOST_TEST(sim.counts().platformReadsPeak_ <= 150U);
+    // With a window of a minute each process reads about once in 31 seconds.
+    BOOST_TEST(sim.counts().platformReads_ <= 200U * 30U);
+    sim.setPlatformUp(true);
+    BOOST_TEST(sim.runUntilAllHave(minutes(2)));
+}
+
+namespace {
+
+/// One random step of operators, platform, network and processes.
+void disturb(SpreadSim &sim, std::mt19937_64 &random, std::size_t dataCentres)
+{
+    const std::size_t process = random() % sim.processes().size();
+    switch (random() % 9) {
+    case 0:
+    case 1:
+        if (sim.platformUp())
+            sim.accept(rulesText(20, sim.newest().value_));
+        break;
+    case 2:
+        sim.setPlatformUp(random() % 2 == 0);
+        break;
+    case 3:
+        sim.cut(random() % dataCentres, random() % 2 == 0);
+        break;
+    case 4:
+        sim.stop(process);
+        break;
+    case 5:
+        sim.start(process);
+        break;
+    case 6:
+        sim.setStaleReads(Revision{1 + random() % sim.newest().value_});
+        break;
+    case 7:
+        sim.setStaleReads(std::nullopt);
+        break;
+    default:
+        sim.setLoss(static_cast<double>(random() % 30) / 100);
+    }
+    sim.refreshView();
+}
+
+void heal(SpreadSim &sim, std::size_t dataCentres)
+{
+    for (std::size_t dataCentre = 0; dataCentre < dataCentres; ++dataCentre)
+        sim.cut(dataCentre, false);
+    for (std::size_t process = 0; process < sim.processes().size(); ++process) {
+        if (!sim.processes()[process].up_)
+            sim.start(process);
+    }
+    sim.setStaleReads(std::nullopt);
+    sim.setLoss(0.02);
+    sim.setPlatformUp(true);
+    sim.refreshView();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(noProcessGoesBackAndAllConvergeUnderRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        std::mt19937_64 random(seed);
+        SimOptions options;
+        options.processes_ = 4 + random() % 30;
+        options.dataCentres_ = 1 + random() % 5;
+        options.seed_ = seed;
+        options.policy_.partBytes_ = 512;
+        SpreadSim sim = settledSim(options);
+        for (int step = 0; step < 40; ++step) {
+            disturb(sim, random, options.dataCentres_);
+            sim.runFor(milliseconds(random() % 3000));
+            BOOST_REQUIRE_MESSAGE(sim.fault().text_.empty(),
+                                  "seed " << seed << ": " << sim.fault().text_);
+        }
+        heal(sim, options.dataCentres_);
+        BOOST_REQUIRE_MESSAGE(sim.runUntilAllHave(minutes(2)),
+                              "seed " << seed << ": not all converged");
+        BOOST_REQUIRE_MESSAGE(sim.fault().text_.empty(),
+                              "seed " << seed << ": " << sim.fault().text_);
+    }
+}
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -240,9 +240,45 @@
     std::string text_;
 };
 
+/// One change of a rule file's text: keep lines, then drop lines, then add lines.
+struct RulesEdit
+{
+    std::uint32_t keep_ = 0;
+    std::uint32_t drop_ = 0;
+    std::vector<std::string> lines_;
+};
+
+/// Process -> peer: what turns one revision of the rule file's text into the next.
+struct RulesDelta
+{
+    Revision from_;
+    Revision to_;
+    std::vector<RulesEdit> edits_;
+    /// Digest of the resulting text, 16 lower-case hex digits.
+    std::string digest_;
+};
+
+/// Process -> peer: send me this part of the rule file.
+struct RulesPartRequest
+{
+    Revision revision_;
+    std::uint32_t part_ = 0;
+};
+
+/// Process -> peer: one part of a rule file's text. Revision 0 with no parts: the sender has none.
+struct RulesPart
+{
+    Revision revision_;
+    std::uint32_t part_ = 0;
+    std::uint32_t parts_ = 0;
+    /// Digest of the whole text, 16 lower-case hex digits.
+    std::string digest_;
+    std::string bytes_;
+};
+
 using Message = std::variant<Offer, OfferAccepted, OfferRefused, AnswerHead, AnswerChunk, AnswerEnd,
                              AttemptFailed, AttemptQuery, AttemptCancel, AnswerReceived, Heartbeat,
-                             RulesRequest, RulesText>;
+                             RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart>;
 
 /// A message with its sender.
 struct Envelope
