Add the target process: the one door of its target

Cause: several entries share a target, so only a process beside it can pin an adapter in use, order loads and evictions, queue fairly, count starts and drain.

--- /dev/null
+++ b/Source/Target/engineclient.cpp
@@ -0,0 +1,355 @@
+#include "Target/engineclient.h"
+
+#include "Target/answermeter.h"
+#include "Target/enginecodec.h"
+#include "Vm/boundedring.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <thread>
+#include <unordered_map>
+
+namespace eelgrasscove {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t commandCapacity = 4096;
+constexpr std::size_t readBytes = std::size_t(16) * 1024;
+constexpr std::size_t replyLimit = std::size_t(8) * 1024 * 1024;
+constexpr Duration connectTimeout = std::chrono::seconds(2);
+constexpr Duration stateTimeout = std::chrono::seconds(1);
+constexpr Duration cancelTimeout = std::chrono::seconds(2);
+constexpr Duration loadTimeout = std::chrono::seconds(60);
+constexpr Duration unloadTimeout = std::chrono::seconds(10);
+constexpr Duration deliverRetry = std::chrono::milliseconds(1);
+
+using Request = http::request<http::string_body>;
+
+/// A run under way.
+struct Run
+{
+    explicit Run(asio::io_context &context) : stream_(context) { }
+
+    beast::tcp_stream stream_;
+    bool cancelled_ = false;
+};
+
+using RunPtr = std::shared_ptr<Run>;
+
+/// A reply that is read whole; status 0 where none came.
+struct Reply
+{
+    unsigned status_ = 0;
+    std::string body_;
+};
+
+auto into(error_code &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+bool known(const std::string &text)
+{
+    return !text.empty();
+}
+
+} // namespace
+
+Result<TargetAddress, EngineError> parseTargetUrl(const std::string &url)
+{
+    constexpr std::string_view scheme = "http://";
+    const EngineError wrong{"\"" + url + "\" isn't of the form http://IP:PORT"};
+    if (!url.starts_with(scheme))
+        return wrong;
+    std::string_view rest = std::string_view(url).substr(scheme.size());
+    if (rest.ends_with('/'))
+        rest.remove_suffix(1);
+    const std::size_t colon = rest.rfind(':');
+    if (colon == std::string_view::npos)
+        return wrong;
+    TargetAddress address{.host_ = std::string(rest.substr(0, colon))};
+    const std::string_view port = rest.substr(colon + 1);
+    const auto parsed = std::from_chars(port.data(), port.data() + port.size(), address.port_);
+    error_code invalid;
+    asio::ip::make_address(address.host_, invalid);
+    if (invalid || parsed.ec != std::errc() || parsed.ptr != port.data() + port.size())
+        return wrong;
+    return address;
+}
+
+struct EngineClient::Impl
+{
+    Impl(EngineClientSettings settings, Deliver deliver)
+        : settings_(std::move(settings)), deliver_(std::move(deliver)), commands_(commandCapacity)
+    { }
+
+    tcp::endpoint endpoint() const
+    {
+        return {asio::ip::make_address(settings_.address_.host_), settings_.address_.port_};
+    }
+
+    Request request(http::verb verb, const std::string &path) const
+    {
+        Request made(verb, path, 11);
+        made.set(http::field::host, settings_.address_.host_);
+        made.keep_alive(false);
+        return made;
+    }
+
+    /// Hands an event on, however long the receiver stays full.
+    asio::awaitable<void> hand(EngineEvent event)
+    {
+        asio::steady_timer timer(context_);
+        while (!deliver_(std::move(event))) {
+            error_code ignored;
+            timer.expires_after(deliverRetry);
+            co_await timer.async_wait(into(ignored));
+        }
+    }
+
+    /// One request with a short reply, on a connection of its own.
+    asio::awaitable<Reply> call(Request made, Duration timeout)
+    {
+        beast::tcp_stream stream(context_);
+        beast::flat_buffer buffer;
+        error_code error;
+        stream.expires_after(timeout);
+        co_await stream.async_connect(endpoint(), into(error));
+        if (error)
+            co_return Reply{};
+        made.prepare_payload();
+        co_await http::async_write(stream, made, into(error));
+        if (error)
+            co_return Reply{};
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(replyLimit);
+        co_await http::async_read(stream, buffer, parser, into(error));
+        if (error)
+            co_return Reply{};
+        co_return Reply{parser.get().result_int(), std::move(parser.get().body())};
+    }
+
+    asio::awaitable<void> perform(ReadEngineState read)
+    {
+        const Reply reply = co_await call(request(http::verb::get, "/state"), stateTimeout);
+        const std::optional<EngineState> state =
+            reply.status_ == 200 ? parseEngineState(reply.body_) : std::nullopt;
+        if (state)
+            co_await hand(EngineStateRead{read.read_, *state});
+        else
+            co_await hand(EngineUnreachable{read.read_});
+    }
+
+    static OrderOutcome outcomeOf(const Reply &reply)
+    {
+        switch (reply.status_) {
+        case 0:
+            return OrderOutcome::Unknown;
+        case 200:
+            return OrderOutcome::Done;
+        case 409:
+            return OrderOutcome::Fenced;
+        default:
+            return OrderOutcome::Failed;
+        }
+    }
+
+    asio::awaitable<void> perform(AdapterOrder order)
+    {
+        const bool load = order.kind_ == OrderKind::Load;
+        Request made =
+            request(http::verb::post, load ? "/v1/load_lora_adapter" : "/v1/unload_lora_adapter");
+        made.set(http::field::content_type, "application/json");
+        made.body() = adapterOrderBody(order);
+        const Reply reply = co_await call(std::move(made), load ? loadTimeout : unloadTimeout);
+        co_await hand(OrderEnded{order.order_, order.kind_, order.adapter_, outcomeOf(reply)});
+    }
+
+    /// Closing the connection is what stops a run on a target without a cancel call.
+    void closeRun(const AttemptId &attempt, const RunPtr &run)
+    {
+        const auto found = runs_.find(attempt);
+        if (found != runs_.end() && found->second == run)
+            run->stream_.close();
+    }
+
+    asio::awaitable<void> perform(CancelRun cancel)
+    {
+        const auto found = runs_.find(cancel.attempt_);
+        const RunPtr run = found == runs_.end() ? nullptr : found->second;
+        if (run)
+            run->cancelled_ = true;
+        if (settings_.engine_) {
+            Request made = request(http::verb::post, "/cancel");
+            made.set(http::field::content_type, "application/json");
+            made.body() = cancelBody(cancel.attempt_);
+            co_await call(std::move(made), cancelTimeout);
+        }
+        if (run)
+            closeRun(cancel.attempt_, run);
+    }
+
+    /// The request of a run; empty where its body can't be sent to an engine.
+    std::optional<Request> runRequest(StartRun &start) const
+    {
+        Request made = request(http::verb::get, start.path_);
+        made.method_string(start.method_);
+        made.set("X-Attempt-Id", start.attempt_.text_);
+        made.set(http::field::accept, start.stream_ ? "text/event-stream" : "*/*");
+        if (known(start.contentType_))
+            made.set(http::field::content_type, start.contentType_);
+        if (known(start.traceparent_))
+            made.set("traceparent", start.traceparent_);
+        if (start.adapter_.empty()) {
+            if (!start.account_.empty())
+                made.set("X-Client-Account", start.account_.text_);
+            made.body() = std::move(start.body_);
+        } else {
+            std::optional<std::string> body = runBody(start);
+            if (!body)
+                return std::nullopt;
+            made.body() = std::move(*body);
+        }
+        made.prepare_payload();
+        return made;
+    }
+
+    /// Passes the answer on as it comes. False where it broke off.
+    asio::awaitable<bool> passAnswer(const AttemptId &attempt, const RunPtr &run,
+                                     AnswerMeter &meter)
+    {
+        beast::flat_buffer buffer;
+        http::response_parser<http::buffer_body> parser;
+        parser.body_limit(boost::none);
+        error_code error;
+        co_await http::async_read_header(run->stream_, buffer, parser, into(error));
+        if (error)
+            co_return false;
+        const auto type = parser.get()[http::field::content_type];
+        meter.form_ =
+            settings_.engine_ ? answerForm({type.data(), type.size()}) : AnswerForm::Opaque;
+        co_await hand(RunHead{attempt, parser.get().result_int(), std::string(type)});
+        std::array<char, readBytes> bytes;
+        while (!parser.is_done()) {
+            parser.get().body().data = bytes.data();
+            parser.get().body().size = bytes.size();
+            co_await http::async_read_some(run->stream_, buffer, parser, into(error));
+            if (error && error != http::error::need_buffer)
+                co_return false;
+            const std::size_t count = bytes.size() - parser.get().body().size;
+            if (count == 0)
+                continue;
+            const std::string_view read(bytes.data(), count);
+            meterBytes(meter, read);
+            co_await hand(RunBytes{attempt, std::string(read), generatedTokens(meter)});
+        }
+        co_return true;
+    }
+
+    asio::awaitable<EngineEvent> carryOut(StartRun start, RunPtr run)
+    {
+        const AttemptId attempt = start.attempt_;
+        const std::optional<Request> made = runRequest(start);
+        if (!made)
+            co_return RunFailed{attempt, false};
+        error_code error;
+        run->stream_.expires_after(connectTimeout);
+        co_await run->stream_.async_connect(endpoint(), into(error));
+        if (error || run->cancelled_)
+            co_return RunFailed{attempt, false};
+        error_code ignored;
+        run->stream_.socket().set_option(tcp::no_delay(true), ignored);
+        // The decisions keep the deadline, and cancel.
+        run->stream_.expires_never();
+        co_await http::async_write(run->stream_, *made, into(error));
+        if (error)
+            co_return RunFailed{attempt, true};
+        AnswerMeter meter;
+        const bool whole = co_await passAnswer(attempt, run, meter);
+        if (!whole)
+            co_return RunFailed{attempt, true};
+        meterEnd(meter);
+        co_return RunEnded{attempt, generatedTokens(meter)};
+    }
+
+    asio::awaitable<void> perform(StartRun start)
+    {
+        const AttemptId attempt = start.attempt_;
+        const RunPtr run = std::make_shared<Run>(context_);
+        runs_[attempt] = run;
+        EngineEvent end = co_await carryOut(std::move(start), run);
+        runs_.erase(attempt);
+        co_await hand(std::move(end));
+    }
+
+    void takeCommands()
+    {
+        while (std::optional<EngineCommand> command = commands_.pop(Duration(0))) {
+            const auto spawn = [this](auto &&taken) {
+                asio::co_spawn(context_, perform(std::forward<decltype(taken)>(taken)),
+                               asio::detached);
+            };
+            std::visit(spawn, std::move(*command));
+        }
+    }
+
+    EngineClientSettings settings_;
+    Deliver deliver_;
+    BoundedRing<EngineCommand> commands_;
+    asio::io_context context_{1};
+    std::unordered_map<AttemptId, RunPtr> runs_;
+    std::optional<asio::executor_work_guard<asio::io_context::executor_type>> work_;
+    std::thread thread_;
+};
+
+EngineClient::EngineClient(EngineClientSettings settings, Deliver deliver)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(deliver)))
+{ }
+
+EngineClient::~EngineClient()
+{
+    stop();
+}
+
+void EngineClient::start()
+{
+    impl_->work_.emplace(impl_->context_.get_executor());
+    impl_->thread_ = std::thread([this] { impl_->context_.run(); });
+}
+
+void EngineClient::stop()
+{
+    impl_->commands_.close();
+    impl_->work_.reset();
+    impl_->context_.stop();
+    if (impl_->thread_.joinable())
+        impl_->thread_.join();
+}
+
+bool EngineClient::submit(EngineCommand command)
+{
+    if (!impl_->commands_.tryPush(std::move(command)))
+        return false;
+    asio::post(impl_->context_, [this] { impl_->takeCommands(); });
+    return true;
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Target/rulecheck.cpp
@@ -0,0 +1,53 @@
+#include "Target/rulecheck.h"
+
+#include <algorithm>
+
+namespace eelgrasscove {
+
+namespace {
+
+Reason checkKey(const Rules &rules, const Offer &offer)
+{
+    if (offer.keyId_.empty())
+        return Reason::None;
+    const auto key = rules.keys_.find(offer.keyId_);
+    const bool valid = key != rules.keys_.end() && key->second.account_ == offer.account_;
+    return valid ? Reason::None : Reason::KeyWithdrawn;
+}
+
+bool mayUseRoute(const RouteRule &route, const Offer &offer)
+{
+    if (route.openToAll_)
+        return true;
+    const auto &accounts = route.accounts_;
+    return !offer.keyId_.empty()
+        && std::find(accounts.begin(), accounts.end(), offer.account_) != accounts.end();
+}
+
+bool sameWork(const RouteRule &route, const Offer &offer, const TargetGroup &group)
+{
+    return route.adapter_ == offer.adapter_ && route.idempotent_ == offer.idempotent_
+        && route.targets_ == group;
+}
+
+Reason checkRoute(const Rules &rules, const Offer &offer, const TargetGroup &group)
+{
+    const auto route = rules.routes_.find(offer.route_);
+    if (route == rules.routes_.end() || !mayUseRoute(route->second, offer))
+        return Reason::UnknownRoute;
+    return sameWork(route->second, offer, group) ? Reason::None : Reason::RulesStale;
+}
+
+} // namespace
+
+Reason checkOffer(const Rules &rules, const Offer &offer, const TargetGroup &group)
+{
+    Reason reason = checkKey(rules, offer);
+    if (reason == Reason::None)
+        reason = checkRoute(rules, offer, group);
+    if (reason != Reason::None && rules.revision_ < offer.rulesRevision_)
+        return Reason::RulesStale;
+    return reason;
+}
+
+} // namespace eelgrasscove
