--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -17,7 +17,8 @@
 constexpr std::array messageNames = {
     "offer",      "offer_accepted", "offer_refused", "answer_head",    "answer_chunk",
     "answer_end", "attempt_failed", "attempt_query", "attempt_cancel", "answer_received",
-    "heartbeat",  "rules_request",  "rules_text",
+    "heartbeat",  "rules_request",  "rules_text",    "rules_delta",    "rules_part_request",
+    "rules_part",
 };
 static_assert(messageNames.size() == std::variant_size_v<Message>);
 
@@ -158,6 +159,34 @@
     Field{"text", &RulesText::text_},
 };
 
+template <>
+constexpr auto fieldsOf<RulesEdit> = std::tuple {
+    Field {"keep", &RulesEdit::keep_},
+    Field {"drop", &RulesEdit::drop_},
+    Field {"lines", &RulesEdit::lines_},
+};
+
+template <>
+constexpr auto fieldsOf<RulesDelta> = std::tuple {
+    Field {"from", &RulesDelta::from_},
+    Field {"to", &RulesDelta::to_},
+    Field {"edits", &RulesDelta::edits_},
+    Field {"digest", &RulesDelta::digest_},
+};
+
+template <>
+constexpr auto fieldsOf<RulesPartRequest> = std::tuple {
+    Field {"revision", &RulesPartRequest::revision_},
+    Field {"part", &RulesPartRequest::part_},
+};
+
+template <>
+constexpr auto fieldsOf<RulesPart> = std::tuple {
+    Field {"revision", &RulesPart::revision_}, Field {"part", &RulesPart::part_},
+    Field {"parts", &RulesPart::parts_},       Field {"digest", &RulesPart::digest_},
+    Field {"bytes", &RulesPart::bytes_},
+};
+
 template <>
 constexpr auto fieldsOf<Envelope> = std::tuple{
     Field{"v", &Envelope::version_},
--- /dev/null
+++ b/Source/Programs/eelgrasscoved.cpp
@@ -0,0 +1,6 @@
+#include "Vm/daemon.h"
+
+int main(int argc, char **argv)
+{
+    return eelgrasscove::runDaemon(argc, argv);
+}
