--- a/Source/Vm/inifile.cpp
+++ b/Source/Vm/inifile.cpp
@@ -319,6 +319,14 @@
     return std::nullopt;
 }
 
+ValueResult readKeyPrefix(const std::string &value, std::string &prefix)
+{
+    if (value.size() < 3 || value.front() != '/' || value.back() != '/')
+        return fault(value, "isn't a key prefix", "write /name/");
+    prefix = value;
+    return std::nullopt;
+}
+
 ValueResult readSecret(const std::string &value, std::string &secret)
 {
     if (value.size() < leastSecretLength) {
--- a/Source/Vm/inifile.h
+++ b/Source/Vm/inifile.h
@@ -80,6 +80,9 @@
 ValueResult readUrl(const std::string &value, std::string_view scheme, bool pathAllowed,
                     std::string &url);
 
+/// A prefix of keys, "/name/".
+ValueResult readKeyPrefix(const std::string &value, std::string &prefix);
+
 /// A secret of at least 16 characters; faults don't repeat it.
 ValueResult readSecret(const std::string &value, std::string &secret);
 
--- a/Source/Vm/settings.cpp
+++ b/Source/Vm/settings.cpp
@@ -27,14 +27,6 @@
     return refused;
 }
 
-ValueResult readPrefix(const std::string &value, std::string &prefix)
-{
-    if (value.size() < 3 || value.front() != '/' || value.back() != '/')
-        return ValueFault{"\"" + value + "\" isn't a key prefix", "write /name/"};
-    prefix = value;
-    return std::nullopt;
-}
-
 bool always(const Settings & /*settings*/)
 {
     return true;
@@ -87,7 +79,7 @@
      },
      always},
     {"platform", "prefix",
-     [](auto &value, auto &out) { return readPrefix(value, out.platform_.prefix_); }},
+     [](auto &value, auto &out) { return readKeyPrefix(value, out.platform_.prefix_); }},
     {"platform", "call_timeout",
      [](auto &value, auto &out) {
          return readDuration(value, 1ms, 1min, out.platform_.callTimeout_);
