Show the door's state, and ask before burying queued attempts

Cause: an entry may ask about a queued attempt without giving it up; the door buried it always. Names that an entry's decisions use too (Attempt, SendMessage, Tick) are renamed here: two types of one name in one namespace break the one-definition rule without a word from the linker. Ruled out: a namespace of its own for the door. Conclusion: /status, /readyz and /metrics on the observing address.

--- a/Source/Target/attempts.cpp
+++ b/Source/Target/attempts.cpp
@@ -20,7 +20,7 @@
 }
 
 /// How an ended attempt is remembered once its answer is gone.
-ClosedAttempt outcomeOf(const Attempt &attempt)
+ClosedAttempt outcomeOf(const AttemptInHand &attempt)
 {
     if (attempt.failure_) {
         return {.runState_ = attempt.failure_->runState_,
@@ -33,11 +33,10 @@
 
 void closeEnded(Attempts &attempts, const AttemptId &attempt, Time now)
 {
-    const AttemptId id = attempt;
-    closeAttempt(attempts, id, outcomeOf(attempts.inHand_.at(id)), now);
+    closeAttempt(attempts, attempt, outcomeOf(attempts.inHand_.at(attempt)), now);
 }
 
-void trimAnswers(Attempts &attempts, Attempt &growing, Time now)
+void trimAnswers(Attempts &attempts, AttemptInHand &growing, Time now)
 {
     while (attempts.answerBytes_ > attempts.policy_.answerBytes_ && !attempts.ended_.empty())
         closeEnded(attempts, attempts.ended_.front(), now);
@@ -53,7 +52,7 @@
 
 } // namespace
 
-Attempt *findAttempt(Attempts &attempts, const AttemptId &attempt)
+AttemptInHand *findAttempt(Attempts &attempts, const AttemptId &attempt)
 {
     const auto found = attempts.inHand_.find(attempt);
     return found == attempts.inHand_.end() ? nullptr : &found->second;
@@ -68,24 +67,22 @@
     return true;
 }
 
-void closeAttempt(Attempts &attempts, const AttemptId &attempt, const ClosedAttempt &outcome,
-                  Time now)
+void closeAttempt(Attempts &attempts, AttemptId attempt, const ClosedAttempt &outcome, Time now)
 {
-    const AttemptId id = attempt;
-    if (const Attempt *known = findAttempt(attempts, id)) {
+    if (const AttemptInHand *known = findAttempt(attempts, attempt)) {
         attempts.answerBytes_ -= known->answer_.bytes_.size();
         if (known->stage_ == AttemptStage::Ended)
-            std::erase(attempts.ended_, id);
-        attempts.inHand_.erase(id);
+            std::erase(attempts.ended_, attempt);
+        attempts.inHand_.erase(attempt);
     }
-    if (!attempts.closed_.emplace(id, outcome).second)
+    if (!attempts.closed_.emplace(attempt, outcome).second)
         return;
     if (attempts.closedExpiries_.size() >= attempts.policy_.closed_)
         forgetOldest(attempts, attempts.closedExpiries_);
-    attempts.closedExpiries_.push_back({id, now + attempts.policy_.closedMemory_});
+    attempts.closedExpiries_.push_back({std::move(attempt), now + attempts.policy_.closedMemory_});
 }
 
-void appendAnswer(Attempts &attempts, Attempt &attempt, const std::string &bytes, Time now)
+void appendAnswer(Attempts &attempts, AttemptInHand &attempt, const std::string &bytes, Time now)
 {
     attempt.answer_.bytes_ += bytes;
     attempts.answerBytes_ += bytes.size();
@@ -93,7 +90,7 @@
         trimAnswers(attempts, attempt, now);
 }
 
-void markEnded(Attempts &attempts, Attempt &attempt, Time now)
+void markEnded(Attempts &attempts, AttemptInHand &attempt, Time now)
 {
     attempt.stage_ = AttemptStage::Ended;
     attempt.endedAt_ = now;
@@ -105,7 +102,7 @@
     forgetExpired(attempts, attempts.tombstoneExpiries_, now);
     forgetExpired(attempts, attempts.closedExpiries_, now);
     while (!attempts.ended_.empty()) {
-        const Attempt &oldest = attempts.inHand_.at(attempts.ended_.front());
+        const AttemptInHand &oldest = attempts.inHand_.at(attempts.ended_.front());
         if (now - oldest.endedAt_ < attempts.policy_.answerMemory_)
             return;
         closeEnded(attempts, attempts.ended_.front(), now);
--- a/Source/Target/attempts.h
+++ b/Source/Target/attempts.h
@@ -40,7 +40,7 @@
 };
 
 /// An attempt in hand.
-struct Attempt
+struct AttemptInHand
 {
     Offer offer_;
     /// Where its messages go.
@@ -92,7 +92,7 @@
 struct Attempts
 {
     AttemptPolicy policy_;
-    std::unordered_map<AttemptId, Attempt> inHand_;
+    std::unordered_map<AttemptId, AttemptInHand> inHand_;
     std::unordered_map<AttemptId, ClosedAttempt> closed_;
     std::deque<ClosedExpiry> tombstoneExpiries_;
     std::deque<ClosedExpiry> closedExpiries_;
@@ -101,22 +101,22 @@
     std::size_t answerBytes_ = 0;
 };
 
-Attempt *findAttempt(Attempts &attempts, const AttemptId &attempt);
+AttemptInHand *findAttempt(Attempts &attempts, const AttemptId &attempt);
 
 /// Writes that the attempt, never seen before, must not start here. False where there is no room
 /// left: nothing may then be promised.
 bool writeTombstone(Attempts &attempts, const AttemptId &attempt, Reason reason, Time now);
 
-/// Forgets the attempt in hand, its answer too, but for how it came out.
-void closeAttempt(Attempts &attempts, const AttemptId &attempt, const ClosedAttempt &outcome,
-                  Time now);
+/// Forgets the attempt in hand, its answer too, but for how it came out. The id is taken by value,
+/// since it may be a part of what is forgotten.
+void closeAttempt(Attempts &attempts, AttemptId attempt, const ClosedAttempt &outcome, Time now);
 
 /// Adds to the answer. Where too many bytes are kept, answers of ended attempts go first, then the
 /// beginning of this one.
-void appendAnswer(Attempts &attempts, Attempt &attempt, const std::string &bytes, Time now);
+void appendAnswer(Attempts &attempts, AttemptInHand &attempt, const std::string &bytes, Time now);
 
 /// Marks an attempt as over, its answer to be kept for a while.
-void markEnded(Attempts &attempts, Attempt &attempt, Time now);
+void markEnded(Attempts &attempts, AttemptInHand &attempt, Time now);
 
 /// Forgets what has been kept for long enough.
 void expireAttempts(Attempts &attempts, Time now);
--- a/Source/Target/door.cpp
+++ b/Source/Target/door.cpp
@@ -89,7 +89,7 @@
             takeRules(step, std::move(taken.rules_));
         else if constexpr (std::is_same_v<T, RulesConfirmed>)
             step.door_.rulesHeardAt_ = step.now_;
-        else if constexpr (std::is_same_v<T, Tick>)
+        else if constexpr (std::is_same_v<T, TimePassed>)
             takeTick(step);
         else
             takeLeave(step);
--- a/Source/Target/door.h
+++ b/Source/Target/door.h
@@ -71,7 +71,7 @@
 };
 
 /// Time has passed.
-struct Tick
+struct TimePassed
 {
 };
 
@@ -81,9 +81,9 @@
 };
 
 using DoorInput =
-    std::variant<MessageReceived, EngineEvent, RulesReceived, RulesConfirmed, Tick, Leave>;
+    std::variant<MessageReceived, EngineEvent, RulesReceived, RulesConfirmed, TimePassed, Leave>;
 
-struct SendMessage
+struct MessageToSend
 {
     std::string address_;
     Message message_;
@@ -173,7 +173,7 @@
 };
 
 using DoorAction =
-    std::variant<SendMessage, EngineCommand, Announce, AnnounceStrikes, DoorEvent, DoorSpan>;
+    std::variant<MessageToSend, EngineCommand, Announce, AnnounceStrikes, DoorEvent, DoorSpan>;
 using DoorActions = std::vector<DoorAction>;
 
 enum class EngineStatus {
--- a/Source/Target/doorattempts.cpp
+++ b/Source/Target/doorattempts.cpp
@@ -11,13 +11,13 @@
 
 constexpr std::uint32_t statusNotFound = 404;
 
-void noteRunTime(Door &door, const Attempt &attempt, Time now)
+void noteRunTime(Door &door, const AttemptInHand &attempt, Time now)
 {
     const Duration taken = now - attempt.startedAt_;
     door.runTime_ += (taken - door.runTime_) / runTimeParts;
 }
 
-void noteEvent(DoorStep &step, DoorEventKind kind, const Attempt &attempt, Reason reason)
+void noteEvent(DoorStep &step, DoorEventKind kind, const AttemptInHand &attempt, Reason reason)
 {
     step.act(DoorEvent{.kind_ = kind,
                        .attempt_ = attempt.offer_.attempt_,
@@ -26,7 +26,7 @@
                        .reason_ = reason});
 }
 
-void noteRunSpan(DoorStep &step, const Attempt &attempt)
+void noteRunSpan(DoorStep &step, const AttemptInHand &attempt)
 {
     step.act(DoorSpan{.kind_ = DoorSpanKind::Target,
                       .traceparent_ = attempt.offer_.traceparent_,
@@ -37,7 +37,7 @@
 }
 
 /// The run's adapter has gone from the engine behind our back; the engine refused to run it.
-void takeMissingAdapter(DoorStep &step, const Attempt &attempt)
+void takeMissingAdapter(DoorStep &step, const AttemptInHand &attempt)
 {
     const AttemptId id = attempt.offer_.attempt_;
     step.command(CancelRun{id});
@@ -52,13 +52,13 @@
     return door.policy_.target_.engine_ ? RunState::Ran : RunState::OutcomeUnknown;
 }
 
-Attempt *runOf(Door &door, const AttemptId &id)
+AttemptInHand *runOf(Door &door, const AttemptId &id)
 {
-    Attempt *attempt = findAttempt(door.attempts_, id);
+    AttemptInHand *attempt = findAttempt(door.attempts_, id);
     return attempt && attempt->stage_ == AttemptStage::Running ? attempt : nullptr;
 }
 
-void takeLostConnection(DoorStep &step, Attempt &attempt)
+void takeLostConnection(DoorStep &step, AttemptInHand &attempt)
 {
     Door &door = step.door_;
     if (!door.policy_.target_.engine_) {
@@ -85,12 +85,11 @@
 void refuseAttempt(DoorStep &step, const AttemptId &attempt, Reason reason)
 {
     Door &door = step.door_;
-    const AttemptId id = attempt;
-    const Attempt &known = door.attempts_.inHand_.at(id);
-    step.send(known.replyAddress_, OfferRefused{id, reason, 0});
+    const AttemptInHand &known = door.attempts_.inHand_.at(attempt);
+    step.send(known.replyAddress_, OfferRefused{attempt, reason, 0});
     noteEvent(step, DoorEventKind::AttemptRefused, known, reason);
     const ClosedAttempt outcome{.runState_ = RunState::NotRun, .reason_ = reason};
-    closeAttempt(door.attempts_, id, outcome, step.now_);
+    closeAttempt(door.attempts_, attempt, outcome, step.now_);
 }
 
 void refuseQueued(DoorStep &step, const AttemptId &attempt, Reason reason)
@@ -99,7 +98,7 @@
     refuseAttempt(step, attempt, reason);
 }
 
-void stopRun(DoorStep &step, Attempt &attempt, Reason reason)
+void stopRun(DoorStep &step, AttemptInHand &attempt, Reason reason)
 {
     if (attempt.stopping_ != Reason::None)
         return;
@@ -107,7 +106,7 @@
     step.command(CancelRun{attempt.offer_.attempt_});
 }
 
-void releaseRun(DoorStep &step, const Attempt &attempt)
+void releaseRun(DoorStep &step, const AttemptInHand &attempt)
 {
     Door &door = step.door_;
     --door.running_;
@@ -118,7 +117,7 @@
     door.suspectsHeldUntil_ = step.now_ + door.policy_.suspectPatience_;
 }
 
-void failRun(DoorStep &step, Attempt &attempt, RunState state, Reason reason)
+void failRun(DoorStep &step, AttemptInHand &attempt, RunState state, Reason reason)
 {
     attempt.failure_ = AttemptFailed{attempt.offer_.attempt_, state, reason, attempt.tokensRun_};
     step.send(attempt.replyAddress_, *attempt.failure_);
@@ -129,7 +128,7 @@
 
 void takeRunHead(DoorStep &step, RunHead &&head)
 {
-    Attempt *attempt = runOf(step.door_, head.attempt_);
+    AttemptInHand *attempt = runOf(step.door_, head.attempt_);
     if (!attempt)
         return;
     if (head.status_ == statusNotFound && !attempt->offer_.adapter_.empty()) {
@@ -146,7 +145,7 @@
 
 void takeRunBytes(DoorStep &step, RunBytes &&bytes)
 {
-    Attempt *attempt = runOf(step.door_, bytes.attempt_);
+    AttemptInHand *attempt = runOf(step.door_, bytes.attempt_);
     if (!attempt)
         return;
     attempt->tokensRun_ = attempt->offer_.promptTokens_ + bytes.generatedTokens_;
@@ -159,7 +158,7 @@
 void takeRunEnded(DoorStep &step, const RunEnded &ended)
 {
     Door &door = step.door_;
-    Attempt *attempt = runOf(door, ended.attempt_);
+    AttemptInHand *attempt = runOf(door, ended.attempt_);
     if (!attempt)
         return;
     if (!attempt->offer_.adapter_.empty())
@@ -183,7 +182,7 @@
 void takeRunFailed(DoorStep &step, const RunFailed &failed)
 {
     Door &door = step.door_;
-    Attempt *attempt = runOf(door, failed.attempt_);
+    AttemptInHand *attempt = runOf(door, failed.attempt_);
     if (!attempt)
         return;
     if (failed.sent_) {
--- a/Source/Target/doorengine.cpp
+++ b/Source/Target/doorengine.cpp
@@ -30,7 +30,7 @@
 {
     Door &door = step.door_;
     for (const AttemptId &id : runs) {
-        const Attempt &attempt = door.attempts_.inHand_.at(id);
+        const AttemptInHand &attempt = door.attempts_.inHand_.at(id);
         if (attempt.stopping_ == Reason::None)
             strike(door.strikes_, attempt.offer_.fingerprint_, step.now_);
     }
@@ -46,7 +46,7 @@
     step.act(DoorEvent{.kind_ = DoorEventKind::EngineCrashed, .number_ = runs.size()});
     strikeRuns(step, runs);
     for (const AttemptId &id : runs) {
-        Attempt &attempt = step.door_.attempts_.inHand_.at(id);
+        AttemptInHand &attempt = step.door_.attempts_.inHand_.at(id);
         step.command(CancelRun{id});
         releaseRun(step, attempt);
         awaitGone(step.door_, id, attempt.offer_.adapter_);
@@ -61,7 +61,7 @@
 {
     Door &door = step.door_;
     for (const AttemptId &id : lostRunsJudgedBy(door, read)) {
-        Attempt &attempt = door.attempts_.inHand_.at(id);
+        AttemptInHand &attempt = door.attempts_.inHand_.at(id);
         releaseRun(step, attempt);
         awaitGone(door, id, attempt.offer_.adapter_);
         step.command(CancelRun{id});
@@ -158,7 +158,7 @@
 {
     Door &door = step.door_;
     const AdapterSlot &slot = door.residency_.slots_.at(adapter);
-    if (const Attempt *waiter = findAttempt(door.attempts_, slot.loadedFor_)) {
+    if (const AttemptInHand *waiter = findAttempt(door.attempts_, slot.loadedFor_)) {
         step.act(DoorSpan{.kind_ = DoorSpanKind::Load,
                           .traceparent_ = waiter->offer_.traceparent_,
                           .attempt_ = slot.loadedFor_,
--- a/Source/Target/dooroffers.cpp
+++ b/Source/Target/dooroffers.cpp
@@ -101,7 +101,7 @@
                    .priority_ = offer.priority_,
                    .cost_ = std::max<std::int64_t>(offer.reservedTokens_, 1),
                    .since_ = step.now_};
-    Attempt attempt;
+    AttemptInHand attempt;
     attempt.replyAddress_ = address;
     attempt.receivedAt_ = step.now_;
     attempt.deadline_ = step.now_ + Duration(offer.timeLeftMicros_);
@@ -144,7 +144,7 @@
         sendRefusal(step, address, offer.attempt_, Reason::WrongIncarnation, 0);
         return;
     }
-    if (Attempt *known = findAttempt(door.attempts_, offer.attempt_)) {
+    if (AttemptInHand *known = findAttempt(door.attempts_, offer.attempt_)) {
         known->replyAddress_ = address;
         step.send(address, OfferAccepted{offer.attempt_});
         return;
@@ -163,7 +163,7 @@
         refuseOffer(step, address, offer, reason);
 }
 
-void buryQueued(DoorStep &step, const Attempt &attempt)
+void buryQueued(DoorStep &step, const AttemptInHand &attempt)
 {
     Door &door = step.door_;
     const AttemptId id = attempt.offer_.attempt_;
@@ -177,7 +177,7 @@
     sendRefusal(step, address, id, Reason::Tombstone, 0);
 }
 
-void sendEnd(DoorStep &step, const Attempt &attempt)
+void sendEnd(DoorStep &step, const AttemptInHand &attempt)
 {
     if (attempt.failure_) {
         step.send(attempt.replyAddress_, *attempt.failure_);
@@ -187,7 +187,7 @@
               AnswerEnd{attempt.offer_.attempt_, attempt.answer_.length(), attempt.tokensRun_});
 }
 
-void giveUpAnswer(DoorStep &step, Attempt &attempt)
+void giveUpAnswer(DoorStep &step, AttemptInHand &attempt)
 {
     step.send(attempt.replyAddress_,
               AttemptFailed{attempt.offer_.attempt_, RunState::Ran, Reason::LinkLost,
@@ -196,7 +196,7 @@
         stopRun(step, attempt, Reason::LinkLost);
 }
 
-void resumeAnswer(DoorStep &step, Attempt &attempt, std::uint64_t haveOffset)
+void resumeAnswer(DoorStep &step, AttemptInHand &attempt, std::uint64_t haveOffset)
 {
     const AnswerLog &answer = attempt.answer_;
     const AttemptId &id = attempt.offer_.attempt_;
@@ -234,7 +234,7 @@
             AttemptFailed{query.attempt_, RunState::OutcomeUnknown, Reason::WrongIncarnation, 0});
         return;
     }
-    Attempt *attempt = findAttempt(door.attempts_, query.attempt_);
+    AttemptInHand *attempt = findAttempt(door.attempts_, query.attempt_);
     if (!attempt) {
         const auto closed = door.attempts_.closed_.find(query.attempt_);
         if (closed == door.attempts_.closed_.end())
@@ -244,16 +244,18 @@
         return;
     }
     attempt->replyAddress_ = address;
-    if (attempt->stage_ == AttemptStage::Queued)
+    if (attempt->stage_ != AttemptStage::Queued)
+        resumeAnswer(step, *attempt, query.haveOffset_);
+    else if (query.giveUp_)
         buryQueued(step, *attempt);
     else
-        resumeAnswer(step, *attempt, query.haveOffset_);
+        step.send(address, OfferAccepted{query.attempt_});
 }
 
 void takeCancel(DoorStep &step, const AttemptCancel &cancel)
 {
     Door &door = step.door_;
-    Attempt *attempt = findAttempt(door.attempts_, cancel.attempt_);
+    AttemptInHand *attempt = findAttempt(door.attempts_, cancel.attempt_);
     if (!attempt) {
         if (!door.attempts_.closed_.contains(cancel.attempt_))
             writeTombstone(door.attempts_, cancel.attempt_, Reason::Cancelled, step.now_);
@@ -268,7 +270,7 @@
 void takeReceived(DoorStep &step, const AnswerReceived &received)
 {
     Door &door = step.door_;
-    const Attempt *attempt = findAttempt(door.attempts_, received.attempt_);
+    const AttemptInHand *attempt = findAttempt(door.attempts_, received.attempt_);
     if (!attempt || attempt->stage_ != AttemptStage::Ended)
         return;
     ClosedAttempt outcome{
--- a/Source/Target/doorschedule.cpp
+++ b/Source/Target/doorschedule.cpp
@@ -17,7 +17,7 @@
     return door.running_ + static_cast<std::uint32_t>(door.engine_.foreign_.size());
 }
 
-void startAttempt(DoorStep &step, Attempt &attempt)
+void startAttempt(DoorStep &step, AttemptInHand &attempt)
 {
     Door &door = step.door_;
     Offer &offer = attempt.offer_;
@@ -54,7 +54,7 @@
 void serveItem(DoorStep &step, QueueItem item)
 {
     Door &door = step.door_;
-    Attempt &attempt = door.attempts_.inHand_.at(item.attempt_);
+    AttemptInHand &attempt = door.attempts_.inHand_.at(item.attempt_);
     if (attempt.deadline_ <= step.now_) {
         refuseAttempt(step, item.attempt_, Reason::DeadlinePassed);
         return;
@@ -94,7 +94,7 @@
         return false;
     const AttemptId id = found->attempt_;
     door.suspects_.erase(found);
-    Attempt &attempt = door.attempts_.inHand_.at(id);
+    AttemptInHand &attempt = door.attempts_.inHand_.at(id);
     if (suspicionOf(door.strikes_, attempt.offer_.fingerprint_, step.now_) == Suspicion::Refuse) {
         refuseAttempt(step, id, Reason::SuspectedKiller);
         return false;
@@ -306,7 +306,7 @@
     return attempts;
 }
 
-void unqueue(Door &door, const Attempt &attempt)
+void unqueue(Door &door, const AttemptInHand &attempt)
 {
     const AttemptId &id = attempt.offer_.attempt_;
     if (removeQueued(door.queue_, attempt.offer_.account_, id))
--- a/Source/Target/doorstep.h
+++ b/Source/Target/doorstep.h
@@ -32,8 +32,8 @@
     template <class T>
     void send(const std::string &address, T message)
     {
-        actions_.emplace_back(std::in_place_type<SendMessage>);
-        auto &sent = std::get<SendMessage>(actions_.back());
+        actions_.emplace_back(std::in_place_type<MessageToSend>);
+        auto &sent = std::get<MessageToSend>(actions_.back());
         sent.address_ = address;
         sent.message_.template emplace<T>(std::move(message));
     }
@@ -51,9 +51,9 @@
 /// The same for a queued attempt, which is taken out of its queue.
 void refuseQueued(DoorStep &step, const AttemptId &attempt, Reason reason);
 /// Asks the target to stop a run; its end is told when it is gone.
-void stopRun(DoorStep &step, Attempt &attempt, Reason reason);
+void stopRun(DoorStep &step, AttemptInHand &attempt, Reason reason);
 /// A run ended without a whole answer.
-void failRun(DoorStep &step, Attempt &attempt, RunState state, Reason reason);
+void failRun(DoorStep &step, AttemptInHand &attempt, RunState state, Reason reason);
 void takeRunHead(DoorStep &step, RunHead &&head);
 void takeRunBytes(DoorStep &step, RunBytes &&bytes);
 void takeRunEnded(DoorStep &step, const RunEnded &ended);
@@ -61,7 +61,7 @@
 /// Refuses what is queued past its deadline and stops what runs past it.
 void enforceDeadlines(DoorStep &step);
 /// Counts of a run that is no longer ours to wait for.
-void releaseRun(DoorStep &step, const Attempt &attempt);
+void releaseRun(DoorStep &step, const AttemptInHand &attempt);
 
 // The engine's state, crashes and orders: doorengine.cpp.
 
@@ -83,7 +83,7 @@
 /// Every queued attempt that satisfies the condition, in no stated order.
 std::vector<AttemptId> queuedAttempts(const Door &door, const CanStart &condition);
 /// Takes an attempt out of whichever queue holds it.
-void unqueue(Door &door, const Attempt &attempt);
+void unqueue(Door &door, const AttemptInHand &attempt);
 std::uint32_t queuedCount(const Door &door);
 
 } // namespace eelgrasscove
--- a/Source/Target/rulecheck.cpp
+++ b/Source/Target/rulecheck.cpp
@@ -1,6 +1,6 @@
 #include "Target/rulecheck.h"
 
-#include <algorithm>
+#include "Contract/rulequery.h"
 
 namespace eelgrasscove {
 
@@ -15,13 +15,10 @@
     return valid ? Reason::None : Reason::KeyWithdrawn;
 }
 
-bool mayUseRoute(const RouteRule &route, const Offer &offer)
+/// The account that the offer's key stands for; empty without a key.
+AccountName keyedAccount(const Offer &offer)
 {
-    if (route.openToAll_)
-        return true;
-    const auto &accounts = route.accounts_;
-    return !offer.keyId_.empty()
-        && std::find(accounts.begin(), accounts.end(), offer.account_) != accounts.end();
+    return offer.keyId_.empty() ? AccountName{} : offer.account_;
 }
 
 bool sameWork(const RouteRule &route, const Offer &offer, const TargetGroup &group)
@@ -33,7 +30,7 @@
 Reason checkRoute(const Rules &rules, const Offer &offer, const TargetGroup &group)
 {
     const auto route = rules.routes_.find(offer.route_);
-    if (route == rules.routes_.end() || !mayUseRoute(route->second, offer))
+    if (route == rules.routes_.end() || !mayUse(route->second, keyedAccount(offer)))
         return Reason::UnknownRoute;
     return sameWork(route->second, offer, group) ? Reason::None : Reason::RulesStale;
 }
--- a/Source/Target/targetprocess.cpp
+++ b/Source/Target/targetprocess.cpp
@@ -5,9 +5,12 @@
 #include "Link/linkservice.h"
 #include "Observe/log.h"
 #include "Observe/metrics.h"
+#include "Observe/observeserver.h"
+#include "Observe/statusboard.h"
 #include "Observe/trace.h"
 #include "Platform/platformservice.h"
 #include "Target/door.h"
+#include "Target/doorstatus.h"
 #include "Target/engineclient.h"
 #include "Target/startnumber.h"
 #include "Vm/boundedring.h"
@@ -142,6 +145,7 @@
     PlatformService platform_;
     EngineClient engine_;
     std::unique_ptr<LinkService> link_;
+    StatusBoard board_;
     Door door_;
     Fleet fleet_;
     std::uint64_t nextTag_ = 1;
@@ -198,7 +202,7 @@
 /// too often, the number stands without.
 void TargetProcess::storeStartNumber(StartEvidence &evidence)
 {
-    const std::string key = settings_.platform_.prefix_ + "fence/" + settings_.vm_.vm_.text_;
+    const std::string key = "fence/" + settings_.vm_.vm_.text_;
     for (int attempt = 0; attempt < storeTries; ++attempt) {
         const std::optional<KvOutcome> read = callKv({.reads_ = {{.key_ = key}}});
         if (!read || read->status_ != KvStatus::Succeeded)
@@ -259,10 +263,17 @@
     door_ = makeDoor(doorPolicy(settings_.target_, settings_.rules_), Incarnation{number},
                      FencingNumber{number}, monotonicNow());
     logEvent(LogLevel::Info, "target_started", {{"incarnation", std::to_string(number)}});
+    ObserveServer observe(settings_.observe_.listen_, board_);
+    if (const auto observing = observe.start(); !ok(observing)) {
+        logEvent(
+            LogLevel::Error, "observe_not_started",
+            {{"address", settings_.observe_.listen_}, {"message", errorOf(observing).message_}});
+    }
     TimerService timers;
     timers.subscribe(tickPeriod, [this](Time) { ring_.tryPush(TickInput{}); });
     loop();
     timers.stop();
+    observe.stop();
     platform_.stop();
     engine_.stop();
     link_->stop();
@@ -325,7 +336,7 @@
     else if (auto *engine = std::get_if<EngineEvent>(&input))
         decide(std::move(*engine), now);
     else
-        decide(Tick{}, now);
+        decide(TimePassed{}, now);
 }
 
 void TargetProcess::takeLink(LinkEvent &&event, Time now)
@@ -411,7 +422,7 @@
 
 void TargetProcess::perform(DoorAction &&action, Time now)
 {
-    if (auto *message = std::get_if<SendMessage>(&action)) {
+    if (auto *message = std::get_if<MessageToSend>(&action)) {
         // What isn't sent shows as a gap, and the entry asks.
         if (!link_->send(message->address_, std::move(message->message_)))
             countMetric("eelgrasscove_target_messages_unsent_total");
@@ -525,6 +536,8 @@
     const Heartbeat report = heartbeat(now);
     for (const std::string &address : heartbeatTargets(now))
         link_->send(address, report);
+    board_.setReady(report.engineUp_ && !report.leaving_);
+    board_.setStatus(doorStatusJson(door_, settings_.vm_.vm_, now));
 }
 
 void TargetProcess::sendStrikes(Time now)
--- a/Tests/Target/doorfixture.h
+++ b/Tests/Target/doorfixture.h
@@ -104,7 +104,7 @@
 /// One door, its clock, and all that it did since the last clear().
 struct DoorFixture
 {
-    explicit DoorFixture(TargetSettings target = engineSettings())
+    explicit DoorFixture(const TargetSettings &target = engineSettings())
         : door_(makeDoor(doorPolicy(target, {}), doorIncarnation, doorFencing, now_))
     {
         give(RulesReceived{rulesAt(1)});
@@ -121,7 +121,7 @@
     void advance(Duration duration)
     {
         now_ += duration;
-        give(Tick{});
+        give(TimePassed{});
     }
     void clear() { done_.clear(); }
 
@@ -136,7 +136,7 @@
     /// The first tick and an engine that holds these adapters.
     void up(const std::vector<AdapterKey> &adapters = {})
     {
-        give(Tick{});
+        give(TimePassed{});
         state(stateWith(adapters));
     }
 
@@ -155,7 +155,7 @@
     {
         std::vector<T> messages;
         for (const DoorAction &action : done_) {
-            const auto *send = std::get_if<SendMessage>(&action);
+            const auto *send = std::get_if<MessageToSend>(&action);
             if (send && std::holds_alternative<T>(send->message_))
                 messages.push_back(std::get<T>(send->message_));
         }
