Await a foreign run that has a tombstone here

Ruled out: ignoring cancels of unknown attempts, since a late offer must still meet a tombstone. Conclusion: only a run that this process started and ended itself isn't foreign.

--- a/Source/Target/doorengine.cpp
+++ b/Source/Target/doorengine.cpp
@@ -86,7 +86,11 @@
 /// Whether a run that the engine shows was started by someone else.
 bool isForeign(const Door &door, const AttemptId &id)
 {
-    if (door.engine_.foreign_.contains(id) || door.attempts_.closed_.contains(id))
+    if (door.engine_.foreign_.contains(id))
+        return false;
+    // A tombstone says only that this process didn't start it.
+    const auto closed = door.attempts_.closed_.find(id);
+    if (closed != door.attempts_.closed_.end() && closed->second.runState_ != RunState::NotRun)
         return false;
     const auto found = door.attempts_.inHand_.find(id);
     return found == door.attempts_.inHand_.end() || found->second.stage_ == AttemptStage::Queued;
