--- a/Source/Target/doorstatus.cpp
+++ b/Source/Target/doorstatus.cpp
@@ -39,11 +39,12 @@
 
 } // namespace
 
-std::string doorStatusJson(const Door &door, const VmName &vm, Time now)
+std::string doorStatusJson(const Door &door, const VmSettings &vm, Time now)
 {
     const Heartbeat report = loadReport(door, now);
     const Json status = {{"role", "target"},
-                         {"vm", vm.text_},
+                         {"vm", vm.vm_.text_},
+                         {"data_centre", vm.dataCentre_.text_},
                          {"incarnation", door.incarnation_.value_},
                          {"fencing_number", door.fencingNumber_.value_},
                          {"rules_revision", report.rulesRevision_.value_},
--- a/Source/Target/doorstatus.h
+++ b/Source/Target/doorstatus.h
@@ -9,6 +9,6 @@
 namespace eelgrasscove {
 
 /// A JSON object: incarnation, fencing number, revision, load, resident adapters and strikes.
-std::string doorStatusJson(const Door &door, const VmName &vm, Time now);
+std::string doorStatusJson(const Door &door, const VmSettings &vm, Time now);
 
 } // namespace eelgrasscove
--- a/Source/Target/targetprocess.cpp
+++ b/Source/Target/targetprocess.cpp
@@ -14,6 +14,7 @@
 #include "Target/engineclient.h"
 #include "Target/startnumber.h"
 #include "Vm/boundedring.h"
+#include "Vm/exitcode.h"
 #include "Vm/timerservice.h"
 
 #include <algorithm>
@@ -258,7 +259,7 @@
     if (!startLink(number)) {
         platform_.stop();
         engine_.stop();
-        return targetExitNotStarted;
+        return ExitAddress;
     }
     door_ = makeDoor(doorPolicy(settings_.target_, settings_.rules_), Incarnation{number},
                      FencingNumber{number}, monotonicNow());
@@ -278,7 +279,7 @@
     engine_.stop();
     link_->stop();
     logEvent(LogLevel::Info, "target_stopped", {{"cut_off", cutOff_ ? "true" : "false"}});
-    return cutOff_ ? targetExitCutOff : targetExitDrained;
+    return cutOff_ ? ExitForced : ExitStopped;
 }
 
 // ---- The loop
@@ -536,8 +537,8 @@
     const Heartbeat report = heartbeat(now);
     for (const std::string &address : heartbeatTargets(now))
         link_->send(address, report);
-    board_.setReady(report.engineUp_ && !report.leaving_);
-    board_.setStatus(doorStatusJson(door_, settings_.vm_.vm_, now));
+    board_.setReady(report.engineUp_ && !report.leaving_ && report.rulesRevision_.value_ > 0);
+    board_.setStatus(doorStatusJson(door_, settings_.vm_, now));
 }
 
 void TargetProcess::sendStrikes(Time now)
@@ -561,7 +562,7 @@
     if (!ok(address)) {
         logEvent(LogLevel::Error, "target_url_unreadable",
                  {{"message", errorOf(address).message_}});
-        return targetExitNotStarted;
+        return ExitUsage;
     }
     return TargetProcess(settings, valueOf(address), stop).run();
 }
