Hand engine events on as moved variables

Cause: the first load on a running target process aborted it (free(): invalid pointer). GCC 12 destroys a braced temporary inside a co_await expression twice. Ruled out: the ring's hand-back of an event that it refused, which restores it. Conclusion: every co_await takes a named variable.

--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -114,7 +114,8 @@
         return made;
     }
 
-    /// Hands an event on, however long the receiver stays full.
+    /// Hands an event on, however long the receiver stays full. Its argument is always a moved
+    /// variable: GCC 12 destroys a braced temporary in a co_await expression twice.
     asio::awaitable<void> hand(EngineEvent event)
     {
         asio::steady_timer timer(context_);
@@ -128,34 +129,38 @@
     /// One request with a short reply, on a connection of its own.
     asio::awaitable<Reply> call(Request made, Duration timeout)
     {
+        Reply reply;
         beast::tcp_stream stream(context_);
         beast::flat_buffer buffer;
         error_code error;
         stream.expires_after(timeout);
         co_await stream.async_connect(endpoint(), into(error));
         if (error)
-            co_return Reply{};
+            co_return reply;
         made.prepare_payload();
         co_await http::async_write(stream, made, into(error));
         if (error)
-            co_return Reply{};
+            co_return reply;
         http::response_parser<http::string_body> parser;
         parser.body_limit(replyLimit);
         co_await http::async_read(stream, buffer, parser, into(error));
         if (error)
-            co_return Reply{};
-        co_return Reply{parser.get().result_int(), std::move(parser.get().body())};
+            co_return reply;
+        reply.status_ = parser.get().result_int();
+        reply.body_ = std::move(parser.get().body());
+        co_return reply;
     }
 
     asio::awaitable<void> perform(ReadEngineState read)
     {
-        const Reply reply = co_await call(request(http::verb::get, "/state"), stateTimeout);
+        Request made = request(http::verb::get, "/state");
+        const Reply reply = co_await call(std::move(made), stateTimeout);
         const std::optional<EngineState> state =
             reply.status_ == 200 ? parseEngineState(reply.body_) : std::nullopt;
+        EngineEvent event = EngineUnreachable{read.read_};
         if (state)
-            co_await hand(EngineStateRead{read.read_, *state});
-        else
-            co_await hand(EngineUnreachable{read.read_});
+            event = EngineStateRead{read.read_, *state};
+        co_await hand(std::move(event));
     }
 
     static OrderOutcome outcomeOf(const Reply &reply)
@@ -180,7 +185,8 @@
         made.set(http::field::content_type, "application/json");
         made.body() = adapterOrderBody(order);
         const Reply reply = co_await call(std::move(made), load ? loadTimeout : unloadTimeout);
-        co_await hand(OrderEnded{order.order_, order.kind_, order.adapter_, outcomeOf(reply)});
+        EngineEvent event = OrderEnded{order.order_, order.kind_, order.adapter_, outcomeOf(reply)};
+        co_await hand(std::move(event));
     }
 
     /// Closing the connection is what stops a run on a target without a cancel call.
@@ -246,7 +252,8 @@
         const auto type = parser.get()[http::field::content_type];
         meter.form_ =
             settings_.engine_ ? answerForm({type.data(), type.size()}) : AnswerForm::Opaque;
-        co_await hand(RunHead{attempt, parser.get().result_int(), std::string(type)});
+        EngineEvent head = RunHead{attempt, parser.get().result_int(), std::string(type)};
+        co_await hand(std::move(head));
         std::array<char, readBytes> bytes;
         while (!parser.is_done()) {
             parser.get().body().data = bytes.data();
@@ -259,35 +266,42 @@
                 continue;
             const std::string_view read(bytes.data(), count);
             meterBytes(meter, read);
-            co_await hand(RunBytes{attempt, std::string(read), generatedTokens(meter)});
+            EngineEvent part = RunBytes{attempt, std::string(read), generatedTokens(meter)};
+            co_await hand(std::move(part));
         }
         co_return true;
     }
 
+    static EngineEvent failure(const AttemptId &attempt, bool sent)
+    {
+        return RunFailed{attempt, sent};
+    }
+
     asio::awaitable<EngineEvent> carryOut(StartRun start, RunPtr run)
     {
         const AttemptId attempt = start.attempt_;
         const std::optional<Request> made = runRequest(start);
         if (!made)
-            co_return RunFailed{attempt, false};
+            co_return failure(attempt, false);
         error_code error;
         run->stream_.expires_after(connectTimeout);
         co_await run->stream_.async_connect(endpoint(), into(error));
         if (error || run->cancelled_)
-            co_return RunFailed{attempt, false};
+            co_return failure(attempt, false);
         error_code ignored;
         run->stream_.socket().set_option(tcp::no_delay(true), ignored);
         // The decisions keep the deadline, and cancel.
         run->stream_.expires_never();
         co_await http::async_write(run->stream_, *made, into(error));
         if (error)
-            co_return RunFailed{attempt, true};
+            co_return failure(attempt, true);
         AnswerMeter meter;
         const bool whole = co_await passAnswer(attempt, run, meter);
         if (!whole)
-            co_return RunFailed{attempt, true};
+            co_return failure(attempt, true);
         meterEnd(meter);
-        co_return RunEnded{attempt, generatedTokens(meter)};
+        EngineEvent ended = RunEnded{attempt, generatedTokens(meter)};
+        co_return ended;
     }
 
     asio::awaitable<void> perform(StartRun start)
