Stop the links though nobody takes deliveries any more

Cause: a stopping entry closed its ring and then joined the link's sender, which waited for that ring to take an event: the process never ended and kept its listening port (seen: an entry left behind by SIGTERM, and the next one refused with "Address in use").

Ruled out: a pipe callback that blocks; a leftover of SIGKILL (the process caught SIGTERM and had closed its other threads).

Also: the entry's decision types have names of their own, since two types named Attempt in one namespace are one to the linker; a script starts the whole path on loopback. Conclusion: nobody may be waited for once a process stops.

--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -83,7 +83,7 @@
     shareOut(entry, now);
 }
 
-void takeInput(Entry &entry, AdoptRules &&adopt, Time now, EntryActions &actions)
+void takeInput(Entry &entry, NewRules &&adopt, Time now, EntryActions &actions)
 {
     if (entry.haveRules_ && adopt.rules_.revision_ <= entry.rules_.revision_)
         return;
@@ -101,7 +101,7 @@
                EntryActions & /*actions*/)
 { }
 
-void takeInput(Entry &entry, Tick && /*tick*/, Time now, EntryActions &actions)
+void takeInput(Entry &entry, EntryTick && /*tick*/, Time now, EntryActions &actions)
 {
     advanceWaiting(entry, now, actions);
     watchAttempts(entry, now, actions);
--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -83,7 +83,7 @@
 };
 
 /// One try at one target.
-struct Attempt
+struct EntryAttempt
 {
     AttemptId id_;
     RequestId request_;
@@ -122,7 +122,7 @@
     Fleet fleet_;
     std::map<RequestId, PendingRequest> requests_;
     std::map<CallerHandle, RequestId> requestByHandle_;
-    std::map<AttemptId, Attempt> attempts_;
+    std::map<AttemptId, EntryAttempt> attempts_;
     std::map<VmName, SentSinceReport> sentSinceReport_;
     std::map<Fingerprint, KnownStrike> strikes_;
     std::uint64_t lastRequestNumber_ = 0;
@@ -132,12 +132,12 @@
 };
 
 /// A new reading of the rules, parsed.
-struct AdoptRules
+struct NewRules
 {
     Rules rules_;
 };
 
-struct Tick
+struct EntryTick
 {
 };
 
@@ -147,8 +147,8 @@
 };
 
 using EntryInput =
-    std::variant<CallerRequest, CallerGone, Envelope, LinkChanged, SendFailed, VmList, AdoptRules,
-                 KvOutcome, PlatformReachable, Tick, StopRequested>;
+    std::variant<CallerRequest, CallerGone, Envelope, LinkChanged, SendFailed, VmList, NewRules,
+                 KvOutcome, PlatformReachable, EntryTick, StopRequested>;
 
 struct SendMessage
 {
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -48,7 +48,7 @@
     return views;
 }
 
-Offer offerFor(const PendingRequest &request, const Attempt &attempt, Time now)
+Offer offerFor(const PendingRequest &request, const EntryAttempt &attempt, Time now)
 {
     Offer offer;
     offer.attempt_ = attempt.id_;
@@ -91,7 +91,7 @@
     account->second.reservations_.insert(std::move(reservation));
 }
 
-PendingRequest *requestOf(Entry &entry, const Attempt &attempt)
+PendingRequest *requestOf(Entry &entry, const EntryAttempt &attempt)
 {
     if (attempt.abandoned_)
         return nullptr;
@@ -99,13 +99,13 @@
     return found == entry.requests_.end() ? nullptr : &found->second;
 }
 
-void settleAttempt(Entry &entry, const Attempt &attempt, std::int64_t tokensRun, Time now)
+void settleAttempt(Entry &entry, const EntryAttempt &attempt, std::int64_t tokensRun, Time now)
 {
     settle(entry.allowance_, attempt.account_, attempt.id_, tokensRun, now);
     entry.attempts_.erase(AttemptId(attempt.id_));
 }
 
-void ask(const Attempt &attempt, std::uint64_t haveOffset, bool giveUp, EntryActions &actions)
+void ask(const EntryAttempt &attempt, std::uint64_t haveOffset, bool giveUp, EntryActions &actions)
 {
     AttemptQuery query;
     query.attempt_ = attempt.id_;
@@ -116,8 +116,8 @@
 }
 
 /// The try wasn't run and never will be: the request may go elsewhere.
-void takeNotRun(Entry &entry, const Attempt &attempt, Reason reason, std::int64_t retryAfterMillis,
-                Time now, EntryActions &actions)
+void takeNotRun(Entry &entry, const EntryAttempt &attempt, Reason reason,
+                std::int64_t retryAfterMillis, Time now, EntryActions &actions)
 {
     PendingRequest *request = requestOf(entry, attempt);
     if (request == nullptr) {
@@ -156,7 +156,7 @@
 }
 
 /// The try may have run. Only an idempotent request of which nothing was passed on is run again.
-void takeUnknown(Entry &entry, const Attempt &attempt, Time now, EntryActions &actions)
+void takeUnknown(Entry &entry, const EntryAttempt &attempt, Time now, EntryActions &actions)
 {
     PendingRequest *request = requestOf(entry, attempt);
     const VmName vm = attempt.vm_;
@@ -180,7 +180,8 @@
     advance(entry, *request, now, actions);
 }
 
-void takeHead(Entry &entry, const Attempt &attempt, const AnswerHead &head, EntryActions &actions)
+void takeHead(Entry &entry, const EntryAttempt &attempt, const AnswerHead &head,
+              EntryActions &actions)
 {
     PendingRequest *request = requestOf(entry, attempt);
     if (request == nullptr || request->headReceived_)
@@ -205,7 +206,7 @@
         request.answer_ += bytes;
 }
 
-void takeChunk(Entry &entry, const Attempt &attempt, const AnswerChunk &chunk, Time now,
+void takeChunk(Entry &entry, const EntryAttempt &attempt, const AnswerChunk &chunk, Time now,
                EntryActions &actions)
 {
     noteRun(entry.allowance_, attempt.account_, attempt.id_, chunk.tokensRun_, now);
@@ -238,7 +239,7 @@
     actions.emplace_back(CallerReply{std::move(reply)});
 }
 
-void takeEnd(Entry &entry, const Attempt &attempt, const AnswerEnd &end, Time now,
+void takeEnd(Entry &entry, const EntryAttempt &attempt, const AnswerEnd &end, Time now,
              EntryActions &actions)
 {
     PendingRequest *request = requestOf(entry, attempt);
@@ -257,7 +258,7 @@
     settleAttempt(entry, attempt, end.tokensRun_, now);
 }
 
-void takeFailed(Entry &entry, const Attempt &attempt, const AttemptFailed &failed, Time now,
+void takeFailed(Entry &entry, const EntryAttempt &attempt, const AttemptFailed &failed, Time now,
                 EntryActions &actions)
 {
     if (failed.runState_ == RunState::NotRun)
@@ -281,7 +282,7 @@
         message);
 }
 
-void takeFor(Entry &entry, Attempt &attempt, const Message &message, Time now,
+void takeFor(Entry &entry, EntryAttempt &attempt, const Message &message, Time now,
              EntryActions &actions)
 {
     attempt.heardAt_ = now;
@@ -300,7 +301,7 @@
     }
 }
 
-bool vanished(const Entry &entry, const Attempt &attempt, Time now)
+bool vanished(const Entry &entry, const EntryAttempt &attempt, Time now)
 {
     const auto found = entry.fleet_.peers_.find(attempt.vm_);
     if (found == entry.fleet_.peers_.end())
@@ -311,23 +312,23 @@
 }
 
 /// An idempotent request needn't wait for a target process that can't be reached.
-void leaveVanished(Entry &entry, Attempt &attempt, Time now, EntryActions &actions)
+void leaveVanished(Entry &entry, EntryAttempt &attempt, Time now, EntryActions &actions)
 {
     PendingRequest *request = requestOf(entry, attempt);
     const bool passedOn =
         request != nullptr && request->headReceived_ && request->call_.completion_.stream_;
     if (request == nullptr || !request->route_.idempotent_ || passedOn || request->callerGone_)
         return;
-    const Attempt left = attempt;
+    const EntryAttempt left = attempt;
     actions.emplace_back(SendMessage{left.address_, AttemptCancel{left.id_}});
     takeUnknown(entry, left, now, actions);
 }
 
-void giveUp(Entry &entry, const Attempt &attempt, Time now, EntryActions &actions)
+void giveUp(Entry &entry, const EntryAttempt &attempt, Time now, EntryActions &actions)
 {
     actions.emplace_back(SendMessage{attempt.address_, AttemptCancel{attempt.id_}});
     const PendingRequest *request = requestOf(entry, attempt);
-    const Attempt overdue = attempt;
+    const EntryAttempt overdue = attempt;
     settleAttempt(entry, overdue, overdue.reservedTokens_, now);
     if (request == nullptr)
         return;
@@ -337,7 +338,7 @@
         now, actions);
 }
 
-void watchAttempt(Entry &entry, Attempt &attempt, Time now, EntryActions &actions)
+void watchAttempt(Entry &entry, EntryAttempt &attempt, Time now, EntryActions &actions)
 {
     if (now >= attempt.deadline_) {
         giveUp(entry, attempt, now, actions);
@@ -363,7 +364,7 @@
     if (!decision)
         return false;
     const Peer &peer = entry.fleet_.peers_.at(decision->vm_);
-    Attempt attempt;
+    EntryAttempt attempt;
     attempt.id_ = nextAttempt(entry);
     attempt.request_ = request.id_;
     attempt.vm_ = decision->vm_;
@@ -403,7 +404,7 @@
     const auto found = entry.attempts_.find(offer->attempt_);
     if (found == entry.attempts_.end())
         return;
-    const Attempt attempt = found->second;
+    const EntryAttempt attempt = found->second;
     takeNotRun(entry, attempt, Reason::LinkLost, 0, now, actions);
 }
 
--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -6,6 +6,7 @@
 #include "Link/linkservice.h"
 #include "Observe/log.h"
 #include "Observe/metrics.h"
+#include "Observe/observeserver.h"
 #include "Observe/statusboard.h"
 #include "Platform/platformservice.h"
 #include "Vm/boundedring.h"
@@ -74,7 +75,7 @@
     Result<Rules, std::vector<RuleError>> rules =
         parseRules(stored->text_, "stored rules", stored->revision_);
     if (ok(rules))
-        return EntryInput(AdoptRules{valueOf(std::move(rules))});
+        return EntryInput(NewRules{valueOf(std::move(rules))});
     logEvent(LogLevel::Error, "stored_rules_unreadable",
              {{"errors", describeRuleErrors(errorOf(rules))}});
     return std::nullopt;
@@ -85,6 +86,7 @@
 public:
     EntryProcess(const Settings &settings, StopSignal &stop)
         : settings_(settings), stop_(stop), entry_(entryFrom(settings)),
+          observe_(settings.observe_.listen_, board_),
           callers_(settings.callers_, settings.keys_, board_,
                    [this](CallerEvent &&event) { return pushCaller(std::move(event)); }),
           links_(settings.link_, entry_.identity_,
@@ -120,8 +122,13 @@
             logEvent(LogLevel::Error, "start_failed", {{"error", errorOf(serving).message_}});
             return ExitAddress;
         }
+        const Result<Done, ObserveError> observing = observe_.start();
+        if (!ok(observing)) {
+            logEvent(LogLevel::Error, "start_failed", {{"error", errorOf(observing).message_}});
+            return ExitAddress;
+        }
         platform_.start();
-        timer_.subscribe(tickPeriod, [this](Time) { inputs_.tryPush(Tick()); });
+        timer_.subscribe(tickPeriod, [this](Time) { inputs_.tryPush(EntryTick()); });
         timer_.subscribe(settings_.link_.heartbeatPeriod_, [this](Time) { heartbeatDue_ = true; });
         timer_.subscribe(statusPeriod, [this](Time) { statusDue_ = true; });
         logEvent(LogLevel::Info, "started", {{"listen", settings_.callers_.listen_}});
@@ -264,6 +271,7 @@
     StopSignal &stop_;
     Entry entry_;
     StatusBoard board_;
+    ObserveServer observe_;
     BoundedRing<EntryInput> inputs_{inputRingInputs};
     std::atomic<bool> heartbeatDue_ = true;
     std::atomic<bool> statusDue_ = true;
--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -259,11 +259,12 @@
 {
     if (!impl_->sender_.joinable())
         return;
+    // From here on nobody may take deliveries: neither thread may wait for it.
+    impl_->stopping_ = true;
     impl_->outgoing_.close();
     impl_->sender_.join();
     // nng closes a socket with what it still holds unsent; give it the time to write.
     std::this_thread::sleep_for(flushTime);
-    impl_->stopping_ = true;
     nng_close(impl_->inbox_);
     impl_->receiver_.join();
     impl_->closePeers();
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -15,10 +15,10 @@
 
 /// Names of the message kinds on the wire, in the order of the Message variant.
 constexpr std::array messageNames = {
-    "offer",      "offer_accepted", "offer_refused", "answer_head",    "answer_chunk",
-    "answer_end", "attempt_failed", "attempt_query", "attempt_cancel", "answer_received",
-    "heartbeat",  "rules_request",  "rules_text",    "rules_delta",    "rules_part_request",
-    "rules_part",
+    "offer",          "offer_accepted",  "offer_refused",      "answer_head",
+    "answer_chunk",   "answer_end",      "attempt_failed",     "attempt_query",
+    "attempt_cancel", "answer_received", "heartbeat",          "rules_request",
+    "rules_text",     "rules_delta",     "rules_part_request", "rules_part",
 };
 static_assert(messageNames.size() == std::variant_size_v<Message>);
 
@@ -160,31 +160,31 @@
 };
 
 template <>
-constexpr auto fieldsOf<RulesEdit> = std::tuple {
-    Field {"keep", &RulesEdit::keep_},
-    Field {"drop", &RulesEdit::drop_},
-    Field {"lines", &RulesEdit::lines_},
+constexpr auto fieldsOf<RulesEdit> = std::tuple{
+    Field{"keep", &RulesEdit::keep_},
+    Field{"drop", &RulesEdit::drop_},
+    Field{"lines", &RulesEdit::lines_},
 };
 
 template <>
-constexpr auto fieldsOf<RulesDelta> = std::tuple {
-    Field {"from", &RulesDelta::from_},
-    Field {"to", &RulesDelta::to_},
-    Field {"edits", &RulesDelta::edits_},
-    Field {"digest", &RulesDelta::digest_},
+constexpr auto fieldsOf<RulesDelta> = std::tuple{
+    Field{"from", &RulesDelta::from_},
+    Field{"to", &RulesDelta::to_},
+    Field{"edits", &RulesDelta::edits_},
+    Field{"digest", &RulesDelta::digest_},
 };
 
 template <>
-constexpr auto fieldsOf<RulesPartRequest> = std::tuple {
-    Field {"revision", &RulesPartRequest::revision_},
-    Field {"part", &RulesPartRequest::part_},
+constexpr auto fieldsOf<RulesPartRequest> = std::tuple{
+    Field{"revision", &RulesPartRequest::revision_},
+    Field{"part", &RulesPartRequest::part_},
 };
 
 template <>
-constexpr auto fieldsOf<RulesPart> = std::tuple {
-    Field {"revision", &RulesPart::revision_}, Field {"part", &RulesPart::part_},
-    Field {"parts", &RulesPart::parts_},       Field {"digest", &RulesPart::digest_},
-    Field {"bytes", &RulesPart::bytes_},
+constexpr auto fieldsOf<RulesPart> = std::tuple{
+    Field{"revision", &RulesPart::revision_}, Field{"part", &RulesPart::part_},
+    Field{"parts", &RulesPart::parts_},       Field{"digest", &RulesPart::digest_},
+    Field{"bytes", &RulesPart::bytes_},
 };
 
 template <>
--- a/Utilities/fleet.sh
+++ b/Utilities/fleet.sh
@@ -46,7 +46,7 @@
     cat <<INI
 [vm]
 role = $role
-name = $name
+vm = $name
 region = west
 data_centre = utrecht
 
@@ -74,9 +74,9 @@
     printf '\n[callers]\nlisten = 127.0.0.1:%d\n' $((basePort + 50 + $2))
 }
 
-targetSettings() { # NAME NUMBER GROUP KIND URL
+targetSettings() { # NAME NUMBER GROUP ENGINE URL
     settingsOf target "$1" "$2"
-    printf '\n[target]\ngroup = %s\nkind = %s\nurl = %s\nloads_per_second = 4\n' "$3" "$4" "$5"
+    printf '\n[target]\ngroup = %s\nengine = %s\nurl = %s\nloads_per_second = 4\n' "$3" "$4" "$5"
 }
 
 vmRow() { # NAME ROLE NUMBER GROUP
@@ -131,10 +131,10 @@
 startDaemons() {
     local n
     for n in 1 2 3; do
-        targetSettings runner-$n $((10 + n)) advice engine http://127.0.0.1:$((basePort + 10 + n)) >"$work/runner-$n.ini"
+        targetSettings runner-$n $((10 + n)) advice true http://127.0.0.1:$((basePort + 10 + n)) >"$work/runner-$n.ini"
         launch runner-$n "$programs/eelgrasscoved" --settings "$work/runner-$n.ini"
     done
-    targetSettings records-1 21 records service http://127.0.0.1:$((basePort + 21)) >"$work/records-1.ini"
+    targetSettings records-1 21 records false http://127.0.0.1:$((basePort + 21)) >"$work/records-1.ini"
     launch records-1 "$programs/eelgrasscoved" --settings "$work/records-1.ini"
     for n in 1 2; do
         entrySettings entry-$n $n >"$work/entry-$n.ini"
