--- a/Source/Operator/commandline.cpp
+++ b/Source/Operator/commandline.cpp
@@ -107,7 +107,7 @@
 
 std::string whoOf(const Arguments &arguments, const OperatorSettings &settings)
 {
-    const std::string given = textOf(arguments, "--who");
+    std::string given = textOf(arguments, "--who");
     if (!given.empty())
         return given;
     if (!settings.who_.empty())
--- a/Source/Operator/desk.cpp
+++ b/Source/Operator/desk.cpp
@@ -96,6 +96,7 @@
 std::vector<ProbedProcess> probe(const Desk &desk, const std::vector<std::string> &urls)
 {
     std::vector<ProbedProcess> processes;
+    processes.reserve(urls.size());
     for (const std::string &url : urls)
         processes.push_back({url, fetchStatus(desk, url)});
     return processes;
--- a/Tests/Operator/operatortest.cpp
+++ b/Tests/Operator/operatortest.cpp
@@ -276,7 +276,8 @@
             const std::string option = begin == std::string::npos
                 ? word
                 : word.substr(begin, word.find_first_of("=]", begin) - begin);
-            BOOST_TEST(text.str().find(option) != std::string::npos, page + " " + option);
+            BOOST_TEST_CONTEXT(page << " " << option)
+            BOOST_TEST(text.str().find(option) != std::string::npos);
         }
         commands += 1;
     }
