--- a/Tests/Operator/operatortest.cpp
+++ b/Tests/Operator/operatortest.cpp
@@ -250,6 +250,21 @@
     BOOST_TEST(errorOf(settings).size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(examplesAreGood)
+{
+    const std::string folder = std::string(FEATURE_FOLDER) + "/../../docs/examples/";
+    std::stringstream settings;
+    settings << std::ifstream(folder + "operator.ini").rdbuf();
+    const auto parsed = parseOperatorSettings(settings.str(), "operator.ini");
+    if (!ok(parsed))
+        BOOST_FAIL(describeSettingsErrors(errorOf(parsed)));
+    BOOST_TEST(valueOf(parsed).statusUrls_.size() == 3U);
+    std::stringstream rules;
+    rules << std::ifstream(folder + "association.rules").rdbuf();
+    const Report report = rulesCheck({"association.rules", rules.str()});
+    BOOST_TEST(isExit(report, ExitCode::Done), report.error_);
+}
+
 BOOST_AUTO_TEST_CASE(everyCommandHasAHelpPageThatNamesItsOptions)
 {
     std::istringstream usage(operatorUsage);
--- a/Tests/Vm/settingstest.cpp
+++ b/Tests/Vm/settingstest.cpp
@@ -1,6 +1,8 @@
 #include "Vm/settings.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <sstream>
 
 using namespace eelgrasscove;
 
@@ -106,3 +108,40 @@
     BOOST_TEST(errorsOf(longLine).front().line_ == 2U);
     BOOST_TEST(errorsOf("").front().line_ == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(examplesAreGoodAndStateTheDefaults)
+{
+    for (const char *name : {"entry.ini", "target-engine.ini", "target-service.ini"}) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            std::ifstream file(std::string(FEATURE_FOLDER) + "/../../docs/examples/" + name);
+            BOOST_REQUIRE(file.good());
+            std::stringstream text;
+            text << file.rdbuf();
+            const auto plain = parseSettings(text.str(), name);
+            if (!ok(plain))
+                BOOST_FAIL(describeSettingsErrors(errorOf(plain)));
+            // With the commented defaults taken in, nothing changes.
+            std::string full;
+            for (std::string line; std::getline(text, line);) {
+                const bool isDefault = line.size() > 1 && line[0] == ';' && line[1] != ' ';
+                full += (isDefault ? line.substr(1) : line) + "\n";
+            }
+            const auto stated = parseSettings(full, name);
+            if (!ok(stated))
+                BOOST_FAIL(describeSettingsErrors(errorOf(stated)));
+            const Settings &left = valueOf(plain);
+            const Settings &right = valueOf(stated);
+            BOOST_TEST(left.link_.advertise_ == right.link_.advertise_);
+            BOOST_TEST((left.link_.heartbeatPeriod_ == right.link_.heartbeatPeriod_));
+            BOOST_TEST((left.platform_.callTimeout_ == right.platform_.callTimeout_));
+            BOOST_TEST(left.callers_.bodyBytes_ == right.callers_.bodyBytes_);
+            BOOST_TEST((left.callers_.requestTimeout_ == right.callers_.requestTimeout_));
+            BOOST_TEST((left.rules_.staleAfter_ == right.rules_.staleAfter_));
+            BOOST_TEST(left.target_.answerBytes_ == right.target_.answerBytes_);
+            BOOST_TEST(left.target_.loadsPerSecond_ == right.target_.loadsPerSecond_);
+            BOOST_TEST(left.target_.batchSlots_ == right.target_.batchSlots_);
+            BOOST_TEST((left.stop_.graceful_ == right.stop_.graceful_));
+        }
+    }
+}
