--- a/Tests/Scenarios/parsertest.cpp
+++ b/Tests/Scenarios/parsertest.cpp
@@ -76,7 +76,8 @@
     BOOST_TEST(only<PlatformStep>(parsed("platform drop-replies 2\n")).count_ == 2);
     BOOST_TEST((only<ListStep>(parsed("list leaving m1\n")).action_ == ListAction::Leaving));
     BOOST_TEST(only<TargetStep>(parsed("target m1 fail-loads 2\n")).count_ == 2);
-    BOOST_TEST(only<ApplyStep>(parsed("apply first expecting conflict\n")).expectingConflict_);
+    BOOST_TEST((only<ApplyStep>(parsed("apply first expecting conflict\n")).outcome_
+                == ApplyOutcome::Conflict));
     BOOST_TEST(only<AwaitStep>(parsed("await adapter m1 a@1\n")).adapter_ == "a@1");
     BOOST_TEST(only<ExpectCount>(parsed("expect loads m1 exactly 1\n")).count_ == 1);
     BOOST_TEST(only<ExpectExit>(parsed("expect exit e1 0\n")).code_ == 0);
--- a/Tests/Scenarios/scenario.cpp
+++ b/Tests/Scenarios/scenario.cpp
@@ -116,22 +116,27 @@
     return step;
 }
 
+ApplyOutcome parseApplyOutcome(Words &words)
+{
+    if (!takeIf(words, "expecting"))
+        return ApplyOutcome::Everywhere;
+    return takeNamed(words, applyOutcomeNames, "an outcome");
+}
+
 StepAction parseApplyStep(Words &words)
 {
     ApplyStep step;
     step.rules_ = takeWord(words, "the name of rules");
-    if (takeIf(words, "expecting")) {
-        step.expectingConflict_ = takeIf(words, "conflict");
-        if (!step.expectingConflict_)
-            fail(words, "only a conflict can be expected", "write \"expecting conflict\"");
-    }
+    step.outcome_ = parseApplyOutcome(words);
     expectEnd(words);
     return step;
 }
 
 StepAction parseWithdrawStep(Words &words)
 {
-    WithdrawStep step{takeWord(words, "a key")};
+    WithdrawStep step;
+    step.key_ = takeWord(words, "a key");
+    step.outcome_ = parseApplyOutcome(words);
     expectEnd(words);
     return step;
 }
--- a/Tests/Scenarios/scenario.h
+++ b/Tests/Scenarios/scenario.h
@@ -18,8 +18,8 @@
 ///     platform up|down|slow TIME|drop-replies N|list-lag TIME
 ///     list leaving|live|removed NAME
 ///     target NAME crash|fail-loads N|freeze TIME|keep-runs|close-before-reply N|fail-calls N
-///     apply RULES [expecting conflict]
-///     withdraw KEY
+///     apply RULES [expecting conflict|partly]   (partly: accepted, not in force everywhere yet)
+///     withdraw KEY [expecting partly]
 ///     drain NAME
 ///     send NAME [count N] via ENTRY[,ENTRY] [key KEY] route ROUTE [tokens N] [stream] [chat]
 ///          [stop-after N] [prompt TEXT] [idempotency-key TEXT]
@@ -234,15 +234,32 @@
     std::int64_t count_ = 0;
 };
 
+/// How an applied change of the rules ends.
+enum class ApplyOutcome {
+    /// In force on every running process.
+    Everywhere,
+    /// Accepted, but not everywhere in force within the tool's wait.
+    Partly,
+    /// Refused, for it was made from an older revision.
+    Conflict,
+};
+
+constexpr eelgrasscove::NameTable<ApplyOutcome, 3> applyOutcomeNames = {{
+    {ApplyOutcome::Everywhere, "everywhere"},
+    {ApplyOutcome::Partly, "partly"},
+    {ApplyOutcome::Conflict, "conflict"},
+}};
+
 struct ApplyStep
 {
     std::string rules_;
-    bool expectingConflict_ = false;
+    ApplyOutcome outcome_ = ApplyOutcome::Everywhere;
 };
 
 struct WithdrawStep
 {
     std::string key_;
+    ApplyOutcome outcome_ = ApplyOutcome::Everywhere;
 };
 
 struct DrainStep
