--- a/Tests/Scenarios/runner.cpp
+++ b/Tests/Scenarios/runner.cpp
@@ -548,8 +548,10 @@
         ? endTimeout
         : awaitTimeout;
     for (const std::string &name : ofVms ? vmNames(run, action.names_) : action.names_) {
-        if (!awaitState([&] { return isReached(run, action, name); }, timeout))
-            fault(run, step, name + ": waited in vain");
+        if (awaitState([&] { return isReached(run, action, name); }, timeout))
+            continue;
+        fault(run, step, name + ": waited in vain");
+        return;
     }
 }
 
