Test each decision of the door, and let aged batch work go first

Cause: batch work past its aging bound was put behind interactive work that had come later, so the bound didn't bound its wait. Ruled out: a queue of its own for aged work, which would serve it outside the accounts' turns.

--- a/Source/Target/fairqueue.cpp
+++ b/Source/Target/fairqueue.cpp
@@ -33,12 +33,19 @@
         queue.demand_.erase(found);
 }
 
+void insertByAge(Items &items, QueueItem item)
+{
+    const auto younger = [](Time since, const QueueItem &other) { return since < other.since_; };
+    const auto place = std::upper_bound(items.begin(), items.end(), item.since_, younger);
+    items.insert(place, std::move(item));
+}
+
 void promoteAged(FairQueue &queue, Time now)
 {
     for (auto &[name, account] : queue.accounts_) {
         while (!account.batch_.empty()
                && now - account.batch_.front().since_ >= queue.batchAging_) {
-            account.interactive_.push_back(std::move(account.batch_.front()));
+            insertByAge(account.interactive_, std::move(account.batch_.front()));
             account.batch_.pop_front();
         }
     }
--- /dev/null
+++ b/Tests/Target/answermetertest.cpp
@@ -0,0 +1,73 @@
+#include "Target/answermeter.h"
+#include "Target/enginecodec.h"
+#include "Target/startnumber.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+
+BOOST_AUTO_TEST_CASE(streamCountsOneTokenAnEventUntilTheUsageIsTold)
+{
+    AnswerMeter meter;
+    meter.form_ = answerForm("text/event-stream; charset=utf-8");
+    const std::string_view stream = "data: {\"choices\":[{\"text\":\" a\"}]}\n\n"
+                                    "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\r\n\r\n";
+    for (const char byte : stream)
+        meterBytes(meter, std::string_view(&byte, 1));
+    BOOST_TEST(generatedTokens(meter) == 2);
+    meterBytes(meter, "data: {\"choices\":[],\"usage\":{\"completion_tokens\":7}}\n\n");
+    meterBytes(meter, "data: [DONE]\n\n");
+    meterEnd(meter);
+    BOOST_TEST(generatedTokens(meter) == 7);
+}
+
+BOOST_AUTO_TEST_CASE(wholeAnswerTellsItsUsage)
+{
+    AnswerMeter meter;
+    meter.form_ = answerForm("application/json");
+    meterBytes(meter, "{\"usage\":{\"completion");
+    meterBytes(meter, "_tokens\":5}}");
+    BOOST_TEST(generatedTokens(meter) == 0);
+    meterEnd(meter);
+    BOOST_TEST(generatedTokens(meter) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(oddAnswersCountNothing)
+{
+    AnswerMeter meter;
+    meter.form_ = AnswerForm::EventStream;
+    meterBytes(meter,
+               "data: [1]\ndata: {\"choices\":3}\ndata: {\"usage\":{\"completion_tokens\":-4}}\n");
+    meterEnd(meter);
+    BOOST_TEST(generatedTokens(meter) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(runBodyNamesTheAdapterWhateverItSaid)
+{
+    StartRun run;
+    run.adapter_ = {.adapter_ = {"oak"}, .version_ = {"3"}};
+    run.body_ = R"({"model":"base","prompt":"x"})";
+    BOOST_TEST(runBody(run)->find(R"("model":"oak@3")") != std::string::npos);
+    run.body_ = "[]";
+    BOOST_TEST(!runBody(run).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(engineStateIsReadOrRefusedWhole)
+{
+    const auto state = parseEngineState(
+        R"({"incarnation":4,"fencing_number":9,"adapters":["a@1"],"running":[{"attempt":"x","model":"a@1"}]})");
+    BOOST_TEST(state.has_value());
+    BOOST_TEST(state->incarnation_.value_ == 4U);
+    BOOST_TEST(state->running_.at(0).adapter_.version_.text_ == "1");
+    BOOST_TEST(!parseEngineState(R"({"incarnation":"x"})").has_value());
+    BOOST_TEST(!parseEngineState("").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(startNumberIsAboveAllThatIsKnown)
+{
+    BOOST_TEST(chooseStartNumber({.wallMillis_ = 10}) == 10U);
+    BOOST_TEST(chooseStartNumber({.wallMillis_ = 10, .engineNumber_ = 10}) == 11U);
+    BOOST_TEST(chooseStartNumber({.wallMillis_ = 10, .engineNumber_ = 3, .storedNumber_ = 20})
+               == 21U);
+    BOOST_TEST(!parseStartNumber("12x").has_value());
+}
--- a/Tests/Target/doorfixture.h
+++ b/Tests/Target/doorfixture.h
@@ -125,10 +125,12 @@
     }
     void clear() { done_.clear(); }
 
-    /// Answers the reading under way.
-    void state(EngineState engineState)
+    /// Answers the reading under way, and one that was asked for meanwhile.
+    void state(const EngineState &engineState)
     {
-        event(EngineStateRead{door_.engine_.lastRead_, std::move(engineState)});
+        do
+            event(EngineStateRead{door_.engine_.lastRead_, engineState});
+        while (door_.engine_.reading_);
     }
 
     void unreachable() { event(EngineUnreachable{door_.engine_.lastRead_}); }
