Move allowance shares through the ledger and tokens by loans, exact under failure

Cause: each entry needs part of an account's contract, whatever entries, links and the platform do. Loans: a reservation by another entry, numbered, sent again until answered. A restarted process counts its whole inherited burst as outstanding for the longest attempt. Ruled out: ending loans or shares by a timeout of their holder alone, which a frozen holder outlives.

--- a/Source/ClientAccount/allowance.cpp
+++ b/Source/ClientAccount/allowance.cpp
@@ -93,6 +93,19 @@
     return Admitted();
 }
 
+void countOutstanding(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
+                      std::int64_t tokens, Time now)
+{
+    const auto found = allowance.accounts_.find(account);
+    if (found == allowance.accounts_.end())
+        return;
+    AccountAllowance &held = found->second;
+    refill(held, now);
+    held.outstandingTokens_ += tokens;
+    held.reservations_.emplace(attempt, Reservation{account, tokens, 0});
+    held.freeMicroTokens_ += std::min<std::int64_t>(0, microTokenRoom(held));
+}
+
 void noteRun(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
              std::int64_t tokensRun, Time now)
 {
@@ -107,6 +120,33 @@
     takeRun(held, reservation->second, tokensRun);
 }
 
+void shrink(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
+            std::int64_t tokens, Time now)
+{
+    const auto found = allowance.accounts_.find(account);
+    if (found == allowance.accounts_.end())
+        return;
+    AccountAllowance &held = found->second;
+    const auto reservation = held.reservations_.find(attempt);
+    if (reservation == held.reservations_.end())
+        return;
+    refill(held, now);
+    const std::int64_t least = std::max(tokens, reservation->second.run_);
+    const std::int64_t returned = std::max<std::int64_t>(0, reservation->second.tokens_ - least);
+    reservation->second.tokens_ -= returned;
+    held.outstandingTokens_ -= returned;
+    held.freeMicroTokens_ += returned * microTokensPerToken;
+}
+
+std::int64_t freeTokens(Allowance &allowance, const AccountName &account, Time now)
+{
+    const auto found = allowance.accounts_.find(account);
+    if (found == allowance.accounts_.end())
+        return 0;
+    refill(found->second, now);
+    return std::max<std::int64_t>(0, found->second.freeMicroTokens_ / microTokensPerToken);
+}
+
 void settle(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
             std::int64_t tokensRun, Time now)
 {
--- a/Source/ClientAccount/allowance.h
+++ b/Source/ClientAccount/allowance.h
@@ -71,10 +71,22 @@
 Admission reserve(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
                   std::int64_t tokens, Time now);
 
+/// Counts tokens as outstanding that were reserved by a process before this one; no refill takes
+/// their place before they are settled.
+void countOutstanding(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
+                      std::int64_t tokens, Time now);
+
 /// Takes note that the attempt has run so many tokens in all.
 void noteRun(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
              std::int64_t tokensRun, Time now);
 
+/// Makes a reservation smaller, to so many tokens; what has been run of it stays.
+void shrink(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
+            std::int64_t tokens, Time now);
+
+/// Whole free tokens now.
+std::int64_t freeTokens(Allowance &allowance, const AccountName &account, Time now);
+
 /// Ends the reservation: what was not run becomes free again.
 void settle(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
             std::int64_t tokensRun, Time now);
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -15,10 +15,10 @@
 
 /// Names of the message kinds on the wire, in the order of the Message variant.
 constexpr std::array messageNames = {
-    "offer",          "offer_accepted",  "offer_refused",      "answer_head",
-    "answer_chunk",   "answer_end",      "attempt_failed",     "attempt_query",
-    "attempt_cancel", "answer_received", "heartbeat",          "rules_request",
-    "rules_text",     "rules_delta",     "rules_part_request", "rules_part",
+    "offer",      "offer_accepted", "offer_refused", "answer_head",    "answer_chunk",
+    "answer_end", "attempt_failed", "attempt_query", "attempt_cancel", "answer_received",
+    "heartbeat",  "rules_request",  "rules_text",    "rules_delta",    "rules_part_request",
+    "rules_part", "loan_request",   "loan_grant",    "loan_report",    "loan_closed",
 };
 static_assert(messageNames.size() == std::variant_size_v<Message>);
 
@@ -134,6 +134,12 @@
     Field{"count", &Strike::count_},
 };
 
+template <>
+constexpr auto fieldsOf<AccountFreeTokens> = std::tuple{
+    Field{"account", &AccountFreeTokens::account_},
+    Field{"tokens", &AccountFreeTokens::tokens_},
+};
+
 template <>
 constexpr auto fieldsOf<Heartbeat> = std::tuple{
     Field{"role", &Heartbeat::role_},
@@ -148,6 +154,7 @@
     Field{"adapter_slots", &Heartbeat::adapterSlots_},
     Field{"residents", &Heartbeat::residents_},
     Field{"strikes", &Heartbeat::strikes_},
+    Field{"free_tokens", &Heartbeat::freeTokens_},
 };
 
 template <>
@@ -187,6 +194,36 @@
     Field{"bytes", &RulesPart::bytes_},
 };
 
+template <>
+constexpr auto fieldsOf<LoanRequest> = std::tuple{
+    Field{"account", &LoanRequest::account_},
+    Field{"number", &LoanRequest::number_},
+    Field{"tokens", &LoanRequest::tokens_},
+};
+
+template <>
+constexpr auto fieldsOf<LoanGrant> = std::tuple{
+    Field{"account", &LoanGrant::account_},
+    Field{"number", &LoanGrant::number_},
+    Field{"tokens", &LoanGrant::tokens_},
+    Field{"free_tokens", &LoanGrant::freeTokens_},
+};
+
+template <>
+constexpr auto fieldsOf<LoanReport> = std::tuple{
+    Field{"account", &LoanReport::account_},
+    Field{"number", &LoanReport::number_},
+    Field{"tokens_run", &LoanReport::tokensRun_},
+    Field{"tokens_returned", &LoanReport::tokensReturned_},
+    Field{"closed", &LoanReport::closed_},
+};
+
+template <>
+constexpr auto fieldsOf<LoanClosed> = std::tuple{
+    Field{"account", &LoanClosed::account_},
+    Field{"number", &LoanClosed::number_},
+};
+
 template <>
 constexpr auto fieldsOf<Envelope> = std::tuple{
     Field{"v", &Envelope::version_},
--- a/Tests/ClientAccount/allowancetest.cpp
+++ b/Tests/ClientAccount/allowancetest.cpp
@@ -29,7 +29,7 @@
     return std::holds_alternative<Admitted>(admission);
 }
 
-std::int64_t freeTokens(const Allowance &allowance)
+std::int64_t signedFreeTokens(const Allowance &allowance)
 {
     return allowance.accounts_.at(account).freeMicroTokens_ / 1'000'000;
 }
@@ -69,9 +69,9 @@
     Allowance allowance = fullAllowance(0, 1000);
     BOOST_TEST(admitted(allowance, 1, 600, start));
     settle(allowance, account, attempt(1), 200, start);
-    BOOST_TEST(freeTokens(allowance) == 800);
+    BOOST_TEST(signedFreeTokens(allowance) == 800);
     settle(allowance, account, attempt(1), 0, start);
-    BOOST_TEST(freeTokens(allowance) == 800);
+    BOOST_TEST(signedFreeTokens(allowance) == 800);
 }
 
 BOOST_AUTO_TEST_CASE(lateOrRepeatedNotesAreIgnored)
@@ -89,7 +89,7 @@
     Allowance allowance = fullAllowance(100, 1000);
     BOOST_TEST(admitted(allowance, 1, 1000, start));
     settle(allowance, account, attempt(1), 1200, start);
-    BOOST_TEST(freeTokens(allowance) == -200);
+    BOOST_TEST(signedFreeTokens(allowance) == -200);
     BOOST_TEST(!admitted(allowance, 2, 1, start + 2s));
     BOOST_TEST(admitted(allowance, 2, 100, start + 3s));
 }
@@ -99,7 +99,20 @@
     Allowance allowance = fullAllowance(100, 1000);
     BOOST_TEST(admitted(allowance, 1, 800, start));
     setShare(allowance, account, {50, 500}, start);
-    BOOST_TEST(freeTokens(allowance) == -300);
+    BOOST_TEST(signedFreeTokens(allowance) == -300);
     settle(allowance, account, attempt(1), 0, start);
-    BOOST_TEST(freeTokens(allowance) == 500);
+    BOOST_TEST(signedFreeTokens(allowance) == 500);
+}
+
+BOOST_AUTO_TEST_CASE(shrinkingAReservationReturnsOnlyWhatWasNotRun)
+{
+    Allowance allowance = fullAllowance(0, 1000);
+    BOOST_TEST(admitted(allowance, 1, 600, start));
+    noteRun(allowance, account, attempt(1), 250, start);
+    shrink(allowance, account, attempt(1), 400, start);
+    BOOST_TEST(freeTokens(allowance, account, start) == 600);
+    shrink(allowance, account, attempt(1), 100, start);
+    BOOST_TEST(freeTokens(allowance, account, start) == 750);
+    settle(allowance, account, attempt(1), 250, start);
+    BOOST_TEST(freeTokens(allowance, account, start) == 750);
 }
--- /dev/null
+++ b/Tests/ClientAccount/fleettest.cpp
@@ -0,0 +1,87 @@
+#include "fleetsimulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t seeds = 10'000;
+/// A broken variant must be caught within so many seeds.
+constexpr std::uint64_t sabotagedSeeds = 2'000;
+
+std::uint64_t firstCaught(Sabotage sabotage)
+{
+    for (std::uint64_t seed = 1; seed <= sabotagedSeeds; ++seed) {
+        if (!brokenRule(simulateFleet(seed, sabotage)).empty())
+            return seed;
+    }
+    return 0;
+}
+
+/// The same by its definition, over all pairs of start and end.
+std::int64_t worstBurstByDefinition(const std::vector<TokenRun> &runs, std::int64_t rate)
+{
+    std::int64_t worst = 0;
+    for (std::size_t first = 0; first < runs.size(); ++first) {
+        std::int64_t tokens = 0;
+        for (std::size_t last = first; last < runs.size(); ++last) {
+            tokens += runs[last].tokens_;
+            const Duration window = runs[last].at_ - runs[first].at_;
+            worst = std::max(worst, tokens * 1'000'000 - rate * window.count());
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(runningMaximumEqualsTheWorstOfAllWindows)
+{
+    std::vector<TokenRun> runs;
+    std::uint64_t state = 1;
+    Time time = Time(1s);
+    for (int number = 0; number < 200; ++number) {
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        time += Duration(static_cast<std::int64_t>((state >> 33) % 50'000));
+        runs.push_back({time, static_cast<std::int64_t>((state >> 50) % 30)});
+        BOOST_TEST(worstBurstMicroTokens(runs, 400) == worstBurstByDefinition(runs, 400));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(noWindowExceedsTheContractUnderAnyFailure)
+{
+    SimulationResult sums;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const SimulationResult result = simulateFleet(seed, Sabotage::None);
+        const std::string broken = brokenRule(result);
+        BOOST_REQUIRE_MESSAGE(broken.empty(), "seed " << seed << ": " << broken);
+        sums.requests_ += result.requests_;
+        sums.admitted_ += result.admitted_;
+        sums.withLoans_ += result.withLoans_;
+        sums.kills_ += result.kills_;
+        sums.unknownOutcomes_ += result.unknownOutcomes_;
+        sums.overAllotted_ += result.loweredFrom_ != Time::max() ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE("requests " << sums.requests_ << ", admitted " << sums.admitted_
+                                   << ", with loans " << sums.withLoans_ << ", kills "
+                                   << sums.kills_ << ", unknown outcomes " << sums.unknownOutcomes_
+                                   << ", lowered contracts checked " << sums.overAllotted_);
+    BOOST_TEST(sums.admitted_ > sums.requests_ / 4);
+    BOOST_TEST(sums.withLoans_ > 10'000);
+    BOOST_TEST(sums.kills_ > 1'000);
+    BOOST_TEST(sums.unknownOutcomes_ > 1'000);
+    BOOST_TEST(sums.overAllotted_ > 1'000);
+}
+
+BOOST_AUTO_TEST_CASE(eachBrokenVariantIsCaught)
+{
+    for (const auto &variant : sabotageNames) {
+        if (variant.value_ == Sabotage::None)
+            continue;
+        const std::uint64_t seed = firstCaught(variant.value_);
+        BOOST_TEST_MESSAGE(variant.name_ << " caught at seed " << seed);
+        BOOST_CHECK_MESSAGE(seed != 0, variant.name_ << " was not caught");
+    }
+}
--- a/Tests/Link/messagecodectest.cpp
+++ b/Tests/Link/messagecodectest.cpp
@@ -69,6 +69,10 @@
     throughCodec(AnswerReceived{});
     throughCodec(RulesRequest{});
     throughCodec(RulesText{});
+    throughCodec(LoanRequest{});
+    throughCodec(LoanGrant{});
+    throughCodec(LoanReport{});
+    throughCodec(LoanClosed{});
 }
 
 BOOST_AUTO_TEST_CASE(bytesThatAreNoEnvelopeAreRefused)
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -211,6 +211,13 @@
     std::uint32_t count_ = 0;
 };
 
+/// Free tokens of a client account at an entry, as a hint for who is short of them.
+struct AccountFreeTokens
+{
+    AccountName account_;
+    std::int64_t tokens_ = 0;
+};
+
 /// Process -> peers, periodically and at once when leaving.
 struct Heartbeat
 {
@@ -227,6 +234,8 @@
     std::uint32_t adapterSlots_ = 0;
     std::vector<ResidentAdapter> residents_;
     std::vector<Strike> strikes_;
+    /// Only from entries: the accounts with most free tokens, a bounded number of them.
+    std::vector<AccountFreeTokens> freeTokens_;
 };
 
 /// Process -> peer: send me the rules above this revision.
@@ -278,9 +287,47 @@
     std::string bytes_;
 };
 
+/// Entry -> entry: lend me tokens. number_ grows with every request of the borrower's incarnation;
+/// a repeated number means the same loan.
+struct LoanRequest
+{
+    AccountName account_;
+    std::uint64_t number_ = 0;
+    std::int64_t tokens_ = 0;
+};
+
+/// Entry -> entry: what is lent; 0 where nothing is. The lender counts it as outstanding.
+struct LoanGrant
+{
+    AccountName account_;
+    std::uint64_t number_ = 0;
+    std::int64_t tokens_ = 0;
+    /// What the lender still has free.
+    std::int64_t freeTokens_ = 0;
+};
+
+/// Entry -> entry: what has become of a loan so far. Both counts are totals and only grow.
+struct LoanReport
+{
+    AccountName account_;
+    std::uint64_t number_ = 0;
+    std::int64_t tokensRun_ = 0;
+    std::int64_t tokensReturned_ = 0;
+    /// No token of the loan will be run any more.
+    bool closed_ = false;
+};
+
+/// Entry -> entry: the lender has taken in the last report; the loan is over.
+struct LoanClosed
+{
+    AccountName account_;
+    std::uint64_t number_ = 0;
+};
+
 using Message = std::variant<Offer, OfferAccepted, OfferRefused, AnswerHead, AnswerChunk, AnswerEnd,
                              AttemptFailed, AttemptQuery, AttemptCancel, AnswerReceived, Heartbeat,
-                             RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart>;
+                             RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart,
+                             LoanRequest, LoanGrant, LoanReport, LoanClosed>;
 
 /// A message with its sender.
 struct Envelope
