--- /dev/null
+++ b/Tests/Bench/bench.cpp
@@ -0,0 +1,145 @@
+/// Runs every workload with every policy over several seeds and prints a table for each workload.
+
+#include "measures.h"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <optional>
+#include <thread>
+#include <vector>
+
+using namespace eelgrasscove;
+
+namespace {
+
+constexpr char usage[] = R"(The decisions in virtual time, measured.
+
+Usage:
+  bench [--seeds=N] [--policy=NAME] [--threads=N]
+  bench --help
+
+Options:
+  --seeds=N  Seeds 1 to N for each policy [default: 10].
+  --policy=NAME  Only this policy.
+  --threads=N  Runs at a time [default: 4].
+)";
+
+struct Options
+{
+    std::uint64_t seeds_ = 10;
+    std::uint64_t threads_ = 4;
+    /// All where it is empty.
+    std::optional<BenchPolicy> policy_;
+};
+
+using Field = double Measures::*;
+
+struct Column
+{
+    const char *title_;
+    Field field_;
+    int digits_;
+};
+
+constexpr Column columns[] = {
+    {"stalled %", &Measures::stalledPercent_, 1},
+    {"stall p50 ms", &Measures::stallP50Millis_, 0},
+    {"p95 ms", &Measures::stallP95Millis_, 0},
+    {"p99 ms", &Measures::stallP99Millis_, 0},
+    {"batch %", &Measures::batchPercent_, 1},
+    {"tokens/step", &Measures::tokensPerStep_, 2},
+    {"worst served %", &Measures::worstServedPercent_, 1},
+    {"worst/median first token", &Measures::worstFirstTokenRatio_, 2},
+    {"wrongful %", &Measures::wrongfulPercent_, 2},
+    {"first token p95 ms", &Measures::firstTokenP95Millis_, 0},
+    {"loads/request", &Measures::loadsPerRequest_, 3},
+};
+
+/// "mean (least to greatest)".
+std::string cell(const std::vector<Measures> &runs, Field field, int digits)
+{
+    double sum = 0;
+    double least = runs.front().*field;
+    double greatest = least;
+    for (const Measures &run : runs) {
+        sum += run.*field;
+        least = std::min(least, run.*field);
+        greatest = std::max(greatest, run.*field);
+    }
+    return fmt::format("{:.{}f} ({:.{}f} to {:.{}f})", sum / static_cast<double>(runs.size()),
+                       digits, least, digits, greatest, digits);
+}
+
+void printRow(std::string_view name, const std::vector<Measures> &runs)
+{
+    fmt::print("| {} |", name);
+    for (const Column &column : columns)
+        fmt::print(" {} |", cell(runs, column.field_, column.digits_));
+    fmt::print("\n");
+    std::fflush(stdout);
+}
+
+void printHead(const Workload &workload, std::uint64_t seeds)
+{
+    fmt::print("\n### {}, seeds 1 to {}\n\n| policy |", workload.name_, seeds);
+    for (const Column &column : columns)
+        fmt::print(" {} |", column.title_);
+    fmt::print("\n|---|");
+    for (std::size_t column = 0; column < std::size(columns); ++column)
+        fmt::print("---|");
+    fmt::print("\n");
+}
+
+std::vector<Measures> measureSeeds(const Workload &workload, BenchPolicy policy,
+                                   const Options &options)
+{
+    std::vector<Measures> runs(options.seeds_);
+    std::atomic<std::uint64_t> next = 0;
+    std::vector<std::thread> workers;
+    for (std::uint64_t worker = 0; worker < options.threads_; ++worker) {
+        workers.emplace_back([&]() {
+            for (std::uint64_t index = next++; index < options.seeds_; index = next++)
+                runs[index] = measure(runBench(workload, policy, index + 1));
+        });
+    }
+    for (std::thread &worker : workers)
+        worker.join();
+    return runs;
+}
+
+void printWorkload(const Workload &workload, const Options &options)
+{
+    printHead(workload, options.seeds_);
+    std::vector<Measures> runs;
+    for (const auto &policy : benchPolicyNames) {
+        if (options.policy_ && *options.policy_ != policy.value_)
+            continue;
+        runs = measureSeeds(workload, policy.value_, options);
+        printRow(policy.name_, runs);
+    }
+    fmt::print("\nClairvoyant bound on stalled %: {}\n", cell(runs, &Measures::boundPercent_, 1));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    Options options;
+    options.seeds_ = static_cast<std::uint64_t>(arguments.at("--seeds").asLong());
+    options.threads_ = static_cast<std::uint64_t>(arguments.at("--threads").asLong());
+    if (arguments.at("--policy").isString()) {
+        options.policy_ = valueNamed(benchPolicyNames, arguments.at("--policy").asString());
+        if (!options.policy_) {
+            fmt::print(stderr, "no policy of this name\n");
+            return 2;
+        }
+    }
+    printWorkload(associationWorkload(), options);
+    printWorkload(cooperativeWorkload(), options);
+    return 0;
+}
