Hold a request for a loan's round trip where peers can help

The wait told was the own share's refill, seconds for a small share, and so longer than a request may be held. Change: the wait is a loan's round trip where what peers are believed to have free covers the rest. Ruled out: too little burst in the shares, since the perfect bucket of the same burst admits them.

--- a/Source/ClientAccount/loan.cpp
+++ b/Source/ClientAccount/loan.cpp
@@ -30,6 +30,21 @@
     return tokens;
 }
 
+/// What has been asked for, and what peers are believed to have free beside it.
+std::int64_t obtainableTokens(const LoanBook &book, const AccountName &account, Time now)
+{
+    std::int64_t tokens = 0;
+    for (const auto &[number, loan] : book.borrowed_) {
+        const bool asked = loan.account_ == account && loan.state_ == LoanState::Asked;
+        tokens += asked ? loan.askedTokens_ : 0;
+    }
+    for (const PeerFreeTokens &peer : book.peersFree_) {
+        const bool fits = peer.account_ == account && now < peer.heardAt_ + book.policy_.hintAge_;
+        tokens += fits ? std::max<std::int64_t>(0, peer.tokens_) : 0;
+    }
+    return tokens;
+}
+
 std::vector<LoanPart> assignParts(LoanBook &book, const AccountName &account, std::int64_t tokens,
                                   Time now)
 {
@@ -234,8 +249,11 @@
         book.attempts_[attempt].parts_ = assignParts(book, account, borrowed, now);
         return Admitted();
     }
+    const std::int64_t missing = rest - freeTokens(allowance, account, now);
     const NotYet *notYet = std::get_if<NotYet>(&own);
-    return NotYet{notYet == nullptr ? book.policy_.roundTrip_ : notYet->wait_};
+    if (notYet == nullptr || missing <= obtainableTokens(book, account, now))
+        return NotYet{book.policy_.roundTrip_};
+    return *notYet;
 }
 
 void noteAttemptRun(Allowance &allowance, LoanBook &book, const AccountName &account,
