Give each adapter one home in its region rather than one in each data centre

Ruled out: less tolerance for load at the home, which moves few requests while batches are a seventh full. At regions of many data centres the hop between them, a millisecond, is still far below a load.

--- a/Source/DataCentre/routing.cpp
+++ b/Source/DataCentre/routing.cpp
@@ -89,10 +89,13 @@
     return left.hash_ > right.hash_;
 }
 
+/// Data centres of one region share their adapters, so that each is loaded in few of them.
 bool ranksHigher(const Candidate &left, const Candidate &right)
 {
-    if (left.distance_ != right.distance_)
-        return left.distance_ < right.distance_;
+    const bool leftFar = left.distance_ > 1;
+    const bool rightFar = right.distance_ > 1;
+    if (leftFar != rightFar)
+        return rightFar;
     return left.hash_ > right.hash_;
 }
 
