--- a/Tests/Bench/benchsimulation.cpp
+++ b/Tests/Bench/benchsimulation.cpp
@@ -596,7 +596,6 @@
     settings.group_ = {"runners"};
     settings.adapterSlots_ = workload.adapterSlots_;
     settings.batchSlots_ = workload.batchSlots_;
-    settings.loadsPerSecond_ = workload.loadsPerSecond_;
     const Rules rules = makeRules(workload);
     for (std::uint32_t number = 0; number < workload.runners_; ++number) {
         BenchTarget target;
