Count wrongful refusals apart from an account's time above its rate

Cause: while an account sends four times its rate a perfect bucket and the fleet refuse different requests of it, as many. The figure over all times stays in the table.

--- a/Tests/Bench/bench.cpp
+++ b/Tests/Bench/bench.cpp
@@ -55,6 +55,7 @@
     {"worst served %", &Measures::worstServedPercent_, 1},
     {"worst/median first token", &Measures::worstFirstTokenRatio_, 2},
     {"wrongful %", &Measures::wrongfulPercent_, 2},
+    {"wrongful within rate %", &Measures::wrongfulWithinPercent_, 2},
     {"first token p95 ms", &Measures::firstTokenP95Millis_, 0},
     {"loads/request", &Measures::loadsPerRequest_, 3},
 };
--- a/Tests/Bench/measures.cpp
+++ b/Tests/Bench/measures.cpp
@@ -80,11 +80,21 @@
 {
     double entitled = 0;
     double wrongful = 0;
-    for (const RequestOutcome &outcome : run.outcomes_) {
-        entitled += outcome.entitled_ ? 1 : 0;
-        wrongful += outcome.entitled_ && !outcome.admitted_ ? 1 : 0;
+    double entitledWithin = 0;
+    double wrongfulWithin = 0;
+    for (std::size_t index = 0; index < run.requests_.size(); ++index) {
+        const RequestOutcome &outcome = run.outcomes_[index];
+        if (!outcome.entitled_)
+            continue;
+        const double refused = outcome.admitted_ ? 0 : 1;
+        const double within = run.requests_[index].excess_ ? 0 : 1;
+        entitled += 1;
+        wrongful += refused;
+        entitledWithin += within;
+        wrongfulWithin += refused * within;
     }
     measures.wrongfulPercent_ = percent(wrongful, entitled);
+    measures.wrongfulWithinPercent_ = percent(wrongfulWithin, entitledWithin);
 }
 
 } // namespace
--- a/Tests/Bench/measures.h
+++ b/Tests/Bench/measures.h
@@ -23,6 +23,8 @@
     double worstFirstTokenRatio_ = 0;
     /// Part of the entitled requests that were refused, in percent.
     double wrongfulPercent_ = 0;
+    /// The same without the time in which an account sends above its rate, for that account.
+    double wrongfulWithinPercent_ = 0;
     double firstTokenP95Millis_ = 0;
     double loadsPerRequest_ = 0;
     /// Least loads for the requests, over the requests, in percent: the clairvoyant bound.
