--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -26,7 +26,6 @@
     view.batchSlots_ = std::max(1U, peer.heartbeat_.batchSlots_);
     view.adapterSlots_ = std::max(1U, peer.heartbeat_.adapterSlots_);
     view.residents_ = peer.heartbeat_.residents_;
-    view.evictionCost_ = peer.heartbeat_.evictionCost_;
     const auto sent = entry.sentSinceReport_.find(peer.listed_.vm_);
     if (sent == entry.sentSinceReport_.end())
         return view;
--- a/Source/DataCentre/routing.cpp
+++ b/Source/DataCentre/routing.cpp
@@ -105,36 +105,21 @@
     return found == candidates.end() ? nullptr : &*found;
 }
 
-/// The highest-ranked targets whose wait doesn't exceed the least one by more than a load.
-std::vector<const Candidate *> homeTargets(const std::vector<Candidate> &candidates,
-                                           const RoutingPolicy &policy)
+/// The highest-ranked target whose wait doesn't exceed the least one by more than a load.
+const Candidate *homeTarget(const std::vector<Candidate> &candidates, const RoutingPolicy &policy)
 {
-    std::vector<const Candidate *> homes;
     const Candidate *soonest = leastWait(candidates);
     if (soonest == nullptr)
-        return homes;
+        return nullptr;
+    const Duration bound = soonest->wait_ + policy.loadTime_;
+    const Candidate *best = nullptr;
     for (const Candidate &candidate : candidates) {
-        if (candidate.wait_ <= soonest->wait_ + policy.loadTime_)
-            homes.push_back(&candidate);
+        if (candidate.wait_ > bound)
+            continue;
+        if (best == nullptr || ranksHigher(candidate, *best))
+            best = &candidate;
     }
-    const std::size_t count = std::min<std::size_t>(std::max(1U, policy.homes_), homes.size());
-    std::partial_sort(
-        homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(count), homes.end(),
-        [](const Candidate *left, const Candidate *right) { return ranksHigher(*left, *right); });
-    homes.resize(count);
-    return homes;
-}
-
-/// Of a few homes, the one where a load evicts what is used least; so the slots of the fleet are
-/// filled nearly as if they were one.
-const Candidate *homeTarget(const std::vector<Candidate> &candidates, const RoutingPolicy &policy)
-{
-    const std::vector<const Candidate *> homes = homeTargets(candidates, policy);
-    const auto cheapest = std::min_element(
-        homes.begin(), homes.end(), [](const Candidate *left, const Candidate *right) {
-            return left->target_->evictionCost_ < right->target_->evictionCost_;
-        });
-    return cheapest == homes.end() ? nullptr : *cheapest;
+    return best;
 }
 
 RoutingDecision decisionFor(const Candidate &candidate, const RoutingPolicy &policy)
--- a/Source/DataCentre/routing.h
+++ b/Source/DataCentre/routing.h
@@ -22,8 +22,6 @@
     std::uint32_t batchSlots_ = 1;
     std::uint32_t adapterSlots_ = 1;
     std::vector<ResidentAdapter> residents_;
-    /// Recent uses of the adapter that a load would evict there.
-    double evictionCost_ = 0;
     /// Attempts this entry has sent there since the load was reported.
     std::uint32_t sentSinceReport_ = 0;
     /// Those of them for the adapter wanted.
@@ -46,8 +44,6 @@
     Duration loadTime_ = std::chrono::milliseconds(250);
     /// Time one request holds a batch slot.
     Duration serviceTime_ = std::chrono::milliseconds(2000);
-    /// Highest-ranked targets among which a load goes where it evicts what is used least.
-    std::uint32_t homes_ = 2;
 };
 
 enum class RoutingChoice {
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -154,7 +154,6 @@
     Field{"adapter_slots", &Heartbeat::adapterSlots_},
     Field{"residents", &Heartbeat::residents_},
     Field{"strikes", &Heartbeat::strikes_},
-    Field{"eviction_cost", &Heartbeat::evictionCost_},
     Field{"free_tokens", &Heartbeat::freeTokens_},
 };
 
--- a/Source/Target/door.cpp
+++ b/Source/Target/door.cpp
@@ -161,7 +161,6 @@
         if (slot.stage_ == AdapterStage::Resident && !slot.draining_)
             report.residents_.push_back({.adapter_ = adapter, .running_ = slot.running_});
     }
-    report.evictionCost_ = evictionCost(door.residency_, door.policy_.loads_, now);
     report.strikes_ = reportStrikes(door.strikes_, now);
     return report;
 }
--- a/Source/Target/residency.cpp
+++ b/Source/Target/residency.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace eelgrasscove {
 
@@ -132,18 +131,6 @@
     return slot.frequency_ * std::exp2(-seconds(now - slot.lastUsed_) / seconds(policy.halfLife_));
 }
 
-double evictionCost(const Residency &residency, const LoadPolicy &policy, Time now)
-{
-    if (residency.slots_.size() < residency.capacity_)
-        return 0;
-    double least = std::numeric_limits<double>::max();
-    for (const auto &[adapter, slot] : residency.slots_) {
-        const bool inUse = slot.running_ > 0 || slot.stage_ != AdapterStage::Resident;
-        least = std::min(least, usefulness(slot, policy, now) + (inUse ? 1 : 0));
-    }
-    return least;
-}
-
 void expireFailures(Residency &residency, const LoadPolicy &policy, Time now)
 {
     const auto past = [&](const auto &entry) {
--- a/Source/Target/residency.h
+++ b/Source/Target/residency.h
@@ -118,10 +118,6 @@
 /// How much an adapter has been used, of late above all.
 double usefulness(const AdapterSlot &slot, const LoadPolicy &policy, Time now);
 
-/// Usefulness of the least useful adapter not in use; 0 where a slot is free. An adapter in use
-/// counts as used once more than it has been.
-double evictionCost(const Residency &residency, const LoadPolicy &policy, Time now);
-
 /// Forgets failures that are long past.
 void expireFailures(Residency &residency, const LoadPolicy &policy, Time now);
 
--- a/Tests/Bench/benchsimulation.cpp
+++ b/Tests/Bench/benchsimulation.cpp
@@ -158,7 +158,6 @@
     view.batchSlots_ = bench.workload_.batchSlots_;
     view.adapterSlots_ = bench.workload_.adapterSlots_;
     view.residents_ = report.residents_;
-    view.evictionCost_ = report.evictionCost_;
     view.sentSinceReport_ = static_cast<std::uint32_t>(sent.size());
     view.sentSameAdapter_ =
         static_cast<std::uint32_t>(std::count(sent.begin(), sent.end(), adapter));
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -233,8 +233,6 @@
     std::uint32_t batchSlots_ = 0;
     std::uint32_t adapterSlots_ = 0;
     std::vector<ResidentAdapter> residents_;
-    /// Recent uses of the adapter that the next load would evict; 0 where a slot is free.
-    double evictionCost_ = 0;
     std::vector<Strike> strikes_;
     /// Only from entries: the accounts with most free tokens, a bounded number of them.
     std::vector<AccountFreeTokens> freeTokens_;
