--- /dev/null
+++ b/Tests/ClientAccount/ledgertest.cpp
@@ -0,0 +1,205 @@
+#include "ClientAccount/ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AccountName account = {"growers"};
+const std::string key = "/eelgrasscove/shares/growers";
+constexpr Time start = Time(1h);
+constexpr AllowanceShare contract = {100, 1000};
+
+/// The one key of the key-value service.
+struct Store
+{
+    KvPair pair_ = {key, "", 0};
+};
+
+struct Process
+{
+    Ledger ledger_;
+    Allowance allowance_;
+};
+
+VmList listOf(const std::vector<std::string> &names)
+{
+    VmList list;
+    for (const std::string &name : names) {
+        ListedVm vm;
+        vm.vm_ = {name};
+        list.vms_.push_back(vm);
+    }
+    return list;
+}
+
+Process makeProcess(const std::string &name, const VmList &list, std::uint64_t incarnation = 1)
+{
+    Process process;
+    process.ledger_.self_ = {name};
+    process.ledger_.incarnation_ = {incarnation};
+    takeEntryList(process.ledger_, list, start);
+    takeContract(process.ledger_, account, contract, {1}, start);
+    return process;
+}
+
+KvOutcome perform(Store &store, const KvOperation &operation)
+{
+    KvOutcome outcome;
+    outcome.tag_ = operation.tag_;
+    outcome.status_ = KvStatus::Succeeded;
+    if (!operation.writes_.empty()) {
+        if (operation.conditions_.front().modRevision_ == store.pair_.modRevision_) {
+            store.pair_.value_ = *operation.writes_.front().value_;
+            ++store.pair_.modRevision_;
+        } else {
+            outcome.status_ = KvStatus::ConditionFailed;
+        }
+    }
+    if (store.pair_.modRevision_ > 0)
+        outcome.reads_.push_back(store.pair_);
+    return outcome;
+}
+
+/// Calls and outcomes until there is nothing left to do at this time.
+void settleDown(Process &process, Store &store, Time now)
+{
+    auto operations = advanceLedger(process.ledger_, process.allowance_, now);
+    applyShares(process.ledger_, process.allowance_, now);
+    while (!operations.empty()) {
+        const KvOutcome outcome = perform(store, operations.front());
+        operations = takeKvOutcome(process.ledger_, outcome, process.allowance_, now);
+        applyShares(process.ledger_, process.allowance_, now);
+    }
+}
+
+std::int64_t burstOf(const Process &process)
+{
+    return usableShare(process.ledger_.accounts_.at(account)).burstTokens_;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(entriesEndUpWithEqualShares)
+{
+    Store store;
+    Process north = makeProcess("north", listOf({"north"}));
+    settleDown(north, store, start);
+    BOOST_TEST(burstOf(north) == 1000);
+    const VmList both = listOf({"north", "river"});
+    Process river = makeProcess("river", both);
+    settleDown(river, store, start);
+    BOOST_TEST(burstOf(river) == 0);
+    takeEntryList(north.ledger_, both, start + 1s);
+    settleDown(north, store, start + 1s);
+    settleDown(river, store, start + 2s);
+    BOOST_TEST(burstOf(north) == 500);
+    BOOST_TEST(burstOf(river) == 500);
+}
+
+BOOST_AUTO_TEST_CASE(vmThatIsNotListedTakesNoShare)
+{
+    Store store;
+    Process north = makeProcess("north", listOf({"river"}));
+    settleDown(north, store, start);
+    BOOST_TEST(store.pair_.modRevision_ == 0);
+    BOOST_TEST(burstOf(north) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(leaverGivesItsShareBackOnceNothingIsOutstanding)
+{
+    Store store;
+    Process north = makeProcess("north", listOf({"north"}));
+    settleDown(north, store, start);
+    const Time later = start + 1min;
+    reserve(north.allowance_, account, {"a"}, 100, later);
+    north.ledger_.leaving_ = true;
+    settleDown(north, store, later);
+    BOOST_TEST(burstOf(north) == 1000);
+    settle(north.allowance_, account, {"a"}, 100, later);
+    settleDown(north, store, later);
+    BOOST_TEST(burstOf(north) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(outstandingTokensAreNotGivenAway)
+{
+    Store store;
+    Process north = makeProcess("north", listOf({"north"}));
+    settleDown(north, store, start);
+    const Time later = start + 1min;
+    reserve(north.allowance_, account, {"a"}, 800, later);
+    takeEntryList(north.ledger_, listOf({"north", "river"}), later);
+    settleDown(north, store, later);
+    BOOST_TEST(burstOf(north) == 800);
+}
+
+BOOST_AUTO_TEST_CASE(unknownWriteCountsWithTheLeastUntilItIsSettled)
+{
+    Store store;
+    Process north = makeProcess("north", listOf({"north"}));
+    settleDown(north, store, start);
+    takeEntryList(north.ledger_, listOf({"north", "river"}), start + 1s);
+    const auto reading = advanceLedger(north.ledger_, north.allowance_, start + 1s);
+    const auto giving =
+        takeKvOutcome(north.ledger_, perform(store, reading.front()), north.allowance_, start + 1s);
+    BOOST_TEST(burstOf(north) == 500);
+    KvOutcome unknown;
+    unknown.tag_ = giving.front().tag_;
+    takeKvOutcome(north.ledger_, unknown, north.allowance_, start + 2s);
+    takeEntryList(north.ledger_, listOf({"north"}), start + 3s);
+    const auto again = advanceLedger(north.ledger_, north.allowance_, start + 3s);
+    const auto settling =
+        takeKvOutcome(north.ledger_, perform(store, again.front()), north.allowance_, start + 3s);
+    BOOST_TEST(burstOf(north) == 500);
+    perform(store, giving.front());
+    takeKvOutcome(north.ledger_, perform(store, settling.front()), north.allowance_, start + 3s);
+    BOOST_TEST(burstOf(north) == 500);
+}
+
+BOOST_AUTO_TEST_CASE(goneVmIsReclaimedAfterTheLongestAttempt)
+{
+    Store store;
+    const VmList both = listOf({"north", "river"});
+    Process river = makeProcess("river", both);
+    settleDown(river, store, start);
+    Process north = makeProcess("north", both);
+    settleDown(north, store, start);
+    const Duration longest = north.ledger_.policy_.longestAttempt_;
+    takeEntryList(north.ledger_, listOf({"north"}), start + 1s);
+    settleDown(north, store, start + longest);
+    BOOST_TEST(burstOf(north) == 500);
+    takeEntryList(north.ledger_, listOf({"north"}), start + 1s + longest);
+    settleDown(north, store, start + 10min);
+    BOOST_TEST(burstOf(north) == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(restartedProcessCountsItsInheritedBurstAsOutstanding)
+{
+    Store store;
+    const VmList list = listOf({"north"});
+    Process before = makeProcess("north", list);
+    settleDown(before, store, start);
+    Process after = makeProcess("north", list, 2);
+    settleDown(after, store, start);
+    BOOST_TEST(burstOf(after) == 1000);
+    const Duration longest = after.ledger_.policy_.longestAttempt_;
+    BOOST_TEST(freeTokens(after.allowance_, account, start + longest) == 0);
+    applyShares(after.ledger_, after.allowance_, start + longest);
+    BOOST_TEST(freeTokens(after.allowance_, account, start + longest + 1s) == 100);
+}
+
+BOOST_AUTO_TEST_CASE(recordSurvivesItsTextAndOthersAreRefused)
+{
+    ShareRecord record;
+    record.rulesRevision_ = {7};
+    record.contract_ = contract;
+    record.shares_ = {{{"north"}, {3}, {50, 500}, {100, 1000}}};
+    const auto parsed = parseShareRecord(shareRecordText(record));
+    BOOST_REQUIRE(ok(parsed));
+    BOOST_TEST(shareRecordText(valueOf(parsed)) == shareRecordText(record));
+    const auto refused = parseShareRecord("contract 1 2 3\nshare north 1 -5 0 0 0\n");
+    BOOST_REQUIRE(!ok(refused));
+    BOOST_TEST(errorOf(refused).line_ == 2U);
+}
