Report load as changes, and summarise it across data centres

Ruled out: changes since the previous report (one lost report spoils all later ones); relaying summaries inside a data centre (the relay alone breaks its budget).

--- a/Source/DataCentre/fleet.cpp
+++ b/Source/DataCentre/fleet.cpp
@@ -111,6 +111,8 @@
     peer.lastHeard_ = now;
     peer.heartbeat_ = heartbeat;
     peer.heartbeat_.leaving_ = heartbeat.leaving_ || saidLeaving;
+    peer.fullResidents_ = heartbeat.residents_;
+    peer.reportNumber_ = heartbeat.number_;
     takeOwnWords(fleet, peer, envelope, heartbeat);
 }
 
--- a/Source/DataCentre/fleet.h
+++ b/Source/DataCentre/fleet.h
@@ -27,6 +27,10 @@
     std::optional<Time> lastHeard_;
     /// Its latest heartbeat.
     Heartbeat heartbeat_;
+    /// Residents as of its latest full heartbeat, which later load reports change.
+    std::vector<ResidentAdapter> fullResidents_;
+    /// Number of the latest report taken in.
+    std::uint64_t reportNumber_ = 0;
 };
 
 struct FleetPolicy
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -15,10 +15,11 @@
 
 /// Names of the message kinds on the wire, in the order of the Message variant.
 constexpr std::array messageNames = {
-    "offer",          "offer_accepted",  "offer_refused",      "answer_head",
-    "answer_chunk",   "answer_end",      "attempt_failed",     "attempt_query",
-    "attempt_cancel", "answer_received", "heartbeat",          "rules_request",
-    "rules_text",     "rules_delta",     "rules_part_request", "rules_part",
+    "offer",          "offer_accepted",      "offer_refused",       "answer_head",
+    "answer_chunk",   "answer_end",          "attempt_failed",      "attempt_query",
+    "attempt_cancel", "answer_received",     "heartbeat",           "rules_request",
+    "rules_text",     "rules_delta",         "rules_part_request",  "rules_part",
+    "load_report",    "full_report_request", "data_centre_summary",
 };
 static_assert(messageNames.size() == std::variant_size_v<Message>);
 
@@ -148,6 +149,7 @@
     Field{"adapter_slots", &Heartbeat::adapterSlots_},
     Field{"residents", &Heartbeat::residents_},
     Field{"strikes", &Heartbeat::strikes_},
+    Field{"number", &Heartbeat::number_},
 };
 
 template <>
@@ -187,6 +189,40 @@
     Field{"bytes", &RulesPart::bytes_},
 };
 
+template <>
+constexpr auto fieldsOf<LoadReport> = std::tuple{
+    Field{"n", &LoadReport::number_},         Field{"b", &LoadReport::base_},
+    Field{"l", &LoadReport::leaving_},        Field{"e", &LoadReport::engineUp_},
+    Field{"rr", &LoadReport::rulesRevision_}, Field{"q", &LoadReport::queued_},
+    Field{"r", &LoadReport::running_},        Field{"c", &LoadReport::changed_},
+    Field{"g", &LoadReport::gone_},
+};
+
+template <>
+constexpr auto fieldsOf<FullReportRequest> = std::tuple{};
+
+template <>
+constexpr auto fieldsOf<SpareTarget> = std::tuple{
+    Field{"vm", &SpareTarget::vm_},
+    Field{"incarnation", &SpareTarget::incarnation_},
+    Field{"address", &SpareTarget::address_},
+    Field{"free", &SpareTarget::freeSlots_},
+};
+
+template <>
+constexpr auto fieldsOf<GroupSummary> = std::tuple{
+    Field{"group", &GroupSummary::group_},      Field{"targets", &GroupSummary::targets_},
+    Field{"slots", &GroupSummary::batchSlots_}, Field{"running", &GroupSummary::running_},
+    Field{"queued", &GroupSummary::queued_},    Field{"spares", &GroupSummary::spares_},
+};
+
+template <>
+constexpr auto fieldsOf<DataCentreSummary> = std::tuple{
+    Field{"data_centre", &DataCentreSummary::dataCentre_},
+    Field{"rules_revision", &DataCentreSummary::rulesRevision_},
+    Field{"groups", &DataCentreSummary::groups_},
+};
+
 template <>
 constexpr auto fieldsOf<Envelope> = std::tuple{
     Field{"v", &Envelope::version_},
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -227,6 +227,8 @@
     std::uint32_t adapterSlots_ = 0;
     std::vector<ResidentAdapter> residents_;
     std::vector<Strike> strikes_;
+    /// Counts this run's reports; load reports name the full one that they change. 0: unnumbered.
+    std::uint64_t number_ = 0;
 };
 
 /// Process -> peer: send me the rules above this revision.
@@ -278,9 +280,61 @@
     std::string bytes_;
 };
 
+/// Target process -> entries of its data centre: what changed since a full heartbeat. Changes are
+/// cumulative since that heartbeat, so that a lost report does no harm.
+struct LoadReport
+{
+    std::uint64_t number_ = 0;
+    /// Number of the heartbeat that this report changes.
+    std::uint64_t base_ = 0;
+    bool leaving_ = false;
+    bool engineUp_ = true;
+    Revision rulesRevision_;
+    std::uint32_t queued_ = 0;
+    std::uint32_t running_ = 0;
+    /// Residents that are new or whose running_ differs from the heartbeat's.
+    std::vector<ResidentAdapter> changed_;
+    std::vector<AdapterKey> gone_;
+};
+
+/// Entry -> target process: your latest load report names a heartbeat that never came here.
+struct FullReportRequest
+{
+};
+
+/// A target process of another data centre that can take work.
+struct SpareTarget
+{
+    VmName vm_;
+    Incarnation incarnation_;
+    std::string address_;
+    std::uint32_t freeSlots_ = 0;
+};
+
+/// Load of one target group in one data centre.
+struct GroupSummary
+{
+    TargetGroup group_;
+    std::uint32_t targets_ = 0;
+    std::uint32_t batchSlots_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint32_t queued_ = 0;
+    /// Those with the most free slots.
+    std::vector<SpareTarget> spares_;
+};
+
+/// Entry -> entries of other data centres: the load of its whole data centre.
+struct DataCentreSummary
+{
+    DataCentreName dataCentre_;
+    Revision rulesRevision_;
+    std::vector<GroupSummary> groups_;
+};
+
 using Message = std::variant<Offer, OfferAccepted, OfferRefused, AnswerHead, AnswerChunk, AnswerEnd,
                              AttemptFailed, AttemptQuery, AttemptCancel, AnswerReceived, Heartbeat,
-                             RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart>;
+                             RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart,
+                             LoadReport, FullReportRequest, DataCentreSummary>;
 
 /// A message with its sender.
 struct Envelope
