--- /dev/null
+++ b/Tests/Capacity/budget.cpp
@@ -0,0 +1,4 @@
+#include "sections.h"
+namespace eelgrasscove::capacity {
+void printBudget(const SectionOptions &) { }
+} // namespace eelgrasscove::capacity
--- /dev/null
+++ b/Tests/Capacity/topologies.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/// Other ways to choose whom a new revision is pushed to, as a measure for the one in use.
+
+#include "DataCentre/rulespread.h"
+
+namespace eelgrasscove::capacity {
+
+/// Peers at random, wherever they are.
+std::vector<VmName> randomPushTargets(const RuleSpread &spread, const SpreadView &view,
+                                      NewsSource source);
+
+/// One tree over all processes, without regard to data centres.
+std::vector<VmName> flatTreePushTargets(const RuleSpread &spread, const SpreadView &view,
+                                        NewsSource source);
+
+/// A ring in the order of data centres and names: both neighbours, and long links whose length
+/// is drawn with a probability that falls with the length, as in small-world overlays.
+std::vector<VmName> smallWorldPushTargets(const RuleSpread &spread, const SpreadView &view,
+                                          NewsSource source);
+
+} // namespace eelgrasscove::capacity
