Bound heartbeats, list readings and catching up at the large size

Cause: heartbeats to all at home and two in each other data centre take 15 KB/s and more at one process of 1,720; every process reading the VM list each second takes 1,720 of about 2,000 readings; a region that came back after an hour with 83 changes pushed every step on. Ruled out: sending each step on while a higher revision is known of. Links in the tests now keep the order of what they carry. Conclusion: above 256 peers heartbeats go to eight peers at home, load travels in reports and summaries; other than watchers, processes share 50 list readings a second.

--- a/Source/DataCentre/fleet.cpp
+++ b/Source/DataCentre/fleet.cpp
@@ -81,6 +81,20 @@
     return chosen;
 }
 
+std::vector<std::string> fewAtHome(const Fleet &fleet)
+{
+    std::vector<VmName> home;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.dataCentre_ == fleet.dataCentre_ && !leaving(peer))
+            home.push_back(vm);
+    }
+    std::vector<std::string> addresses;
+    for (const VmName &vm :
+         rendezvousRank(fleet.self_.text_, std::move(home), fleet.policy_.heartbeatsHome_))
+        addresses.push_back(fleet.peers_.at(vm).listed_.address_);
+    return addresses;
+}
+
 } // namespace
 
 void takeVmList(Fleet &fleet, const VmList &list, Time now)
@@ -145,6 +159,8 @@
 
 std::vector<std::string> heartbeatAddresses(const Fleet &fleet)
 {
+    if (fleet.peers_.size() > fleet.policy_.fullMeshUpTo_)
+        return fewAtHome(fleet);
     std::vector<std::string> addresses;
     std::map<DataCentreName, OtherDataCentre> others;
     for (const auto &[vm, peer] : fleet.peers_) {
--- a/Source/DataCentre/fleet.h
+++ b/Source/DataCentre/fleet.h
@@ -42,6 +42,10 @@
     Duration forgetAfter_ = std::chrono::minutes(5);
     /// Processes of each other data centre that hear this one's heartbeats.
     std::size_t heartbeatsAcross_ = 2;
+    /// With more peers than this, heartbeats only carry revisions, to a few peers at home; load
+    /// travels in load reports and between data centres in summaries.
+    std::size_t fullMeshUpTo_ = 256;
+    std::size_t heartbeatsHome_ = 8;
 };
 
 struct Fleet
@@ -75,7 +79,8 @@
 bool acceptsWork(const Fleet &fleet, const Peer &peer, Time now);
 
 /// Addresses that this process should send its heartbeats to: all peers of its data centre and a
-/// few of each other one, entries before target processes, by rendezvous hashing.
+/// few of each other one, entries before target processes, by rendezvous hashing. In a fleet above
+/// the policy's full mesh: a few at home only.
 std::vector<std::string> heartbeatAddresses(const Fleet &fleet);
 
 } // namespace eelgrasscove
--- a/Source/DataCentre/loadreport.cpp
+++ b/Source/DataCentre/loadreport.cpp
@@ -40,11 +40,13 @@
     for (const ResidentAdapter &resident : after) {
         const auto found = old.find(resident.adapter_);
         if (found == old.end() || found->second != resident.running_)
-            report.changed_.push_back(resident);
+            report.changes_.push_back(
+                {resident.adapter_.adapter_, resident.adapter_.version_, resident.running_, false});
     }
     for (const ResidentAdapter &resident : before) {
         if (!current.contains(resident.adapter_))
-            report.gone_.push_back(resident.adapter_);
+            report.changes_.push_back(
+                {resident.adapter_.adapter_, resident.adapter_.version_, 0, true});
     }
 }
 
@@ -52,10 +54,14 @@
                                               const LoadReport &report)
 {
     ResidentIndex index = indexOf(full);
-    for (const AdapterKey &gone : report.gone_)
-        index.erase(gone);
-    for (const ResidentAdapter &changed : report.changed_)
-        index[changed.adapter_] = changed.running_;
+    for (const ResidentChange &change : report.changes_) {
+        const AdapterKey adapter = {change.adapter_, change.version_};
+        if (change.gone_) {
+            index.erase(adapter);
+        } else {
+            index[adapter] = change.running_;
+        }
+    }
     std::vector<ResidentAdapter> residents;
     for (const auto &[adapter, running] : index)
         residents.push_back({adapter, running});
@@ -114,7 +120,7 @@
         return fullReport(sender, current);
     LoadReport report;
     addChanges(report, sender.full_->residents_, current.residents_);
-    if (report.changed_.size() + report.gone_.size() > current.residents_.size() / 2 + 1)
+    if (report.changes_.size() > current.residents_.size() / 2 + 1)
         return fullReport(sender, current);
     report.number_ = ++sender.number_;
     report.base_ = sender.full_->number_;
@@ -181,6 +187,18 @@
     return summary;
 }
 
+std::vector<std::string> reportAddresses(const Fleet &fleet)
+{
+    std::vector<std::string> addresses;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        const bool entryHere =
+            peer.listed_.dataCentre_ == fleet.dataCentre_ && peer.listed_.role_ == Role::Entry;
+        if (entryHere)
+            addresses.push_back(peer.listed_.address_);
+    }
+    return addresses;
+}
+
 std::vector<std::string> summaryAddresses(const Fleet &fleet, Time now)
 {
     std::vector<VmName> senders = {fleet.self_};
--- a/Source/DataCentre/loadreport.h
+++ b/Source/DataCentre/loadreport.h
@@ -20,13 +20,13 @@
     /// Period where few processes report.
     Duration shortestPeriod_ = std::chrono::milliseconds(250);
     /// Bytes of load reports that one entry is meant to receive in a second.
-    std::size_t receivedBytesPerSecond_ = std::size_t(10) * 1024;
-    /// Bytes that one report takes on the wire, headers of the transport included.
-    std::size_t reportBytes_ = 240;
+    std::size_t receivedBytesPerSecond_ = std::size_t(14) * 1024;
+    /// Most bytes that one report takes on the wire, headers of the transport included.
+    std::size_t reportBytes_ = 360;
     /// A full heartbeat follows at the latest after so many reports.
     std::uint64_t reportsPerFull_ = 64;
     /// Silence is this many periods, and no less than the fleet's policy.
-    int silentPeriods_ = 4;
+    int silentPeriods_ = 3;
     /// Target processes that a summary names for each group.
     std::size_t sparesPerGroup_ = 2;
 };
@@ -66,6 +66,9 @@
 DataCentreSummary summaryOf(const Fleet &fleet, Revision rulesRevision,
                             const LoadReportPolicy &policy, Time now);
 
+/// Where load reports go: the entries of this data centre.
+std::vector<std::string> reportAddresses(const Fleet &fleet);
+
 /// Entries of other data centres that this entry sends the summary to: each of them hears from one
 /// entry of every other data centre, by rendezvous hashing.
 std::vector<std::string> summaryAddresses(const Fleet &fleet, Time now);
--- a/Source/DataCentre/rulespread.cpp
+++ b/Source/DataCentre/rulespread.cpp
@@ -148,6 +148,14 @@
     return partHeld(spread, 0);
 }
 
+void pushOn(SpreadActions &actions, const RuleSpread &spread, const SpreadView &view,
+            NewsSource source, const RulesDelta &delta)
+{
+    const Message news = pushedNews(spread, delta);
+    for (const VmName &peer : spread.policy_.pushChoice_(spread, view, source))
+        sendTo(actions, peer, news);
+}
+
 /// Puts a higher revision in force and pushes it on.
 SpreadActions adopt(RuleSpread &spread, const SpreadView &view, NewsSource source, std::string text,
                     RulesDelta delta)
@@ -155,15 +163,17 @@
     spread.revision_ = delta.to_;
     spread.text_ = std::move(text);
     spread.digest_ = delta.digest_;
-    spread.asked_.reset();
+    const bool caughtUp = spread.revision_ >= spread.highestHeard_;
+    if (caughtUp)
+        spread.asked_.reset();
     spread.nextRead_.reset();
     if (spread.partial_ && spread.partial_->revision_ <= spread.revision_)
         spread.partial_.reset();
     SpreadActions actions;
     actions.emplace_back(AdoptRules{{spread.revision_, spread.text_}});
-    const Message news = pushedNews(spread, delta);
-    for (const VmName &peer : spread.policy_.pushChoice_(spread, view, source))
-        sendTo(actions, peer, news);
+    // Steps on the way to a higher revision known of are not worth pushing.
+    if (caughtUp)
+        pushOn(actions, spread, view, source, delta);
     if (delta.from_.value_ != 0)
         remember(spread, std::move(delta));
     return actions;
@@ -306,7 +316,7 @@
 Duration sharedWindow(const RuleSpread &spread, const SpreadView &view)
 {
     const auto members = static_cast<std::int64_t>(view.members_.size());
-    return std::chrono::seconds(1) * members / spread.policy_.startReadsPerSecond_;
+    return Duration(std::chrono::seconds(1)) * members / spread.policy_.startReadsPerSecond_;
 }
 
 /// The wait before the next reading: full jitter over a window that doubles up to the cap.
@@ -552,6 +562,16 @@
     return actions;
 }
 
+Duration vmListPeriod(const RuleSpread &spread, const SpreadView &view, Duration shortest)
+{
+    if (spread.watching_)
+        return shortest;
+    const auto members = static_cast<std::int64_t>(view.members_.size());
+    const Duration second = std::chrono::seconds(1);
+    const Duration shared = second * members / spread.policy_.listReadsPerSecond_;
+    return std::max(shortest, shared);
+}
+
 bool rulesSettled(const RuleSpread &spread)
 {
     return spread.settled_;
--- a/Source/DataCentre/rulespread.h
+++ b/Source/DataCentre/rulespread.h
@@ -75,6 +75,8 @@
     Duration watcherJitter_ = std::chrono::milliseconds(200);
     /// First readings of processes that no peer could help, over the whole system.
     std::uint32_t startReadsPerSecond_ = 100;
+    /// Readings of the VM list by processes that aren't watchers, over the whole system.
+    std::uint32_t listReadsPerSecond_ = 50;
     /// Backoff between readings that failed, doubled each time, and its cap.
     Duration firstBackoff_ = std::chrono::seconds(1);
     Duration lastBackoff_ = std::chrono::seconds(60);
@@ -207,6 +209,10 @@
 /// true from then on.
 bool rulesSettled(const RuleSpread &spread);
 
+/// How often this process should read the platform's VM list: watchers at the shortest period, the
+/// others such that all of them together keep to the policy's rate.
+Duration vmListPeriod(const RuleSpread &spread, const SpreadView &view, Duration shortest);
+
 /// Whether keyed routes may be served: rules are held, and some source of rules (the platform or
 /// any peer) was heard within the policy's time.
 bool servesKeyedRoutes(const RuleSpread &spread, Time now);
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -189,13 +189,20 @@
     Field{"bytes", &RulesPart::bytes_},
 };
 
+template <>
+constexpr auto fieldsOf<ResidentChange> = std::tuple{
+    Field{"a", &ResidentChange::adapter_},
+    Field{"v", &ResidentChange::version_},
+    Field{"r", &ResidentChange::running_},
+    Field{"g", &ResidentChange::gone_},
+};
+
 template <>
 constexpr auto fieldsOf<LoadReport> = std::tuple{
     Field{"n", &LoadReport::number_},         Field{"b", &LoadReport::base_},
     Field{"l", &LoadReport::leaving_},        Field{"e", &LoadReport::engineUp_},
     Field{"rr", &LoadReport::rulesRevision_}, Field{"q", &LoadReport::queued_},
-    Field{"r", &LoadReport::running_},        Field{"c", &LoadReport::changed_},
-    Field{"g", &LoadReport::gone_},
+    Field{"r", &LoadReport::running_},        Field{"c", &LoadReport::changes_},
 };
 
 template <>
--- a/Tests/Capacity/fleetcost.cpp
+++ b/Tests/Capacity/fleetcost.cpp
@@ -104,8 +104,7 @@
     LoadReport report;
     report.base_ = 1;
     report.number_ = 1;
-    report.changed_.push_back(heartbeat.residents_.empty() ? ResidentAdapter{}
-                                                           : heartbeat.residents_.front());
+    report.changes_.push_back({{"leg-profile-00001"}, {"3"}, 2, false});
     const SpreadView view = spreadViewOf(*fleet, Role::Entry, start);
     row.list_ = microsPerCall(5, [&] { takeVmList(*fleet, list, start); });
     row.heartbeat_ = microsPerCall(500, [&] { takeHeartbeat(*fleet, envelope, heartbeat, start); });
--- a/Tests/Capacity/messages.cpp
+++ b/Tests/Capacity/messages.cpp
@@ -48,7 +48,9 @@
     report.rulesRevision_ = {120000};
     report.queued_ = 12;
     report.running_ = 9;
-    report.changed_ = residents(changes);
+    for (const ResidentAdapter &resident : residents(changes))
+        report.changes_.push_back(
+            {resident.adapter_.adapter_, resident.adapter_.version_, resident.running_, false});
     return report;
 }
 
--- a/Tests/Capacity/spread.cpp
+++ b/Tests/Capacity/spread.cpp
@@ -17,6 +17,8 @@
 using std::chrono::seconds;
 
 constexpr std::size_t routes = 100;
+/// Heartbeats of the large size.
+constexpr Duration heartbeatPeriod = seconds(2);
 
 struct Way
 {
@@ -129,7 +131,8 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         SimOptions options;
         options.processes_ = size;
-        options.heartbeatPeriod_ = seconds(2);
+        options.heartbeatPeriod_ = heartbeatPeriod;
+        options.fewHeartbeats_ = true;
         options.seed_ = seed;
         options.watchersTold_ = fault.outage_ ? 1 : SIZE_MAX;
         SpreadSim spreadSim = settled(options);
@@ -148,7 +151,8 @@
 {
     SimOptions options;
     options.processes_ = size;
-    options.heartbeatPeriod_ = seconds(2);
+    options.heartbeatPeriod_ = heartbeatPeriod;
+    options.fewHeartbeats_ = true;
     options.tickPeriod_ = seconds(1);
     SpreadSim spreadSim = settled(options);
     for (std::size_t dataCentre = 0; dataCentre < options.dataCentres_; ++dataCentre) {
@@ -220,7 +224,8 @@
         for (const std::size_t size : sizesUpTo(options.mostProcesses_)) {
             SimOptions simOptions;
             simOptions.processes_ = size;
-            simOptions.heartbeatPeriod_ = seconds(2);
+            simOptions.heartbeatPeriod_ = heartbeatPeriod;
+            simOptions.fewHeartbeats_ = true;
             SpreadSim spreadSim(simOptions);
             spreadSim.accept(sim::rulesText(routes, 1));
             spreadSim.setPlatformUp(up);
--- a/Tests/Fleet/fleettest.cpp
+++ b/Tests/Fleet/fleettest.cpp
@@ -237,3 +237,18 @@
     BOOST_TEST(beginWith("tcp://delft") == 2);
     BOOST_TEST(addresses.size() == 24U);
 }
+
+BOOST_AUTO_TEST_CASE(heartbeatsGoToAFewAtHomeInALargeFleet)
+{
+    std::vector<ListedVm> vms;
+    vms.reserve(600);
+    for (int number = 0; number < 300; ++number) {
+        vms.push_back(listedVm(fmt::format("home{}", number), Role::Target, "utrecht"));
+        vms.push_back(listedVm(fmt::format("entry{}", number), Role::Entry, "leiden"));
+    }
+    const Fleet fleet = fleetOf(vms);
+    const std::vector<std::string> addresses = heartbeatAddresses(fleet);
+    BOOST_TEST(addresses.size() == fleet.policy_.heartbeatsHome_);
+    for (const std::string &address : addresses)
+        BOOST_TEST(address.starts_with("tcp://home"));
+}
--- a/Tests/Fleet/loadreporttest.cpp
+++ b/Tests/Fleet/loadreporttest.cpp
@@ -144,7 +144,7 @@
         const double bytes = static_cast<double>(senders * policy.reportBytes_) / seconds;
         BOOST_TEST(bytes <= static_cast<double>(policy.receivedBytesPerSecond_) * 1.001);
     }
-    BOOST_TEST((silenceFor(std::chrono::seconds(3), policy, {}) == std::chrono::seconds(12)));
+    BOOST_TEST((silenceFor(std::chrono::seconds(3), policy, {}) == std::chrono::seconds(9)));
     BOOST_TEST((silenceFor(policy.shortestPeriod_, policy, {}) == std::chrono::seconds(2)));
 }
 
--- a/Tests/RuleSpread/rulespreadtest.cpp
+++ b/Tests/RuleSpread/rulespreadtest.cpp
@@ -291,6 +291,19 @@
     BOOST_TEST(sim.runUntilAllHave(minutes(2)));
 }
 
+BOOST_AUTO_TEST_CASE(vmListReadingsKeepToTheWholeSystemsRate)
+{
+    RuleSpread spread = spreadOf("target");
+    SpreadView view;
+    view.members_.resize(1720);
+    BOOST_TEST((vmListPeriod(spread, view, seconds(1)) == milliseconds(34400)));
+    spread.watching_ = true;
+    BOOST_TEST((vmListPeriod(spread, view, seconds(1)) == seconds(1)));
+    spread.watching_ = false;
+    view.members_.resize(20);
+    BOOST_TEST((vmListPeriod(spread, view, seconds(1)) == seconds(1)));
+}
+
 namespace {
 
 /// One random step of operators, platform, network and processes.
@@ -352,6 +365,7 @@
         options.dataCentres_ = 1 + random() % 5;
         options.seed_ = seed;
         options.policy_.partBytes_ = 512;
+        options.fewHeartbeats_ = seed % 2 == 0;
         SpreadSim sim = settledSim(options);
         for (int step = 0; step < 40; ++step) {
             disturb(sim, random, options.dataCentres_);
--- a/Tests/RuleSpread/spreadsim.cpp
+++ b/Tests/RuleSpread/spreadsim.cpp
@@ -14,6 +14,7 @@
 using std::chrono::microseconds;
 
 constexpr std::size_t heartbeatsAcross = 2;
+constexpr std::size_t heartbeatsHome = 8;
 constexpr std::size_t envelopeBytes = 96;
 constexpr std::int64_t microsPerSecond = 1000000;
 constexpr std::size_t mostRegions = 64;
@@ -71,21 +72,62 @@
         processes_[index].dataCentre_ = index % options_.dataCentres_;
     refreshView();
     for (std::size_t index = 0; index < processes_.size(); ++index) {
-        SimProcess &process = processes_[index];
-        const std::string self = processName(index);
-        std::vector<std::vector<VmName>> others(options_.dataCentres_);
-        for (std::size_t other = 0; other < processes_.size(); ++other) {
-            const std::size_t dataCentre = processes_[other].dataCentre_;
-            if (dataCentre == process.dataCentre_ && other != index)
-                process.heartbeatsTo_.push_back(other);
-            else if (dataCentre != process.dataCentre_ && roleOf(options_, other) == Role::Entry)
-                others[dataCentre].push_back({processName(other)});
+        if (options_.fewHeartbeats_) {
+            chooseFew(index);
+        } else {
+            chooseFullMesh(index);
         }
-        for (const std::vector<VmName> &candidates : others) {
-            for (const VmName &vm : rendezvousRank(self, candidates, heartbeatsAcross))
-                process.heartbeatsTo_.push_back(indexOf(vm));
+    }
+}
+
+void SpreadSim::chooseFullMesh(std::size_t process)
+{
+    SimProcess &self = processes_[process];
+    std::vector<std::vector<VmName>> others(options_.dataCentres_);
+    for (std::size_t other = 0; other < processes_.size(); ++other) {
+        const std::size_t dataCentre = processes_[other].dataCentre_;
+        if (dataCentre == self.dataCentre_) {
+            if (other != process)
+                self.heartbeatsTo_.push_back(other);
+        } else if (roleOf(options_, other) == Role::Entry) {
+            others[dataCentre].push_back({processName(other)});
         }
     }
+    for (const std::vector<VmName> &candidates : others) {
+        for (const VmName &vm : rendezvousRank(processName(process), candidates, heartbeatsAcross))
+            self.heartbeatsTo_.push_back(indexOf(vm));
+    }
+}
+
+void SpreadSim::chooseFew(std::size_t process)
+{
+    SimProcess &self = processes_[process];
+    std::vector<VmName> home;
+    std::vector<VmName> entriesHome;
+    for (std::size_t other = 0; other < processes_.size(); ++other) {
+        if (processes_[other].dataCentre_ != self.dataCentre_)
+            continue;
+        if (other != process)
+            home.push_back({processName(other)});
+        if (roleOf(options_, other) == Role::Entry)
+            entriesHome.push_back({processName(other)});
+    }
+    for (const VmName &vm : rendezvousRank(processName(process), home, heartbeatsHome))
+        self.heartbeatsTo_.push_back(indexOf(vm));
+    if (roleOf(options_, process) != Role::Entry) {
+        // Load reports carry the revision to every entry.
+        for (const VmName &vm : entriesHome)
+            self.heartbeatsTo_.push_back(indexOf(vm));
+        return;
+    }
+    for (std::size_t other = 0; other < processes_.size(); ++other) {
+        const bool elsewhere = processes_[other].dataCentre_ != self.dataCentre_;
+        if (!elsewhere || roleOf(options_, other) != Role::Entry)
+            continue;
+        if (rendezvousRank(processName(other), entriesHome, 1).front().text_
+            == processName(process))
+            self.heartbeatsTo_.push_back(other);
+    }
 }
 
 double SpreadSim::chance()
@@ -221,6 +263,13 @@
     return options_.loss_ <= 0 || chance() >= options_.loss_;
 }
 
+Time SpreadSim::arrival(std::size_t from, std::size_t to)
+{
+    Time &last = lastArrivals_[from * processes_.size() + to];
+    last = std::max(last, now_ + latency(from, to));
+    return last;
+}
+
 Duration SpreadSim::latency(std::size_t from, std::size_t to)
 {
     const std::size_t fromCentre = processes_[from].dataCentre_;
@@ -241,7 +290,7 @@
     if (!reaches(from, to))
         return;
     SimEvent event;
-    event.at_ = now_ + latency(from, to);
+    event.at_ = arrival(from, to);
     event.kind_ = SimEvent::Kind::Deliver;
     event.process_ = to;
     event.run_ = processes_[to].run_;
@@ -259,7 +308,7 @@
         if (processes_[process].spread_.revision_ <= processes_[to].spread_.revision_)
             continue;
         SimEvent event;
-        event.at_ = now_ + latency(process, to);
+        event.at_ = arrival(process, to);
         event.kind_ = SimEvent::Kind::Deliver;
         event.process_ = to;
         event.run_ = processes_[to].run_;
--- a/Tests/RuleSpread/spreadsim.h
+++ b/Tests/RuleSpread/spreadsim.h
@@ -11,6 +11,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace eelgrasscove::sim {
@@ -26,6 +27,8 @@
     double loss_ = 0;
     Duration heartbeatPeriod_ = std::chrono::milliseconds(250);
     Duration tickPeriod_ = std::chrono::milliseconds(250);
+    /// Heartbeats as in a fleet above the full mesh: to a few peers at home, and summaries across.
+    bool fewHeartbeats_ = false;
     /// No heartbeats: shows what pushes alone reach.
     bool heartbeats_ = true;
     /// Platform watches reach this many watchers before the platform fails after a change.
@@ -124,6 +127,8 @@
     std::size_t regionOf(std::size_t dataCentre) const { return dataCentre % options_.regions_; }
 
 private:
+    void chooseFullMesh(std::size_t process);
+    void chooseFew(std::size_t process);
     void push(SimEvent event);
     void handle(const SimEvent &event);
     void sendHeartbeats(std::size_t process);
@@ -134,6 +139,8 @@
     void readPlatform(std::size_t process);
     void answerPlatform(const SimEvent &event);
     void checkAdoption(SimProcess &process, const StoredRules &rules);
+    /// When a message sent now arrives; links keep the order of what they carry.
+    Time arrival(std::size_t from, std::size_t to);
     Duration latency(std::size_t from, std::size_t to);
     double chance();
     std::size_t indexOf(const VmName &vm) const;
@@ -142,6 +149,7 @@
     std::vector<SimProcess> processes_;
     SpreadView view_;
     std::priority_queue<SimEvent> events_;
+    std::unordered_map<std::size_t, Time> lastArrivals_;
     std::uint64_t nextOrder_ = 0;
     std::uint64_t random_ = 0;
     Time now_ = Time(std::chrono::hours(1));
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -280,6 +280,15 @@
     std::string bytes_;
 };
 
+/// A resident adapter that is new, has another number of running requests, or is gone.
+struct ResidentChange
+{
+    AdapterName adapter_;
+    AdapterVersion version_;
+    std::uint32_t running_ = 0;
+    bool gone_ = false;
+};
+
 /// Target process -> entries of its data centre: what changed since a full heartbeat. Changes are
 /// cumulative since that heartbeat, so that a lost report does no harm.
 struct LoadReport
@@ -292,9 +301,7 @@
     Revision rulesRevision_;
     std::uint32_t queued_ = 0;
     std::uint32_t running_ = 0;
-    /// Residents that are new or whose running_ differs from the heartbeat's.
-    std::vector<ResidentAdapter> changed_;
-    std::vector<AdapterKey> gone_;
+    std::vector<ResidentChange> changes_;
 };
 
 /// Entry -> target process: your latest load report names a heartbeat that never came here.
