--- /dev/null
+++ b/Tests/CapacityCheck/capacitymodel.cpp
@@ -0,0 +1,366 @@
+#include "capacitymodel.h"
+
+#include "Contract/compactrules.h"
+#include "DataCentre/loadreport.h"
+#include "DataCentre/rulesdelta.h"
+#include "DataCentre/rulespread.h"
+#include "Link/messagecodec.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <memory>
+
+namespace eelgrasscove::capacity {
+
+namespace {
+
+constexpr double secondsPerDay = 86400;
+constexpr double secondsPerHour = 3600;
+constexpr double microsPerSecond = 1e6;
+constexpr double gossipPeriodSeconds = 2;
+constexpr double summaryPeriodSeconds = 2;
+constexpr double ticksPerSecond = 4;
+constexpr double chunkBytes = 1e6;
+/// Changes in an average load report; one with more than five is sent as a full heartbeat.
+constexpr double changesPerReport = 4;
+/// Loads per second that today's weight store allows.
+constexpr double storeLoadsPerSecond = 5;
+
+double processes(const SystemSize &size)
+{
+    return static_cast<double>(size.entries_ + size.targets_);
+}
+
+/// Processes of one role in a data centre, rounded up.
+double perCentre(std::size_t count, const SystemSize &size)
+{
+    return std::ceil(static_cast<double>(count) / static_cast<double>(size.dataCentres_));
+}
+
+double changesPerSecond(const SystemSize &size)
+{
+    return size.changesPerDay_ / secondsPerDay;
+}
+
+double reportSeconds(const SystemSize &size)
+{
+    const auto senders = static_cast<std::size_t>(perCentre(size.targets_, size));
+    return std::chrono::duration<double>(reportPeriod(senders, {})).count();
+}
+
+double reportBytes(const Slopes &slopes)
+{
+    return slopes.reportBytes_ + changesPerReport * slopes.reportBytesPerChange_
+        + slopes.transportBytes_;
+}
+
+double summaryBytes(const SystemSize &size, const Slopes &slopes)
+{
+    return slopes.summaryBytes_ + static_cast<double>(size.groups_) * slopes.summaryBytesPerGroup_
+        + slopes.transportBytes_;
+}
+
+/// Heartbeats to a few peers at home and as many from others, in bytes a second.
+double gossipBytes(const Slopes &slopes)
+{
+    const auto peers = static_cast<double>(FleetPolicy().heartbeatsHome_);
+    return 2 * peers * (slopes.heartbeatBytes_ + slopes.transportBytes_) / gossipPeriodSeconds;
+}
+
+/// A delta taken in, pushed on to the tree's children and to other data centres' first places.
+double rulesBytes(const SystemSize &size, const Slopes &slopes)
+{
+    const auto fanout = static_cast<double>(RuleSpreadPolicy().fanout_);
+    return changesPerSecond(size) * (slopes.deltaBytes_ + slopes.transportBytes_)
+        * (1 + 2 * fanout);
+}
+
+double rules(const SystemSize &size)
+{
+    return static_cast<double>(size.adapters_);
+}
+
+/// Rules kept as text with an index, beside the text that rule spreading holds.
+double compactState(const SystemSize &size, const Slopes &slopes)
+{
+    return rules(size) * (slopes.compactBytesPerRule_ + slopes.textBytesPerRule_);
+}
+
+double parsedState(const SystemSize &size, const Slopes &slopes)
+{
+    return rules(size) * (slopes.parsedBytesPerRule_ + slopes.textBytesPerRule_);
+}
+
+double peersState(const SystemSize &size, const Slopes &slopes)
+{
+    return processes(size) * slopes.peerBytes_;
+}
+
+double entryLinks(const SystemSize &size)
+{
+    const double home = perCentre(size.entries_, size) + perCentre(size.targets_, size);
+    return 2 * (home + 2 * static_cast<double>(size.dataCentres_));
+}
+
+double targetLinks(const SystemSize &size)
+{
+    const auto gossip = static_cast<double>(FleetPolicy().heartbeatsHome_);
+    return 2 * (perCentre(size.entries_, size) + 2 * gossip);
+}
+
+/// Processor time of what every process does: rules, list readings, view of members.
+double commonCore(const SystemSize &size, const Slopes &slopes)
+{
+    const double perChange = rules(size) * (slopes.indexPerRule_ + slopes.applyPerRule_);
+    const double view = processes(size) * slopes.viewPerProcess_ * ticksPerSecond;
+    const double list = processes(size) * slopes.listPerProcess_;
+    const auto gossip = static_cast<double>(FleetPolicy().heartbeatsHome_);
+    const double heartbeats =
+        gossip / gossipPeriodSeconds * (slopes.encodeHeartbeat_ + slopes.decodeHeartbeat_);
+    return (changesPerSecond(size) * perChange + view + list + heartbeats) / microsPerSecond;
+}
+
+double entryCore(const SystemSize &size, const Slopes &slopes)
+{
+    const double reports = perCentre(size.targets_, size) / reportSeconds(size);
+    const double summaries = static_cast<double>(size.dataCentres_) / summaryPeriodSeconds;
+    return commonCore(size, slopes)
+        + (reports * (slopes.decodeReport_ + slopes.takeReport_)
+           + summaries * (slopes.encodeSummary_ + slopes.decodeSummary_))
+        / microsPerSecond;
+}
+
+double targetCore(const SystemSize &size, const Slopes &slopes)
+{
+    const double reports = perCentre(size.entries_, size) / reportSeconds(size);
+    return commonCore(size, slopes) + reports * slopes.encodeReport_ / microsPerSecond;
+}
+
+double watchers(const SystemSize &size)
+{
+    return static_cast<double>(size.dataCentres_ * RuleSpreadPolicy().watchersPerDataCentre_);
+}
+
+void addByteRows(std::vector<BudgetRow> &rows, const SystemSize &size, const Slopes &slopes,
+                 const Budget &budget)
+{
+    const double mesh = 2 * ticksPerSecond
+        * (perCentre(size.entries_, size) + perCentre(size.targets_, size))
+        * (slopes.heartbeatBytes_ + slopes.transportBytes_);
+    const double text = rules(size) * slopes.textBytesPerRule_;
+    rows.push_back({"entry", "control bytes a second, in and out",
+                    entryBytesPerSecond(size, slopes), budget.bytesPerSecond_, "B/s",
+                    "loadreport.cpp, fleet.cpp, rulespread.cpp", ""});
+    rows.push_back({"target", "control bytes a second, in and out",
+                    targetBytesPerSecond(size, slopes), budget.bytesPerSecond_, "B/s",
+                    "loadreport.cpp, fleet.cpp, rulespread.cpp", ""});
+    rows.push_back({"any", "the same with heartbeats to all at home four times a second", mesh,
+                    budget.bytesPerSecond_, "B/s", "fleet.cpp below 256 peers",
+                    "load reports and few heartbeats, in the two rows above"});
+    rows.push_back({"any", "bytes in the minute after a start, a second", text / 60,
+                    budget.bytesPerSecond_, "B/s", "rulespread.cpp, parts",
+                    "send the text compressed, and only its own group's routes to a target"});
+    rows.push_back({"any", "bytes of a day's starts, a second over the day",
+                    2 * size.replacedPerDay_ * text / secondsPerDay / processes(size),
+                    budget.bytesPerSecond_, "B/s", "rulespread.cpp, parts", ""});
+    rows.push_back({"any", "bytes in the minute after an hour's cut, a second",
+                    changesPerSecond(size) * secondsPerHour
+                        * (slopes.deltaBytes_ + slopes.transportBytes_) / 60,
+                    budget.bytesPerSecond_, "B/s", "rulespread.cpp, past deltas", ""});
+}
+
+void addMemoryRows(std::vector<BudgetRow> &rows, const SystemSize &size, const Slopes &slopes,
+                   const ProcessFootprint &footprint, const Budget &budget)
+{
+    const double entry =
+        footprint.entryBytes_ + peersState(size, slopes) + entryLinks(size) * footprint.linkBytes_;
+    const double target = footprint.targetBytes_ + peersState(size, slopes)
+        + targetLinks(size) * footprint.linkBytes_;
+    const double text = rules(size) * slopes.textBytesPerRule_;
+    const double compact = compactState(size, slopes);
+    const double parsed = parsedState(size, slopes);
+    const std::string remedy = "compactrules.cpp in place of Rules, and one text shared by both";
+    rows.push_back({"entry", "memory, rules as text with an index", entry + compact,
+                    budget.memoryBytes_, "B", "compactrules.cpp", ""});
+    rows.push_back({"entry", "the same while a revision replaces another, one text shared",
+                    entry + 2 * (compact - text), budget.memoryBytes_, "B", "compactrules.cpp",
+                    "change the text in place, by blocks"});
+    rows.push_back({"entry", "memory, rules parsed whole", entry + parsed, budget.memoryBytes_, "B",
+                    "rulefile.cpp", remedy});
+    rows.push_back({"target", "memory, rules as text with an index", target + compact,
+                    budget.memoryBytes_, "B", "compactrules.cpp", ""});
+    rows.push_back({"target", "memory, rules parsed whole", target + parsed, budget.memoryBytes_,
+                    "B", "rulefile.cpp", remedy});
+}
+
+void addPlatformRows(std::vector<BudgetRow> &rows, const SystemSize &size, const Slopes &slopes,
+                     const Budget &budget)
+{
+    const RuleSpreadPolicy policy;
+    const double chunks = std::ceil(rules(size) * slopes.textBytesPerRule_ / chunkBytes);
+    const double starts = 2 * size.replacedPerDay_ / secondsPerDay;
+    rows.push_back({"platform", "waiting watches", watchers(size), budget.platformReadsPerSecond_,
+                    "calls", "rulespread.cpp, watchers", ""});
+    rows.push_back({"platform", "reads a second, shared list readings",
+                    watchers(size) + policy.listReadsPerSecond_
+                        + changesPerSecond(size) * watchers(size) * (chunks + 1) + starts,
+                    budget.platformReadsPerSecond_, "1/s", "rulespread.cpp, vmListPeriod", ""});
+    rows.push_back({"platform", "reads a second, each process reads list and rules itself",
+                    processes(size) * (1 + changesPerSecond(size) * (chunks + 1)),
+                    budget.platformReadsPerSecond_, "1/s", "platformservice.cpp",
+                    "watchers and shared list readings, in the row above"});
+    rows.push_back({"platform", "writes a second: rules, and a number for each start",
+                    changesPerSecond(size) * (chunks + 1) + starts, budget.platformWritesPerSecond_,
+                    "1/s", "rulestore.cpp, startnumber.cpp", ""});
+    rows.push_back({"weight store", "loads a second while 57% of the adapters wake in an hour",
+                    rules(size) * size.wakingShare_ / secondsPerHour, storeLoadsPerSecond, "1/s",
+                    "door.cpp",
+                    "a weight store that allows more loads; until then waking adapters wait"});
+}
+
+} // namespace
+
+SystemSize doubled(const SystemSize &size)
+{
+    SystemSize twice = size;
+    twice.entries_ *= 2;
+    twice.targets_ *= 2;
+    twice.adapters_ *= 2;
+    twice.changesPerDay_ *= 2;
+    twice.replacedPerDay_ *= 2;
+    return twice;
+}
+
+bool fits(const BudgetRow &row)
+{
+    return row.value_ <= row.limit_;
+}
+
+double entryBytesPerSecond(const SystemSize &size, const Slopes &slopes)
+{
+    const double reports =
+        perCentre(size.targets_, size) * reportBytes(slopes) / reportSeconds(size);
+    const double otherCentres = static_cast<double>(size.dataCentres_) - 1;
+    const double summaries = 2 * otherCentres * summaryBytes(size, slopes) / summaryPeriodSeconds;
+    return reports + summaries + gossipBytes(slopes) + rulesBytes(size, slopes);
+}
+
+double targetBytesPerSecond(const SystemSize &size, const Slopes &slopes)
+{
+    const double reports =
+        perCentre(size.entries_, size) * reportBytes(slopes) / reportSeconds(size);
+    return reports + gossipBytes(slopes) + rulesBytes(size, slopes);
+}
+
+std::vector<BudgetRow> budgetRows(const SystemSize &size, const Slopes &slopes,
+                                  const ProcessFootprint &footprint, const Budget &budget)
+{
+    std::vector<BudgetRow> rows;
+    addByteRows(rows, size, slopes, budget);
+    rows.push_back({"entry", "share of a core", entryCore(size, slopes), budget.coreShare_, "",
+                    "the sum of the above", ""});
+    rows.push_back({"target", "share of a core", targetCore(size, slopes), budget.coreShare_, "",
+                    "the sum of the above", ""});
+    rows.push_back({"entry", "age of a load report, seconds", reportSeconds(size), 5, "s",
+                    "loadreport.cpp, reportPeriod",
+                    "fewer targets for each entry: split the data "
+                    "centre's targets among its entries by group"});
+    addMemoryRows(rows, size, slopes, footprint, budget);
+    addPlatformRows(rows, size, slopes, budget);
+    return rows;
+}
+
+namespace {
+
+Envelope wrapped(Message message)
+{
+    Envelope envelope;
+    envelope.from_ = {"runner-01234"};
+    envelope.incarnation_ = {1733300000000000};
+    envelope.replyAddress_ = "tcp://10.20.30.40:7401";
+    envelope.message_ = std::move(message);
+    return envelope;
+}
+
+double bytesOf(Message message)
+{
+    return static_cast<double>(encodeEnvelope(wrapped(std::move(message))).size());
+}
+
+Heartbeat plainHeartbeat()
+{
+    Heartbeat heartbeat;
+    heartbeat.dataCentre_ = {"data-centre-07"};
+    heartbeat.group_ = {"advice"};
+    heartbeat.rulesRevision_ = {120000};
+    heartbeat.number_ = 123456;
+    return heartbeat;
+}
+
+LoadReport reportWith(std::size_t changes)
+{
+    LoadReport report;
+    report.number_ = 123456;
+    report.base_ = 123400;
+    report.rulesRevision_ = {120000};
+    for (std::size_t change = 0; change < changes; ++change)
+        report.changes_.push_back({{"leg-profile-01234"}, {"3"}, 1, false});
+    return report;
+}
+
+DataCentreSummary summaryWith(std::size_t groups)
+{
+    DataCentreSummary summary;
+    summary.dataCentre_ = {"data-centre-07"};
+    summary.rulesRevision_ = {120000};
+    const SpareTarget spare = {{"runner-01234"}, {1733300000000000}, "tcp://10.20.30.40:7401", 9};
+    for (std::size_t group = 0; group < groups; ++group)
+        summary.groups_.push_back({{"advice-0"}, 100, 1600, 900, 12, {spare, spare}});
+    return summary;
+}
+
+std::string routesText(std::size_t routes, int version)
+{
+    std::string text = "account member-000 rate 4000 burst 20000 # S. de Vries\n";
+    for (std::size_t route = 0; route < routes; ++route)
+        text += fmt::format("route leg-profile-{0:05} account member-000 adapter "
+                            "leg-profile-{0:05} version {1} targets advice idempotent "
+                            "# S. de Vries\n",
+                            route, route == routes / 2 ? version : 3);
+    return text;
+}
+
+} // namespace
+
+Slopes slopesWithCeilings()
+{
+    constexpr std::size_t routes = 4000;
+    Slopes slopes;
+    slopes.heartbeatBytes_ = bytesOf(plainHeartbeat());
+    slopes.reportBytes_ = bytesOf(reportWith(0));
+    slopes.reportBytesPerChange_ = bytesOf(reportWith(1)) - slopes.reportBytes_;
+    slopes.summaryBytesPerGroup_ = bytesOf(summaryWith(2)) - bytesOf(summaryWith(1));
+    slopes.summaryBytes_ = bytesOf(summaryWith(1)) - slopes.summaryBytesPerGroup_;
+    const std::string text = routesText(routes, 3);
+    slopes.deltaBytes_ = bytesOf(makeRulesDelta(text, routesText(routes, 4), {1}, {2}));
+    slopes.textBytesPerRule_ = static_cast<double>(text.size()) / routes;
+    const CompactRules compact = indexRules(std::make_shared<const std::string>(text), {1});
+    slopes.compactBytesPerRule_ = static_cast<double>(compactBytes(compact)) / routes;
+    slopes.parsedBytesPerRule_ = 460;
+    slopes.peerBytes_ = 700;
+    slopes.decodeReport_ = 40;
+    slopes.encodeReport_ = 30;
+    slopes.takeReport_ = 6;
+    slopes.encodeSummary_ = 40;
+    slopes.decodeSummary_ = 60;
+    slopes.decodeHeartbeat_ = 60;
+    slopes.encodeHeartbeat_ = 40;
+    slopes.viewPerProcess_ = 0.5;
+    slopes.listPerProcess_ = 0.8;
+    slopes.indexPerRule_ = 3;
+    slopes.applyPerRule_ = 0.6;
+    return slopes;
+}
+
+} // namespace eelgrasscove::capacity
