--- a/Source/DataCentre/loadreport.h
+++ b/Source/DataCentre/loadreport.h
@@ -20,13 +20,15 @@
     /// Period where few processes report.
     Duration shortestPeriod_ = std::chrono::milliseconds(250);
     /// Bytes of load reports that one entry is meant to receive in a second.
-    std::size_t receivedBytesPerSecond_ = std::size_t(14) * 1024;
+    std::size_t receivedBytesPerSecond_ = std::size_t(10) * 1024;
     /// Most bytes that one report takes on the wire, headers of the transport included.
     std::size_t reportBytes_ = 360;
     /// A full heartbeat follows at the latest after so many reports.
     std::uint64_t reportsPerFull_ = 64;
     /// Silence is this many periods, and no less than the fleet's policy.
     int silentPeriods_ = 3;
+    /// Period of summaries to other data centres.
+    Duration summaryPeriod_ = std::chrono::seconds(3);
     /// Target processes that a summary names for each group.
     std::size_t sparesPerGroup_ = 2;
 };
--- a/Source/DataCentre/rulespread.cpp
+++ b/Source/DataCentre/rulespread.cpp
@@ -562,14 +562,11 @@
     return actions;
 }
 
-Duration vmListPeriod(const RuleSpread &spread, const SpreadView &view, Duration shortest)
+Duration vmListPeriod(std::size_t listedVms, const RuleSpreadPolicy &policy, Duration shortest)
 {
-    if (spread.watching_)
-        return shortest;
-    const auto members = static_cast<std::int64_t>(view.members_.size());
-    const Duration second = std::chrono::seconds(1);
-    const Duration shared = second * members / spread.policy_.listReadsPerSecond_;
-    return std::max(shortest, shared);
+    const std::size_t bytes = listedVms * policy.listedVmBytes_;
+    const std::size_t micros = bytes * microsPerSecond / policy.listBytesPerSecond_;
+    return std::max(shortest, Duration(static_cast<std::int64_t>(micros)));
 }
 
 bool rulesSettled(const RuleSpread &spread)
--- a/Source/DataCentre/rulespread.h
+++ b/Source/DataCentre/rulespread.h
@@ -75,8 +75,9 @@
     Duration watcherJitter_ = std::chrono::milliseconds(200);
     /// First readings of processes that no peer could help, over the whole system.
     std::uint32_t startReadsPerSecond_ = 100;
-    /// Readings of the VM list by processes that aren't watchers, over the whole system.
-    std::uint32_t listReadsPerSecond_ = 50;
+    /// Bytes of the VM list that a process reads in a second on average, and bytes of one row.
+    std::size_t listBytesPerSecond_ = std::size_t(4) * 1024;
+    std::size_t listedVmBytes_ = 170;
     /// Backoff between readings that failed, doubled each time, and its cap.
     Duration firstBackoff_ = std::chrono::seconds(1);
     Duration lastBackoff_ = std::chrono::seconds(60);
@@ -209,9 +210,9 @@
 /// true from then on.
 bool rulesSettled(const RuleSpread &spread);
 
-/// How often this process should read the platform's VM list: watchers at the shortest period, the
-/// others such that all of them together keep to the policy's rate.
-Duration vmListPeriod(const RuleSpread &spread, const SpreadView &view, Duration shortest);
+/// How often a process should read the platform's VM list of so many VMs: the shortest period, or
+/// longer where the list would take more than the policy's bytes.
+Duration vmListPeriod(std::size_t listedVms, const RuleSpreadPolicy &policy, Duration shortest);
 
 /// Whether keyed routes may be served: rules are held, and some source of rules (the platform or
 /// any peer) was heard within the policy's time.
--- a/Tests/Capacity/budget.cpp
+++ b/Tests/Capacity/budget.cpp
@@ -28,6 +28,15 @@
     return fits(row) ? value : "**" + value + "**";
 }
 
+void printTraffic(const std::vector<TrafficRow> &rows)
+{
+    for (const TrafficRow &row : rows) {
+        const double bytes = (row.inPerSecond_ + row.outPerSecond_) * row.bytes_;
+        fmt::print("| {} | {} | {:.2f} | {:.2f} | {:.0f} | {:.2f} KB/s |\n", row.role_,
+                   row.message_, row.inPerSecond_, row.outPerSecond_, row.bytes_, bytes / 1e3);
+    }
+}
+
 } // namespace
 
 void printBudget(const SectionOptions & /*options*/)
@@ -44,6 +53,10 @@
                    shown(row.limit_, row.unit_), fits(row) ? "yes" : "**no**", marked(twice[place]),
                    row.mechanism_, row.remedy_);
     }
+    fmt::print("\n| role | message | in a second | out a second | bytes each | together |\n"
+               "|---|---|---|---|---|---|\n");
+    printTraffic(entryTraffic(size, slopes));
+    printTraffic(targetTraffic(size, slopes));
 }
 
 } // namespace eelgrasscove::capacity
--- a/Tests/CapacityCheck/capacitymodel.cpp
+++ b/Tests/CapacityCheck/capacitymodel.cpp
@@ -19,7 +19,6 @@
 constexpr double secondsPerHour = 3600;
 constexpr double microsPerSecond = 1e6;
 constexpr double gossipPeriodSeconds = 2;
-constexpr double summaryPeriodSeconds = 2;
 constexpr double ticksPerSecond = 4;
 constexpr double chunkBytes = 1e6;
 /// Changes in an average load report; one with more than five is sent as a full heartbeat.
@@ -32,6 +31,11 @@
     return static_cast<double>(size.entries_ + size.targets_);
 }
 
+double summarySeconds()
+{
+    return std::chrono::duration<double>(LoadReportPolicy().summaryPeriod_).count();
+}
+
 /// Processes of one role in a data centre, rounded up.
 double perCentre(std::size_t count, const SystemSize &size)
 {
@@ -61,19 +65,45 @@
         + slopes.transportBytes_;
 }
 
-/// Heartbeats to a few peers at home and as many from others, in bytes a second.
-double gossipBytes(const Slopes &slopes)
+/// Heartbeats to a few peers at home, and from as many on average.
+TrafficRow heartbeatTraffic(const std::string &role, const Slopes &slopes)
 {
-    const auto peers = static_cast<double>(FleetPolicy().heartbeatsHome_);
-    return 2 * peers * (slopes.heartbeatBytes_ + slopes.transportBytes_) / gossipPeriodSeconds;
+    const double each = static_cast<double>(FleetPolicy().heartbeatsHome_) / gossipPeriodSeconds;
+    return {role, "heartbeat", each, each, slopes.heartbeatBytes_ + slopes.transportBytes_};
 }
 
-/// A delta taken in, pushed on to the tree's children and to other data centres' first places.
-double rulesBytes(const SystemSize &size, const Slopes &slopes)
+/// A delta taken in, and pushed on to the tree's children and other data centres' first places.
+TrafficRow rulesTraffic(const std::string &role, const SystemSize &size, const Slopes &slopes)
 {
     const auto fanout = static_cast<double>(RuleSpreadPolicy().fanout_);
-    return changesPerSecond(size) * (slopes.deltaBytes_ + slopes.transportBytes_)
-        * (1 + 2 * fanout);
+    const double changes = changesPerSecond(size);
+    return {role, "rules delta, first place of a data centre", changes, 2 * fanout * changes,
+            slopes.deltaBytes_ + slopes.transportBytes_};
+}
+
+double listSeconds(const SystemSize &size)
+{
+    const Duration period =
+        vmListPeriod(size.entries_ + size.targets_, {}, std::chrono::seconds(1));
+    return std::chrono::duration<double>(period).count();
+}
+
+double listBytes(const SystemSize &size)
+{
+    return processes(size) * static_cast<double>(RuleSpreadPolicy().listedVmBytes_);
+}
+
+TrafficRow listTraffic(const std::string &role, const SystemSize &size)
+{
+    return {role, "VM list from the platform", 1 / listSeconds(size), 0, listBytes(size)};
+}
+
+double sumOfBytes(const std::vector<TrafficRow> &rows)
+{
+    double bytes = 0;
+    for (const TrafficRow &row : rows)
+        bytes += (row.inPerSecond_ + row.outPerSecond_) * row.bytes_;
+    return bytes;
 }
 
 double rules(const SystemSize &size)
@@ -114,7 +144,7 @@
 {
     const double perChange = rules(size) * (slopes.indexPerRule_ + slopes.applyPerRule_);
     const double view = processes(size) * slopes.viewPerProcess_ * ticksPerSecond;
-    const double list = processes(size) * slopes.listPerProcess_;
+    const double list = processes(size) * slopes.listPerProcess_ / listSeconds(size);
     const auto gossip = static_cast<double>(FleetPolicy().heartbeatsHome_);
     const double heartbeats =
         gossip / gossipPeriodSeconds * (slopes.encodeHeartbeat_ + slopes.decodeHeartbeat_);
@@ -124,7 +154,7 @@
 double entryCore(const SystemSize &size, const Slopes &slopes)
 {
     const double reports = perCentre(size.targets_, size) / reportSeconds(size);
-    const double summaries = static_cast<double>(size.dataCentres_) / summaryPeriodSeconds;
+    const double summaries = static_cast<double>(size.dataCentres_) / summarySeconds();
     return commonCore(size, slopes)
         + (reports * (slopes.decodeReport_ + slopes.takeReport_)
            + summaries * (slopes.encodeSummary_ + slopes.decodeSummary_))
@@ -158,6 +188,13 @@
     rows.push_back({"any", "the same with heartbeats to all at home four times a second", mesh,
                     budget.bytesPerSecond_, "B/s", "fleet.cpp below 256 peers",
                     "load reports and few heartbeats, in the two rows above"});
+    rows.push_back({"any", "VM list read each second", listBytes(size), budget.bytesPerSecond_,
+                    "B/s", "platformservice.cpp",
+                    "rulespread.cpp, vmListPeriod, in the rows above"});
+    rows.push_back(
+        {"any", "time until a VM that is only listed as leaving is known, seconds",
+         listSeconds(size), 5, "s", "rulespread.cpp, vmListPeriod",
+         "the processes of a data centre read in turn and tell each other what changed"});
     rows.push_back({"any", "bytes in the minute after a start, a second", text / 60,
                     budget.bytesPerSecond_, "B/s", "rulespread.cpp, parts",
                     "send the text compressed, and only its own group's routes to a target"});
@@ -197,19 +234,18 @@
 void addPlatformRows(std::vector<BudgetRow> &rows, const SystemSize &size, const Slopes &slopes,
                      const Budget &budget)
 {
-    const RuleSpreadPolicy policy;
     const double chunks = std::ceil(rules(size) * slopes.textBytesPerRule_ / chunkBytes);
     const double starts = 2 * size.replacedPerDay_ / secondsPerDay;
     rows.push_back({"platform", "waiting watches", watchers(size), budget.platformReadsPerSecond_,
                     "calls", "rulespread.cpp, watchers", ""});
-    rows.push_back({"platform", "reads a second, shared list readings",
-                    watchers(size) + policy.listReadsPerSecond_
+    rows.push_back({"platform", "reads a second, list readings stretched",
+                    processes(size) / listSeconds(size)
                         + changesPerSecond(size) * watchers(size) * (chunks + 1) + starts,
                     budget.platformReadsPerSecond_, "1/s", "rulespread.cpp, vmListPeriod", ""});
     rows.push_back({"platform", "reads a second, each process reads list and rules itself",
                     processes(size) * (1 + changesPerSecond(size) * (chunks + 1)),
                     budget.platformReadsPerSecond_, "1/s", "platformservice.cpp",
-                    "watchers and shared list readings, in the row above"});
+                    "watchers and stretched list readings, in the row above"});
     rows.push_back({"platform", "writes a second: rules, and a number for each start",
                     changesPerSecond(size) * (chunks + 1) + starts, budget.platformWritesPerSecond_,
                     "1/s", "rulestore.cpp, startnumber.cpp", ""});
@@ -237,20 +273,38 @@
     return row.value_ <= row.limit_;
 }
 
+std::vector<TrafficRow> entryTraffic(const SystemSize &size, const Slopes &slopes)
+{
+    const double reports = perCentre(size.targets_, size) / reportSeconds(size);
+    const double summaries = (static_cast<double>(size.dataCentres_) - 1) / summarySeconds();
+    return {
+        {"entry", "load report", reports, 0, reportBytes(slopes)},
+        {"entry", "data centre summary", summaries, summaries, summaryBytes(size, slopes)},
+        heartbeatTraffic("entry", slopes),
+        rulesTraffic("entry", size, slopes),
+        listTraffic("entry", size),
+    };
+}
+
+std::vector<TrafficRow> targetTraffic(const SystemSize &size, const Slopes &slopes)
+{
+    const double reports = perCentre(size.entries_, size) / reportSeconds(size);
+    return {
+        {"target", "load report", 0, reports, reportBytes(slopes)},
+        heartbeatTraffic("target", slopes),
+        rulesTraffic("target", size, slopes),
+        listTraffic("target", size),
+    };
+}
+
 double entryBytesPerSecond(const SystemSize &size, const Slopes &slopes)
 {
-    const double reports =
-        perCentre(size.targets_, size) * reportBytes(slopes) / reportSeconds(size);
-    const double otherCentres = static_cast<double>(size.dataCentres_) - 1;
-    const double summaries = 2 * otherCentres * summaryBytes(size, slopes) / summaryPeriodSeconds;
-    return reports + summaries + gossipBytes(slopes) + rulesBytes(size, slopes);
+    return sumOfBytes(entryTraffic(size, slopes));
 }
 
 double targetBytesPerSecond(const SystemSize &size, const Slopes &slopes)
 {
-    const double reports =
-        perCentre(size.entries_, size) * reportBytes(slopes) / reportSeconds(size);
-    return reports + gossipBytes(slopes) + rulesBytes(size, slopes);
+    return sumOfBytes(targetTraffic(size, slopes));
 }
 
 std::vector<BudgetRow> budgetRows(const SystemSize &size, const Slopes &slopes,
--- a/Tests/CapacityCheck/capacitymodel.h
+++ b/Tests/CapacityCheck/capacitymodel.h
@@ -91,6 +91,20 @@
 
 bool fits(const BudgetRow &row);
 
+/// One kind of message of one role.
+struct TrafficRow
+{
+    std::string role_;
+    std::string message_;
+    double inPerSecond_ = 0;
+    double outPerSecond_ = 0;
+    /// Headers of the transport included.
+    double bytes_ = 0;
+};
+
+std::vector<TrafficRow> entryTraffic(const SystemSize &size, const Slopes &slopes);
+std::vector<TrafficRow> targetTraffic(const SystemSize &size, const Slopes &slopes);
+
 /// A role's control bytes a second, in and out together.
 double entryBytesPerSecond(const SystemSize &size, const Slopes &slopes);
 double targetBytesPerSecond(const SystemSize &size, const Slopes &slopes);
--- a/Tests/RuleSpread/rulespreadtest.cpp
+++ b/Tests/RuleSpread/rulespreadtest.cpp
@@ -291,17 +291,16 @@
     BOOST_TEST(sim.runUntilAllHave(minutes(2)));
 }
 
-BOOST_AUTO_TEST_CASE(vmListReadingsKeepToTheWholeSystemsRate)
+BOOST_AUTO_TEST_CASE(vmListReadingsKeepToTheirBytes)
 {
-    RuleSpread spread = spreadOf("target");
-    SpreadView view;
-    view.members_.resize(1720);
-    BOOST_TEST((vmListPeriod(spread, view, seconds(1)) == milliseconds(34400)));
-    spread.watching_ = true;
-    BOOST_TEST((vmListPeriod(spread, view, seconds(1)) == seconds(1)));
-    spread.watching_ = false;
-    view.members_.resize(20);
-    BOOST_TEST((vmListPeriod(spread, view, seconds(1)) == seconds(1)));
+    const RuleSpreadPolicy policy;
+    BOOST_TEST((vmListPeriod(20, policy, seconds(1)) == seconds(1)));
+    for (std::size_t listed = 100; listed <= 4000; listed *= 2) {
+        const Duration period = vmListPeriod(listed, policy, seconds(1));
+        const double bytes = static_cast<double>(listed * policy.listedVmBytes_)
+            / std::chrono::duration<double>(period).count();
+        BOOST_TEST(bytes <= static_cast<double>(policy.listBytesPerSecond_) * 1.001);
+    }
 }
 
 namespace {
