--- a/Source/DataCentre/rulespread.cpp
+++ b/Source/DataCentre/rulespread.cpp
@@ -148,6 +148,14 @@
     return partHeld(spread, 0);
 }
 
+void pushOn(SpreadActions &actions, const RuleSpread &spread, const SpreadView &view,
+            NewsSource source, const RulesDelta &delta)
+{
+    const Message news = pushedNews(spread, delta);
+    for (const VmName &peer : spread.policy_.pushChoice_(spread, view, source))
+        sendTo(actions, peer, news);
+}
+
 /// Puts a higher revision in force and pushes it on.
 SpreadActions adopt(RuleSpread &spread, const SpreadView &view, NewsSource source, std::string text,
                     RulesDelta delta)
@@ -155,15 +163,17 @@
     spread.revision_ = delta.to_;
     spread.text_ = std::move(text);
     spread.digest_ = delta.digest_;
-    spread.asked_.reset();
+    const bool caughtUp = spread.revision_ >= spread.highestHeard_;
+    if (caughtUp)
+        spread.asked_.reset();
     spread.nextRead_.reset();
     if (spread.partial_ && spread.partial_->revision_ <= spread.revision_)
         spread.partial_.reset();
     SpreadActions actions;
     actions.emplace_back(AdoptRules{{spread.revision_, spread.text_}});
-    const Message news = pushedNews(spread, delta);
-    for (const VmName &peer : spread.policy_.pushChoice_(spread, view, source))
-        sendTo(actions, peer, news);
+    // Steps on the way to a higher revision known of are not worth pushing.
+    if (caughtUp)
+        pushOn(actions, spread, view, source, delta);
     if (delta.from_.value_ != 0)
         remember(spread, std::move(delta));
     return actions;
@@ -209,6 +219,18 @@
     return actions;
 }
 
+/// A request without an answer goes to another peer that holds what is missing.
+SpreadActions askAgain(RuleSpread &spread, Time now)
+{
+    if (!spread.asked_ || now - spread.asked_->askedAt_ < spread.policy_.requestTimeout_)
+        return {};
+    spread.asked_.reset();
+    if (spread.highestHeard_ <= spread.revision_ || spread.holders_.empty())
+        return {};
+    const std::size_t turn = nextRandom(spread.seed_) % spread.holders_.size();
+    return askForNews(spread, spread.holders_[turn], now);
+}
+
 /// Asks for missing parts, from holders in turn, as many at a time as the policy allows.
 SpreadActions askForParts(RuleSpread &spread, const VmName &fallback, Time now)
 {
@@ -290,13 +312,20 @@
     return rankOf(order, spread.self_) < spread.policy_.watchersPerDataCentre_;
 }
 
+/// The window in which one reading of every process keeps to the whole system's rate.
+Duration sharedWindow(const RuleSpread &spread, const SpreadView &view)
+{
+    const auto members = static_cast<std::int64_t>(view.members_.size());
+    return Duration(std::chrono::seconds(1)) * members / spread.policy_.startReadsPerSecond_;
+}
+
 /// The wait before the next reading: full jitter over a window that doubles up to the cap.
-Duration backoff(RuleSpread &spread)
+Duration backoff(RuleSpread &spread, const SpreadView &view)
 {
     const RuleSpreadPolicy &policy = spread.policy_;
     const std::uint32_t doublings = std::min(spread.readsMade_, 16U);
     const Duration window = std::min(policy.firstBackoff_ * (1U << doublings), policy.lastBackoff_);
-    return policy.firstBackoff_ + jitter(spread, window);
+    return policy.firstBackoff_ + jitter(spread, std::max(window, sharedWindow(spread, view)));
 }
 
 /// Spreads the first readings of processes that no peer could help over the whole system's rate.
@@ -305,9 +334,7 @@
     const RuleSpreadPolicy &policy = spread.policy_;
     if (spread.watching_)
         return jitter(spread, policy.watcherJitter_);
-    const auto members = static_cast<std::int64_t>(view.members_.size());
-    const Duration window = std::chrono::seconds(1) * members / policy.startReadsPerSecond_;
-    return 2 * policy.startWait_ + jitter(spread, window);
+    return 2 * policy.startWait_ + jitter(spread, sharedWindow(spread, view));
 }
 
 void setWatching(RuleSpread &spread, SpreadActions &actions, bool on)
@@ -521,21 +548,27 @@
     SpreadActions actions;
     if (spread.platformReachable_)
         noteSource(spread, now);
-    if (spread.asked_ && now - spread.asked_->askedAt_ >= spread.policy_.requestTimeout_)
-        spread.asked_.reset();
+    append(actions, askAgain(spread, now));
     dropStuckPartial(spread, now);
     if (spread.partial_ && !spread.holders_.empty())
         append(actions, askForParts(spread, spread.holders_.front(), now));
     setWatching(spread, actions, shouldWatch(spread, view));
     if (spread.revision_.value_ == 0 && spread.nextRead_ && now >= *spread.nextRead_) {
         actions.emplace_back(ReadPlatformRules{});
-        spread.nextRead_ = now + backoff(spread);
+        spread.nextRead_ = now + backoff(spread, view);
         ++spread.readsMade_;
     }
     settle(spread, now);
     return actions;
 }
 
+Duration vmListPeriod(std::size_t listedVms, const RuleSpreadPolicy &policy, Duration shortest)
+{
+    const std::size_t bytes = listedVms * policy.listedVmBytes_;
+    const std::size_t micros = bytes * microsPerSecond / policy.listBytesPerSecond_;
+    return std::max(shortest, Duration(static_cast<std::int64_t>(micros)));
+}
+
 bool rulesSettled(const RuleSpread &spread)
 {
     return spread.settled_;
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -15,10 +15,12 @@
 
 /// Names of the message kinds on the wire, in the order of the Message variant.
 constexpr std::array messageNames = {
-    "offer",      "offer_accepted", "offer_refused", "answer_head",    "answer_chunk",
-    "answer_end", "attempt_failed", "attempt_query", "attempt_cancel", "answer_received",
-    "heartbeat",  "rules_request",  "rules_text",    "rules_delta",    "rules_part_request",
-    "rules_part", "loan_request",   "loan_grant",    "loan_report",    "loan_closed",
+    "offer",          "offer_accepted",      "offer_refused",       "answer_head",
+    "answer_chunk",   "answer_end",          "attempt_failed",      "attempt_query",
+    "attempt_cancel", "answer_received",     "heartbeat",           "rules_request",
+    "rules_text",     "rules_delta",         "rules_part_request",  "rules_part",
+    "loan_request",   "loan_grant",          "loan_report",         "loan_closed",
+    "load_report",    "full_report_request", "data_centre_summary",
 };
 static_assert(messageNames.size() == std::variant_size_v<Message>);
 
@@ -155,6 +157,7 @@
     Field{"residents", &Heartbeat::residents_},
     Field{"strikes", &Heartbeat::strikes_},
     Field{"free_tokens", &Heartbeat::freeTokens_},
+    Field{"number", &Heartbeat::number_},
 };
 
 template <>
@@ -224,6 +227,47 @@
     Field{"number", &LoanClosed::number_},
 };
 
+template <>
+constexpr auto fieldsOf<ResidentChange> = std::tuple{
+    Field{"a", &ResidentChange::adapter_},
+    Field{"v", &ResidentChange::version_},
+    Field{"r", &ResidentChange::running_},
+    Field{"g", &ResidentChange::gone_},
+};
+
+template <>
+constexpr auto fieldsOf<LoadReport> = std::tuple{
+    Field{"n", &LoadReport::number_},         Field{"b", &LoadReport::base_},
+    Field{"l", &LoadReport::leaving_},        Field{"e", &LoadReport::engineUp_},
+    Field{"rr", &LoadReport::rulesRevision_}, Field{"q", &LoadReport::queued_},
+    Field{"r", &LoadReport::running_},        Field{"c", &LoadReport::changes_},
+};
+
+template <>
+constexpr auto fieldsOf<FullReportRequest> = std::tuple{};
+
+template <>
+constexpr auto fieldsOf<SpareTarget> = std::tuple{
+    Field{"vm", &SpareTarget::vm_},
+    Field{"incarnation", &SpareTarget::incarnation_},
+    Field{"address", &SpareTarget::address_},
+    Field{"free", &SpareTarget::freeSlots_},
+};
+
+template <>
+constexpr auto fieldsOf<GroupSummary> = std::tuple{
+    Field{"group", &GroupSummary::group_},      Field{"targets", &GroupSummary::targets_},
+    Field{"slots", &GroupSummary::batchSlots_}, Field{"running", &GroupSummary::running_},
+    Field{"queued", &GroupSummary::queued_},    Field{"spares", &GroupSummary::spares_},
+};
+
+template <>
+constexpr auto fieldsOf<DataCentreSummary> = std::tuple{
+    Field{"data_centre", &DataCentreSummary::dataCentre_},
+    Field{"rules_revision", &DataCentreSummary::rulesRevision_},
+    Field{"groups", &DataCentreSummary::groups_},
+};
+
 template <>
 constexpr auto fieldsOf<Envelope> = std::tuple{
     Field{"v", &Envelope::version_},
--- a/Tests/RuleSpread/rulespreadtest.cpp
+++ b/Tests/RuleSpread/rulespreadtest.cpp
@@ -291,6 +291,18 @@
     BOOST_TEST(sim.runUntilAllHave(minutes(2)));
 }
 
+BOOST_AUTO_TEST_CASE(vmListReadingsKeepToTheirBytes)
+{
+    const RuleSpreadPolicy policy;
+    BOOST_TEST((vmListPeriod(20, policy, seconds(1)) == seconds(1)));
+    for (std::size_t listed = 100; listed <= 4000; listed *= 2) {
+        const Duration period = vmListPeriod(listed, policy, seconds(1));
+        const double bytes = static_cast<double>(listed * policy.listedVmBytes_)
+            / std::chrono::duration<double>(period).count();
+        BOOST_TEST(bytes <= static_cast<double>(policy.listBytesPerSecond_) * 1.001);
+    }
+}
+
 namespace {
 
 /// One random step of operators, platform, network and processes.
@@ -352,6 +364,7 @@
         options.dataCentres_ = 1 + random() % 5;
         options.seed_ = seed;
         options.policy_.partBytes_ = 512;
+        options.fewHeartbeats_ = seed % 2 == 0;
         SpreadSim sim = settledSim(options);
         for (int step = 0; step < 40; ++step) {
             disturb(sim, random, options.dataCentres_);
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -236,6 +236,8 @@
     std::vector<Strike> strikes_;
     /// Only from entries: the accounts with most free tokens, a bounded number of them.
     std::vector<AccountFreeTokens> freeTokens_;
+    /// Counts this run's reports; load reports name the full one that they change. 0: unnumbered.
+    std::uint64_t number_ = 0;
 };
 
 /// Process -> peer: send me the rules above this revision.
@@ -324,10 +326,69 @@
     std::uint64_t number_ = 0;
 };
 
+/// A resident adapter that is new, has another number of running requests, or is gone.
+struct ResidentChange
+{
+    AdapterName adapter_;
+    AdapterVersion version_;
+    std::uint32_t running_ = 0;
+    bool gone_ = false;
+};
+
+/// Target process -> entries of its data centre: what changed since a full heartbeat. Changes are
+/// cumulative since that heartbeat, so that a lost report does no harm.
+struct LoadReport
+{
+    std::uint64_t number_ = 0;
+    /// Number of the heartbeat that this report changes.
+    std::uint64_t base_ = 0;
+    bool leaving_ = false;
+    bool engineUp_ = true;
+    Revision rulesRevision_;
+    std::uint32_t queued_ = 0;
+    std::uint32_t running_ = 0;
+    std::vector<ResidentChange> changes_;
+};
+
+/// Entry -> target process: your latest load report names a heartbeat that never came here.
+struct FullReportRequest
+{
+};
+
+/// A target process of another data centre that can take work.
+struct SpareTarget
+{
+    VmName vm_;
+    Incarnation incarnation_;
+    std::string address_;
+    std::uint32_t freeSlots_ = 0;
+};
+
+/// Load of one target group in one data centre.
+struct GroupSummary
+{
+    TargetGroup group_;
+    std::uint32_t targets_ = 0;
+    std::uint32_t batchSlots_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint32_t queued_ = 0;
+    /// Those with the most free slots.
+    std::vector<SpareTarget> spares_;
+};
+
+/// Entry -> entries of other data centres: the load of its whole data centre.
+struct DataCentreSummary
+{
+    DataCentreName dataCentre_;
+    Revision rulesRevision_;
+    std::vector<GroupSummary> groups_;
+};
+
 using Message = std::variant<Offer, OfferAccepted, OfferRefused, AnswerHead, AnswerChunk, AnswerEnd,
                              AttemptFailed, AttemptQuery, AttemptCancel, AnswerReceived, Heartbeat,
                              RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart,
-                             LoanRequest, LoanGrant, LoanReport, LoanClosed>;
+                             LoanRequest, LoanGrant, LoanReport, LoanClosed, LoadReport,
+                             FullReportRequest, DataCentreSummary>;
 
 /// A message with its sender.
 struct Envelope
