--- a/Tests/Bench/benchsimulation.cpp
+++ b/Tests/Bench/benchsimulation.cpp
@@ -355,7 +355,7 @@
     for (const DoorAction &action : actions) {
         if (const auto *command = std::get_if<EngineCommand>(&action))
             perform(bench, target, *command);
-        if (const auto *send = std::get_if<SendMessage>(&action)) {
+        if (const auto *send = std::get_if<MessageToSend>(&action)) {
             const Message message = send->message_;
             at(bench, bench.now_ + linkTime,
                [&bench, target, message]() { hear(bench, target, message); });
@@ -541,7 +541,7 @@
 void tickDoors(Bench &bench)
 {
     for (std::size_t target = 0; target < bench.targets_.size(); ++target)
-        give(bench, target, Tick());
+        give(bench, target, TimePassed());
     at(bench, bench.now_ + tickPeriod, [&bench]() { tickDoors(bench); });
 }
 
@@ -606,7 +606,7 @@
     }
     for (std::size_t target = 0; target < bench.targets_.size(); ++target) {
         give(bench, target, RulesReceived{rules});
-        give(bench, target, Tick());
+        give(bench, target, TimePassed());
     }
 }
 
