--- a/Tests/Scenarios/record.cpp
+++ b/Tests/Scenarios/record.cpp
@@ -2,6 +2,7 @@
 
 #include "StandIns/completion.h"
 
+#include <fmt/core.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -133,7 +134,7 @@
     for (std::string text; std::getline(lines, text);) {
         const Json line = Json::parse(text, nullptr, false);
         if (!line.is_object()) {
-            faults.push_back(target + ": not a JSON line: " + text);
+            faults.push_back(fmt::format("{}: not a JSON line: {}", target, text));
             continue;
         }
         takeLine(record, target, line);
