Join claims, moving shares and the spreading of rules to the entry

Ruled out: an even split of each contract over the listed entries (it forgets what a dead entry's streams still run); telling the latest try's run state alone (the request is more than its latest try).

Change: the entry's decisions drive Contract/claims, ClientAccount/ledger and loan, and DataCentre/rulespread; the process only carries out their actions. An entry is ready once its rules are settled by its peers.

--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -1,5 +1,6 @@
 #include "Caller/entry.h"
 
+#include "Caller/entryparts.h"
 #include "Caller/entryrequests.h"
 #include "Observe/log.h"
 
@@ -10,20 +11,10 @@
 
 namespace {
 
-/// Each account's contract split evenly over the entries that the platform lists.
-void shareOut(Entry &entry, Time now)
-{
-    std::int64_t entries = 1;
-    for (const auto &[vm, peer] : entry.fleet_.peers_) {
-        if (peer.onList_ && peer.listed_.role_ == Role::Entry)
-            ++entries;
-    }
-    for (const auto &[name, account] : entry.rules_.accounts_) {
-        const AllowanceShare share{account.tokensPerSecond_ / entries,
-                                   account.burstTokens_ / entries};
-        setShare(entry.allowance_, name, share, now, true);
-    }
-}
+/// Time an attempt may still run after its entry has given it up.
+constexpr Duration attemptMargin = std::chrono::seconds(30);
+/// Accounts whose free tokens a heartbeat names.
+constexpr std::size_t freeTokenAccounts = 8;
 
 void noteStrikes(Entry &entry, const Heartbeat &heartbeat, Time now)
 {
@@ -53,16 +44,31 @@
     takeCallerGone(entry, gone, now, actions);
 }
 
+void takeEnvelopeHeartbeat(Entry &entry, const Envelope &envelope, const Heartbeat &heartbeat,
+                           Time now, EntryActions &actions)
+{
+    const auto known = entry.fleet_.peers_.find(envelope.from_);
+    const Incarnation before =
+        known == entry.fleet_.peers_.end() ? Incarnation() : known->second.incarnation_;
+    takeHeartbeat(entry.fleet_, envelope, heartbeat, now);
+    entry.sentSinceReport_.erase(envelope.from_);
+    noteStrikes(entry, heartbeat, now);
+    takePeerAllowance(entry, envelope, heartbeat, before, now);
+    performSpread(entry,
+                  takePeerRevision(entry.spread_, envelope.from_, heartbeat.rulesRevision_, now),
+                  now, actions);
+}
+
 void takeInput(Entry &entry, Envelope &&envelope, Time now, EntryActions &actions)
 {
-    const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_);
-    if (heartbeat == nullptr) {
-        takeAttemptMessage(entry, envelope, now, actions);
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_)) {
+        takeEnvelopeHeartbeat(entry, envelope, *heartbeat, now, actions);
         return;
     }
-    takeHeartbeat(entry.fleet_, envelope, *heartbeat, now);
-    entry.sentSinceReport_.erase(envelope.from_);
-    noteStrikes(entry, *heartbeat, now);
+    if (takeRulesMessage(entry, envelope, now, actions))
+        return;
+    if (!takeLoanMessage(entry, envelope, now, actions))
+        takeAttemptMessage(entry, envelope, now, actions);
 }
 
 void takeInput(Entry &entry, LinkChanged &&change, Time /*now*/, EntryActions &actions)
@@ -77,41 +83,44 @@
     takeSendFailed(entry, failed, now, actions);
 }
 
-void takeInput(Entry &entry, VmList &&list, Time now, EntryActions & /*actions*/)
+void takeInput(Entry &entry, VmList &&list, Time now, EntryActions &actions)
 {
     takeVmList(entry.fleet_, list, now);
-    shareOut(entry, now);
+    takeShareList(entry, list, now, actions);
 }
 
-void takeInput(Entry &entry, NewRules &&adopt, Time now, EntryActions &actions)
+void takeInput(Entry &entry, StoredRules &&stored, Time now, EntryActions &actions)
 {
-    if (entry.haveRules_ && adopt.rules_.revision_ <= entry.rules_.revision_)
-        return;
-    entry.rules_ = std::move(adopt.rules_);
-    entry.haveRules_ = true;
-    shareOut(entry, now);
-    recheckWaiting(entry, now, actions);
+    performSpread(entry, takeStoredRules(entry.spread_, spreadView(entry, now), stored, now), now,
+                  actions);
 }
 
-void takeInput(Entry & /*entry*/, KvOutcome && /*outcome*/, Time /*now*/,
-               EntryActions & /*actions*/)
-{ }
+void takeInput(Entry &entry, KvOutcome &&outcome, Time now, EntryActions &actions)
+{
+    takePartOutcome(entry, outcome, now, actions);
+}
 
-void takeInput(Entry & /*entry*/, PlatformReachable && /*reachable*/, Time /*now*/,
-               EntryActions & /*actions*/)
-{ }
+void takeInput(Entry &entry, PlatformReachable &&reachable, Time now, EntryActions & /*actions*/)
+{
+    takePlatformReachable(entry.spread_, reachable.reachable_, now);
+}
 
 void takeInput(Entry &entry, EntryTick && /*tick*/, Time now, EntryActions &actions)
 {
     advanceWaiting(entry, now, actions);
     watchAttempts(entry, now, actions);
     forgetOldStrikes(entry, now);
+    advanceShares(entry, now, actions);
+    performClaims(entry, tickClaims(entry.claims_, now), now, actions);
+    performSpread(entry, tickSpread(entry.spread_, spreadView(entry, now), now), now, actions);
 }
 
-void takeInput(Entry &entry, StopRequested && /*stop*/, Time /*now*/, EntryActions &actions)
+void takeInput(Entry &entry, StopRequested && /*stop*/, Time now, EntryActions &actions)
 {
     entry.leaving_ = true;
-    sendHeartbeats(entry, actions);
+    entry.ledger_.leaving_ = true;
+    sendHeartbeats(entry, now, actions);
+    advanceShares(entry, now, actions);
 }
 
 std::string accountsJson(const Entry &entry)
@@ -144,18 +153,47 @@
 
 } // namespace
 
+Entry makeEntry(const VmSettings &vm, Incarnation incarnation, const EntryPolicy &policy, Time now)
+{
+    Entry entry;
+    entry.identity_ = {vm.vm_, incarnation};
+    entry.policy_ = policy;
+    entry.fleet_.self_ = vm.vm_;
+    entry.fleet_.region_ = vm.region_;
+    entry.fleet_.dataCentre_ = vm.dataCentre_;
+    entry.ledger_.self_ = vm.vm_;
+    entry.ledger_.incarnation_ = incarnation;
+    entry.ledger_.policy_.keyPrefix_ = "shares/";
+    entry.ledger_.policy_.longestAttempt_ = policy.requestTimeout_ + attemptMargin;
+    entry.loans_.self_ = vm.vm_;
+    entry.loans_.policy_.longestAttempt_ = policy.requestTimeout_ + attemptMargin;
+    entry.claims_.vm_ = vm.vm_;
+    entry.spread_.self_ = vm.vm_;
+    entry.spread_.dataCentre_ = vm.dataCentre_;
+    entry.spread_.policy_.staleAfter_ = policy.rulesStaleAfter_;
+    entry.spread_.seed_ = incarnation.value_;
+    entry.spread_.startedAt_ = now;
+    return entry;
+}
+
+void startEntry(Entry &entry, Time now, EntryActions &actions)
+{
+    performSpread(entry, startSpread(entry.spread_, spreadView(entry, now), now), now, actions);
+}
+
 void step(Entry &entry, EntryInput &&input, Time now, EntryActions &actions)
 {
     std::visit([&](auto &body) { takeInput(entry, std::move(body), now, actions); }, input);
 }
 
-void sendHeartbeats(const Entry &entry, EntryActions &actions)
+void sendHeartbeats(Entry &entry, Time now, EntryActions &actions)
 {
     Heartbeat heartbeat;
     heartbeat.role_ = Role::Entry;
     heartbeat.dataCentre_ = entry.fleet_.dataCentre_;
     heartbeat.leaving_ = entry.leaving_;
     heartbeat.rulesRevision_ = entry.rules_.revision_;
+    heartbeat.freeTokens_ = freeTokenHints(entry.allowance_, freeTokenAccounts, now);
     for (const auto &[fingerprint, known] : entry.strikes_)
         heartbeat.strikes_.push_back({fingerprint, known.count_});
     for (const std::string &address : heartbeatAddresses(entry.fleet_))
@@ -164,7 +202,7 @@
 
 bool idle(const Entry &entry)
 {
-    return entry.requests_.empty() && entry.attempts_.empty();
+    return entry.requests_.empty() && entry.attempts_.empty() && entry.claims_.claims_.empty();
 }
 
 std::string entryStatusJson(const Entry &entry)
--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -4,8 +4,12 @@
 
 #include "Caller/callermessages.h"
 #include "ClientAccount/allowance.h"
+#include "ClientAccount/ledger.h"
+#include "ClientAccount/loan.h"
+#include "Contract/claims.h"
 #include "DataCentre/fleet.h"
 #include "DataCentre/routing.h"
+#include "DataCentre/rulespread.h"
 #include "Link/linkservice.h"
 
 #include <eelgrasscove/platform.h>
@@ -36,6 +40,8 @@
     std::uint32_t requests_ = 4096;
     /// Largest answer collected before it is passed on, and the largest that is resumed, in bytes.
     std::uint32_t answerBytes_ = 4 * 1024 * 1024;
+    /// Keyed routes stop being served after so long without any source of rules.
+    Duration rulesStaleAfter_ = std::chrono::hours(4);
     /// Crashes after which a request is refused here without asking a target, and for how long.
     std::uint32_t strikes_ = 2;
     Duration strikeMemory_ = std::chrono::minutes(10);
@@ -44,6 +50,8 @@
 
 /// Where a request stands.
 enum class Stage {
+    /// Its idempotency key is being claimed.
+    AwaitingClaim,
     AwaitingAllowance,
     AwaitingTarget,
     /// Offered; whether it was taken isn't known yet.
@@ -73,6 +81,8 @@
     /// Why the latest try wasn't run.
     Reason lastReason_ = Reason::None;
     std::uint32_t retryAfter_ = 0;
+    /// Its idempotency key is claimed for it.
+    bool claimHeld_ = false;
     bool callerGone_ = false;
     bool headReceived_ = false;
     AnswerHead head_;
@@ -119,6 +129,10 @@
     bool haveRules_ = false;
     bool leaving_ = false;
     Allowance allowance_;
+    Ledger ledger_;
+    LoanBook loans_;
+    Claims claims_;
+    RuleSpread spread_;
     Fleet fleet_;
     std::map<RequestId, PendingRequest> requests_;
     std::map<CallerHandle, RequestId> requestByHandle_;
@@ -131,12 +145,6 @@
     std::uint64_t unmatchedMessages_ = 0;
 };
 
-/// A new reading of the rules, parsed.
-struct NewRules
-{
-    Rules rules_;
-};
-
 struct EntryTick
 {
 };
@@ -147,7 +155,7 @@
 };
 
 using EntryInput =
-    std::variant<CallerRequest, CallerGone, Envelope, LinkChanged, SendFailed, VmList, NewRules,
+    std::variant<CallerRequest, CallerGone, Envelope, LinkChanged, SendFailed, VmList, StoredRules,
                  KvOutcome, PlatformReachable, EntryTick, StopRequested>;
 
 struct SendMessage
@@ -171,13 +179,27 @@
     Time arrivedAt_;
 };
 
-using EntryAction = std::variant<SendMessage, CallerReply, RequestRecord, KvOperation>;
+/// Stored rules that can't be read; the former ones stay in force.
+struct RulesUnreadable
+{
+    Revision revision_;
+    std::string errors_;
+};
+
+using EntryAction = std::variant<SendMessage, CallerReply, RequestRecord, KvOperation,
+                                 WatchPlatformRules, ReadPlatformRules, RulesUnreadable>;
 using EntryActions = std::vector<EntryAction>;
 
+/// An entry of this VM and incarnation that knows nothing yet.
+Entry makeEntry(const VmSettings &vm, Incarnation incarnation, const EntryPolicy &policy, Time now);
+
+/// Asks the peers for their rules; once, after the start.
+void startEntry(Entry &entry, Time now, EntryActions &actions);
+
 void step(Entry &entry, EntryInput &&input, Time now, EntryActions &actions);
 
 /// Sends this entry's heartbeat to its peers.
-void sendHeartbeats(const Entry &entry, EntryActions &actions);
+void sendHeartbeats(Entry &entry, Time now, EntryActions &actions);
 
 /// Whether nothing is in hand any more.
 bool idle(const Entry &entry);
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -1,5 +1,7 @@
 #include "Caller/entryrequests.h"
 
+#include "Caller/entryparts.h"
+
 #include <algorithm>
 #include <fmt/core.h>
 #include <optional>
@@ -81,6 +83,11 @@
 /// A refused try's reservation serves the next one, so that a retry can't lose its tokens.
 void moveReservation(Entry &entry, const PendingRequest &request, const AttemptId &to)
 {
+    auto borrowed = entry.loans_.attempts_.extract(request.attempt_);
+    if (!borrowed.empty()) {
+        borrowed.key() = to;
+        entry.loans_.attempts_.insert(std::move(borrowed));
+    }
     const auto account = entry.allowance_.accounts_.find(request.account_);
     if (account == entry.allowance_.accounts_.end())
         return;
@@ -99,9 +106,9 @@
     return found == entry.requests_.end() ? nullptr : &found->second;
 }
 
-void settleAttempt(Entry &entry, const EntryAttempt &attempt, std::int64_t tokensRun, Time now)
+void closeAttempt(Entry &entry, const EntryAttempt &attempt, std::int64_t tokensRun, Time now)
 {
-    settle(entry.allowance_, attempt.account_, attempt.id_, tokensRun, now);
+    settleAttempt(entry.allowance_, entry.loans_, attempt.account_, attempt.id_, tokensRun, now);
     entry.attempts_.erase(AttemptId(attempt.id_));
 }
 
@@ -121,7 +128,7 @@
 {
     PendingRequest *request = requestOf(entry, attempt);
     if (request == nullptr) {
-        settleAttempt(entry, attempt, 0, now);
+        closeAttempt(entry, attempt, 0, now);
         return;
     }
     request->lastReason_ = reason;
@@ -161,7 +168,7 @@
     PendingRequest *request = requestOf(entry, attempt);
     const VmName vm = attempt.vm_;
     // What it ran isn't known: the whole reservation counts as run.
-    settleAttempt(entry, attempt, attempt.reservedTokens_, now);
+    closeAttempt(entry, attempt, attempt.reservedTokens_, now);
     if (request == nullptr)
         return;
     const bool passedOn = request->headReceived_ && request->call_.completion_.stream_;
@@ -209,7 +216,8 @@
 void takeChunk(Entry &entry, const EntryAttempt &attempt, const AnswerChunk &chunk, Time now,
                EntryActions &actions)
 {
-    noteRun(entry.allowance_, attempt.account_, attempt.id_, chunk.tokensRun_, now);
+    noteAttemptRun(entry.allowance_, entry.loans_, attempt.account_, attempt.id_, chunk.tokensRun_,
+                   now);
     PendingRequest *request = requestOf(entry, attempt);
     if (request == nullptr)
         return;
@@ -251,11 +259,12 @@
     if (request != nullptr) {
         RequestRecord record = recordOf(entry, *request);
         record.status_ = request->head_.status_;
+        keepAnswer(entry, *request, now, actions);
         if (!request->callerGone_)
             replyAnswer(*request, actions);
         endRequest(entry, RequestId(request->id_), actions, std::move(record));
     }
-    settleAttempt(entry, attempt, end.tokensRun_, now);
+    closeAttempt(entry, attempt, end.tokensRun_, now);
 }
 
 void takeFailed(Entry &entry, const EntryAttempt &attempt, const AttemptFailed &failed, Time now,
@@ -264,7 +273,7 @@
     if (failed.runState_ == RunState::NotRun)
         takeNotRun(entry, attempt, failed.reason_, 0, now, actions);
     else if (attempt.abandoned_ && failed.reason_ == Reason::Cancelled)
-        settleAttempt(entry, attempt, failed.tokensRun_, now);
+        closeAttempt(entry, attempt, failed.tokensRun_, now);
     else
         takeUnknown(entry, attempt, now, actions);
 }
@@ -329,7 +338,7 @@
     actions.emplace_back(SendMessage{attempt.address_, AttemptCancel{attempt.id_}});
     const PendingRequest *request = requestOf(entry, attempt);
     const EntryAttempt overdue = attempt;
-    settleAttempt(entry, overdue, overdue.reservedTokens_, now);
+    closeAttempt(entry, overdue, overdue.reservedTokens_, now);
     if (request == nullptr)
         return;
     failRequest(
--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -2,7 +2,6 @@
 
 #include "Caller/callerserver.h"
 #include "Caller/entry.h"
-#include "Contract/rulefile.h"
 #include "Link/linkservice.h"
 #include "Observe/log.h"
 #include "Observe/metrics.h"
@@ -43,56 +42,25 @@
     EntryPolicy policy;
     policy.requestTimeout_ = settings.callers_.requestTimeout_;
     policy.requests_ = settings.callers_.requests_;
+    policy.rulesStaleAfter_ = settings.rules_.staleAfter_;
     policy.strikes_ = settings.target_.strikes_;
     policy.strikeMemory_ = settings.target_.strikeMemory_;
     return policy;
 }
 
-Entry entryFrom(const Settings &settings)
-{
-    Entry entry;
-    entry.identity_ = {settings.vm_.vm_, startIncarnation()};
-    entry.policy_ = policyFrom(settings);
-    entry.fleet_.self_ = settings.vm_.vm_;
-    entry.fleet_.region_ = settings.vm_.region_;
-    entry.fleet_.dataCentre_ = settings.vm_.dataCentre_;
-    return entry;
-}
-
-/// Rules as text from the store or a peer, read on the thread that brought them.
-std::optional<EntryInput> inputFrom(PlatformEvent &&event)
-{
-    const auto *stored = std::get_if<StoredRules>(&event);
-    if (stored == nullptr)
-        return std::visit(
-            [](auto &body) -> std::optional<EntryInput> {
-                if constexpr (std::is_same_v<std::decay_t<decltype(body)>, StoredRules>)
-                    return std::nullopt;
-                else
-                    return EntryInput(std::move(body));
-            },
-            event);
-    Result<Rules, std::vector<RuleError>> rules =
-        parseRules(stored->text_, "stored rules", stored->revision_);
-    if (ok(rules))
-        return EntryInput(NewRules{valueOf(std::move(rules))});
-    logEvent(LogLevel::Error, "stored_rules_unreadable",
-             {{"errors", describeRuleErrors(errorOf(rules))}});
-    return std::nullopt;
-}
-
 class EntryProcess
 {
 public:
     EntryProcess(const Settings &settings, StopSignal &stop)
-        : settings_(settings), stop_(stop), entry_(entryFrom(settings)),
+        : settings_(settings), stop_(stop),
+          entry_(makeEntry(settings.vm_, startIncarnation(), policyFrom(settings), monotonicNow())),
           observe_(settings.observe_.listen_, board_),
           callers_(settings.callers_, settings.keys_, board_,
                    [this](CallerEvent &&event) { return pushCaller(std::move(event)); }),
           links_(settings.link_, entry_.identity_,
                  [this](LinkEvent &&event) { return push(std::move(event)); }),
           platform_(settings.platform_,
-                    [this](PlatformEvent &&event) { return pushPlatform(std::move(event)); })
+                    [this](PlatformEvent &&event) { return push(std::move(event)); })
     { }
 
     int run()
@@ -152,22 +120,10 @@
             event);
     }
 
-    bool pushPlatform(PlatformEvent &&event)
-    {
-        std::optional<EntryInput> input = inputFrom(std::move(event));
-        if (!input)
-            return true;
-        while (!inputs_.tryPush(std::move(*input))) {
-            if (inputs_.closed())
-                return true;
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
-        return true;
-    }
-
     void decide()
     {
         EntryActions actions;
+        startEntry(entry_, monotonicNow(), actions);
         while (!finished()) {
             std::optional<EntryInput> input = inputs_.pop(inputWait);
             const Time now = monotonicNow();
@@ -175,7 +131,7 @@
                 step(entry_, std::move(*input), now, actions);
             takeStop(now, actions);
             if (heartbeatDue_.exchange(false))
-                sendHeartbeats(entry_, actions);
+                sendHeartbeats(entry_, now, actions);
             perform(actions);
             if (statusDue_.exchange(false))
                 showStatus();
@@ -231,6 +187,17 @@
             inputs_.tryPush(KvOutcome{tag, KvStatus::NotSent, {}, 0});
     }
 
+    void performOne(WatchPlatformRules &&watch) { platform_.setWatching(watch.on_); }
+
+    void performOne(ReadPlatformRules && /*read*/) { platform_.readRules(); }
+
+    void performOne(RulesUnreadable &&unreadable)
+    {
+        logEvent(LogLevel::Error, "stored_rules_unreadable",
+                 {{"revision", std::to_string(unreadable.revision_.value_)},
+                  {"errors", unreadable.errors_}});
+    }
+
     void performOne(RequestRecord &&record)
     {
         const Time now = monotonicNow();
@@ -261,7 +228,7 @@
     void showStatus()
     {
         board_.setStatus(entryStatusJson(entry_));
-        board_.setReady(entry_.haveRules_ && !leavingSince_);
+        board_.setReady(entry_.haveRules_ && rulesSettled(entry_.spread_) && !leavingSince_);
         setGauge("eelgrasscove_requests_in_hand", {}, static_cast<double>(entry_.requests_.size()));
         setGauge("eelgrasscove_rules_revision", {},
                  static_cast<double>(entry_.rules_.revision_.value_));
--- a/Source/Caller/entryrequests.cpp
+++ b/Source/Caller/entryrequests.cpp
@@ -1,5 +1,7 @@
 #include "Caller/entryrequests.h"
 
+#include "Caller/entryparts.h"
+
 #include "Contract/rulequery.h"
 #include "Observe/log.h"
 
@@ -51,7 +53,7 @@
 }
 
 /// Finds whose request it is and whether the rules let it run.
-std::optional<ApiError> authorise(const Entry &entry, PendingRequest &request)
+std::optional<ApiError> authorise(const Entry &entry, PendingRequest &request, Time now)
 {
     const KeyRule *key = keyOf(entry.rules_, request.call_.keyDigest_);
     const RouteRule *route = routeOf(entry.rules_, request.call_, key);
@@ -60,6 +62,9 @@
         request.rulesRevision_ = entry.rules_.revision_;
         return std::nullopt;
     }
+    if (!servesKeyedRoutes(entry.spread_, now))
+        return ApiError{ApiErrorCode::RulesUnavailable, RunState::NotRun,
+                        "this entry has been cut off from news of the rules for too long", 1};
     if (request.call_.keyDigest_.empty())
         return ApiError{ApiErrorCode::KeyMissing, RunState::NotRun,
                         "no key; send \"Authorization: Bearer KEY\"", 0};
@@ -84,7 +89,7 @@
     if (entry.leaving_)
         return ApiError{ApiErrorCode::Leaving, RunState::NotRun,
                         "this entry is stopping; send the request again", 1};
-    if (!entry.haveRules_)
+    if (!entry.haveRules_ || !rulesSettled(entry.spread_))
         return ApiError{ApiErrorCode::RulesUnavailable, RunState::NotRun,
                         "this entry has no rules yet", 1};
     if (entry.requests_.size() >= entry.policy_.requests_)
@@ -176,14 +181,22 @@
                 now, actions);
 }
 
+/// The account's whole contract; nothing larger can ever be admitted.
+std::int64_t burstOf(const Entry &entry, const AccountName &account)
+{
+    const auto found = entry.rules_.accounts_.find(account);
+    return found == entry.rules_.accounts_.end() ? 0 : found->second.burstTokens_;
+}
+
 /// Whether the reservation stands. Where not, the request waits on or has been answered.
 bool reserveTokens(Entry &entry, PendingRequest &request, Time now, EntryActions &actions)
 {
     const std::int64_t tokens = tokensOf(request);
     if (tokens == 0 || request.account_.empty())
         return true;
-    const Admission admission =
-        reserve(entry.allowance_, request.account_, request.attempt_, tokens, now);
+    const std::int64_t contractBurst = burstOf(entry, request.account_);
+    const Admission admission = admit(entry.allowance_, entry.loans_, request.account_,
+                                      request.attempt_, tokens, contractBurst, now);
     if (std::holds_alternative<Admitted>(admission))
         return true;
     if (std::holds_alternative<NeverHere>(admission)) {
@@ -194,6 +207,8 @@
             now, actions);
         return false;
     }
+    sendLoans(entry, askForTokens(entry.allowance_, entry.loans_, request.account_, tokens, now),
+              actions);
     const Duration wait = std::get<NotYet>(admission).wait_;
     if (now + wait > request.heldUntil_)
         refuseForTokens(entry, request, wait, now, actions);
@@ -237,6 +252,12 @@
                         entry.identity_.incarnation_.value_, entry.lastRequestNumber_)};
 }
 
+/// A call that may not be repeated runs at most once for its key, whichever entry it comes through.
+bool needsClaim(const PendingRequest &request)
+{
+    return !request.route_.idempotent_ && !request.call_.idempotencyKey_.empty();
+}
+
 std::vector<RequestId> waitingRequests(const Entry &entry)
 {
     std::vector<RequestId> waiting;
@@ -281,13 +302,17 @@
     entry.requests_.erase(found);
 }
 
-void failRequest(Entry &entry, const RequestId &id, const ApiError &error, Time now,
+void failRequest(Entry &entry, const RequestId &id, const ApiError &reason, Time now,
                  EntryActions &actions)
 {
     const auto found = entry.requests_.find(id);
     if (found == entry.requests_.end())
         return;
     PendingRequest &request = found->second;
+    ApiError error = reason;
+    // The latest try wasn't run, but an earlier one may have been.
+    if (request.reruns_ > 0 && error.run_ == RunState::NotRun)
+        error.run_ = RunState::OutcomeUnknown;
     const bool streaming = request.headReceived_ && request.call_.completion_.stream_;
     if (streaming) {
         const std::string event = "data: " + apiErrorBody(error) + "\n\n";
@@ -297,8 +322,10 @@
     }
     // A reservation without an offer behind it goes back whole.
     if (!entry.attempts_.contains(request.attempt_))
-        settle(entry.allowance_, request.account_, request.attempt_, 0, now);
-    endRequest(entry, id, actions, errorRecord(entry, request, error));
+        settleAttempt(entry.allowance_, entry.loans_, request.account_, request.attempt_, 0, now);
+    RequestRecord record = errorRecord(entry, request, error);
+    endRequestClaim(entry, request, error.run_, now, actions);
+    endRequest(entry, id, actions, std::move(record));
 }
 
 void takeCallerRequest(Entry &entry, CallerRequest call, Time now, EntryActions &actions)
@@ -312,7 +339,7 @@
         return;
     }
     if (!error)
-        error = authorise(entry, request);
+        error = authorise(entry, request, now);
     request.fingerprint_ = fingerprintOf(request);
     if (!error && struckOut(entry, request.fingerprint_, now))
         error =
@@ -328,6 +355,11 @@
     entry.requestByHandle_[request.call_.handle_] = request.id_;
     const RequestId id = request.id_;
     PendingRequest &kept = entry.requests_.emplace(id, std::move(request)).first->second;
+    if (needsClaim(kept)) {
+        kept.stage_ = Stage::AwaitingClaim;
+        beginRequestClaim(entry, kept, now, actions);
+        return;
+    }
     advance(entry, kept, now, actions);
 }
 
@@ -340,12 +372,13 @@
     PendingRequest &request = entry.requests_.at(id);
     request.callerGone_ = true;
     // A call that may not be repeated is finished, so that what became of it stays known.
-    if (!request.route_.idempotent_ && request.stage_ != Stage::AwaitingAllowance
-        && request.stage_ != Stage::AwaitingTarget)
+    const bool handedOver = request.stage_ == Stage::Offered || request.stage_ == Stage::Accepted;
+    if (!request.route_.idempotent_ && handedOver)
         return;
+    endRequestClaim(entry, request, RunState::NotRun, now, actions);
     abandonAttempt(entry, request.attempt_, actions);
     if (!entry.attempts_.contains(request.attempt_))
-        settle(entry.allowance_, request.account_, request.attempt_, 0, now);
+        settleAttempt(entry.allowance_, entry.loans_, request.account_, request.attempt_, 0, now);
     RequestRecord record = recordOf(entry, request);
     record.code_ = "caller_gone";
     record.run_ = RunState::OutcomeUnknown;
@@ -376,7 +409,7 @@
         if (found == entry.requests_.end())
             continue;
         const AccountName before = found->second.account_;
-        std::optional<ApiError> error = authorise(entry, found->second);
+        std::optional<ApiError> error = authorise(entry, found->second, now);
         if (!error && found->second.account_ != before)
             error = ApiError{ApiErrorCode::KeyUnknown, RunState::NotRun,
                              "the key now belongs to another account", 0};
--- a/Source/Platform/platformservice.cpp
+++ b/Source/Platform/platformservice.cpp
@@ -196,8 +196,10 @@
 
     void takeRefresh(const KvOutcome &outcome)
     {
-        if (!watching_)
+        if (!watching_) {
+            takeSingleReading(outcome);
             return;
+        }
         if (outcome.status_ != KvStatus::Succeeded) {
             closeWatch();
             scheduleRetry();
@@ -222,6 +224,15 @@
         scheduleRefresh(between(rereadPeriod / 2, rereadPeriod));
     }
 
+    /// A reading that was asked for once; whoever asked asks again where it fails.
+    void takeSingleReading(const KvOutcome &outcome)
+    {
+        for (const KvPair &pair : outcome.reads_) {
+            if (pair.key_ == ruleHeadKey)
+                takeHead(pair.value_);
+        }
+    }
+
     static std::string drainedVm(const std::string &key)
     {
         return key.substr(std::string_view(drainPrefix).size());
@@ -418,6 +429,11 @@
                          [impl = impl_.get(), watching] { impl->setWatching(watching); });
 }
 
+void PlatformService::readRules()
+{
+    impl_->client_.after(Duration(0), [impl = impl_.get()] { impl->refresh(); });
+}
+
 bool PlatformService::submit(KvOperation operation)
 {
     if (impl_->queued_.fetch_add(1) >= queuedOperations) {
--- a/Source/Platform/platformservice.h
+++ b/Source/Platform/platformservice.h
@@ -36,6 +36,9 @@
     /// told otherwise. Safe from any thread.
     void setWatching(bool watching);
 
+    /// Reads the rules once, whether it watches them or not. Safe from any thread.
+    void readRules();
+
     /// Queues one call; its KvOutcome comes through the sink with the same tag. Calls under way
     /// together may take effect in any order. False where the queue is full; the call is then not
     /// made. Safe from any thread.
