--- a/Tests/Scenarios/checker.cpp
+++ b/Tests/Scenarios/checker.cpp
@@ -238,21 +238,25 @@
     // A bucket that starts full and may not be overdrawn admits exactly what every window admits.
     std::int64_t level = std::numeric_limits<std::int64_t>::max();
     std::int64_t last = spent.front().at_;
+    std::int64_t worst = 0;
+    std::int64_t worstAt = last;
     for (const Spent &piece : spent) {
         const std::int64_t full = termsAt(record, account, piece.at_).burstTokens_ * million;
         const std::int64_t gained = refill(record, account, last, piece.at_);
         level = level > full - gained ? full : level + gained;
         level -= piece.tokens_ * million;
         last = piece.at_;
-        if (level >= 0)
-            continue;
-        violations.push_back(
-            {Invariant::WithinAllowance,
-             fmt::format("{} ran {:.3f} tokens over its rate and burst, {} us after its first",
-                         account, static_cast<double>(-level) / million,
-                         piece.at_ - spent.front().at_)});
-        return;
+        if (level < worst) {
+            worst = level;
+            worstAt = piece.at_;
+        }
     }
+    if (worst == 0)
+        return;
+    violations.push_back(
+        {Invariant::WithinAllowance,
+         fmt::format("{} ran {:.3f} tokens over its rate and burst, {} us after its first", account,
+                     static_cast<double>(-worst) / million, worstAt - spent.front().at_)});
 }
 
 void checkWithinAllowance(const ScenarioRecord &record, Violations &violations)
