Let a leaving entry give its shares back before it ends

Cause: in Scenarios-11-rolling-replacement both entries were replaced in turn, and the requests after it got 429: each new incarnation counted its predecessor's whole share as outstanding for the longest attempt (150 s), since the predecessor had ended before the ledger's write that gives the share back.

Ruled out: shortening what a new incarnation waits for (it covers streams that a killed entry may have left running); starting with a full share (that is the fault that 06-entry-killed-and-replaced shows).

Change: the process ends once sharesReturned(), for at most 3 s beyond its last request, so that an outage of the platform can't hold up a stop.

--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t inputRingInputs = 16384;
 constexpr Duration inputWait = std::chrono::milliseconds(100);
 constexpr Duration tickPeriod = std::chrono::milliseconds(20);
+/// Time that a leaving entry waits for the platform to take its shares back.
+constexpr Duration shareReturnTime = std::chrono::seconds(3);
 constexpr Duration statusPeriod = std::chrono::milliseconds(250);
 
 /// Greater for every restart of the process, and so are the ids built on it unique.
@@ -154,12 +156,26 @@
             step(entry_, StopRequested(), now, actions);
     }
 
-    bool finished() const
+    /// Nothing is in hand, and what the accounts' ledgers hold for this VM has been given back, for
+    /// as long as the platform may be waited for.
+    bool leftInOrder()
+    {
+        if (!entry_.leaving_ || !idle(entry_)) {
+            idleSince_.reset();
+            return false;
+        }
+        const Time now = monotonicNow();
+        if (!idleSince_)
+            idleSince_ = now;
+        return sharesReturned(entry_.ledger_) || now - *idleSince_ > shareReturnTime;
+    }
+
+    bool finished()
     {
         if (!leavingSince_)
             return false;
         const bool overdue = monotonicNow() - *leavingSince_ > settings_.stop_.graceful_;
-        return (entry_.leaving_ && idle(entry_)) || overdue || stop_.forced();
+        return leftInOrder() || overdue || stop_.forced();
     }
 
     void perform(EntryActions &actions)
@@ -243,6 +259,7 @@
     std::atomic<bool> heartbeatDue_ = true;
     std::atomic<bool> statusDue_ = true;
     std::optional<Time> leavingSince_;
+    std::optional<Time> idleSince_;
     CallerServer callers_;
     LinkService links_;
     PlatformService platform_;
--- a/Source/ClientAccount/ledger.cpp
+++ b/Source/ClientAccount/ledger.cpp
@@ -429,6 +429,15 @@
     return scaledToContract(share, account.contract_, account.basis_);
 }
 
+bool sharesReturned(const Ledger &ledger)
+{
+    return std::all_of(ledger.accounts_.begin(), ledger.accounts_.end(), [](const auto &entry) {
+        const AccountLedger &account = entry.second;
+        const bool settled = account.step_ == LedgerStep::Idle && !account.unsettledAt_;
+        return !account.claimed_ || (settled && sameShare(account.held_, {}));
+    });
+}
+
 std::vector<KvOperation> advanceLedger(Ledger &ledger, const Allowance &allowance, Time now)
 {
     std::vector<KvOperation> operations;
--- a/Source/ClientAccount/ledger.h
+++ b/Source/ClientAccount/ledger.h
@@ -134,6 +134,10 @@
 /// What this process may use now, whatever becomes of the writes in flight.
 AllowanceShare usableShare(const AccountLedger &account);
 
+/// Whether a leaving process holds nothing any more, so that its VM's next incarnation has nothing
+/// to wait for.
+bool sharesReturned(const Ledger &ledger);
+
 /// The calls to make now. What is outstanding in the allowance is never given away.
 std::vector<KvOperation> advanceLedger(Ledger &ledger, const Allowance &allowance, Time now);
 
