--- a/Source/Caller/entryparts.cpp
+++ b/Source/Caller/entryparts.cpp
@@ -122,25 +122,30 @@
     }
 }
 
-bool takeRulesMessage(Entry &entry, const Envelope &envelope, Time now, EntryActions &actions)
+/// What the spreading makes of a message; empty for messages of other kinds.
+static std::optional<SpreadActions> spreadMessage(Entry &entry, const Envelope &envelope, Time now)
 {
-    const SpreadView view = spreadView(entry, now);
     const VmName &from = envelope.from_;
-    SpreadActions spread;
-    if (const auto *request = std::get_if<RulesRequest>(&envelope.message_))
-        spread = takeRulesRequest(entry.spread_, from, *request, now);
-    else if (const auto *asked = std::get_if<RulesPartRequest>(&envelope.message_))
-        spread = takeRulesPartRequest(entry.spread_, from, *asked, now);
-    else if (const auto *text = std::get_if<RulesText>(&envelope.message_))
-        spread = takeRulesText(entry.spread_, view, from, *text, now);
-    else if (const auto *delta = std::get_if<RulesDelta>(&envelope.message_))
-        spread = takeRulesDelta(entry.spread_, view, from, *delta, now);
-    else if (const auto *part = std::get_if<RulesPart>(&envelope.message_))
-        spread = takeRulesPart(entry.spread_, view, from, *part, now);
-    else
-        return false;
-    performSpread(entry, std::move(spread), now, actions);
-    return true;
+    const Message &message = envelope.message_;
+    if (const auto *request = std::get_if<RulesRequest>(&message))
+        return takeRulesRequest(entry.spread_, from, *request, now);
+    if (const auto *asked = std::get_if<RulesPartRequest>(&message))
+        return takeRulesPartRequest(entry.spread_, from, *asked, now);
+    if (const auto *text = std::get_if<RulesText>(&message))
+        return takeRulesText(entry.spread_, spreadView(entry, now), from, *text, now);
+    if (const auto *delta = std::get_if<RulesDelta>(&message))
+        return takeRulesDelta(entry.spread_, spreadView(entry, now), from, *delta, now);
+    if (const auto *part = std::get_if<RulesPart>(&message))
+        return takeRulesPart(entry.spread_, spreadView(entry, now), from, *part, now);
+    return std::nullopt;
+}
+
+bool takeRulesMessage(Entry &entry, const Envelope &envelope, Time now, EntryActions &actions)
+{
+    std::optional<SpreadActions> spread = spreadMessage(entry, envelope, now);
+    if (spread)
+        performSpread(entry, std::move(*spread), now, actions);
+    return spread.has_value();
 }
 
 void takeContracts(Entry &entry, Time now)
--- a/Tests/ClientAccount/ledgertest.cpp
+++ b/Tests/ClientAccount/ledgertest.cpp
@@ -118,9 +118,11 @@
     north.ledger_.leaving_ = true;
     settleDown(north, store, later);
     BOOST_TEST(burstOf(north) == 1000);
+    BOOST_TEST(!sharesReturned(north.ledger_));
     settle(north.allowance_, account, {"a"}, 100, later);
     settleDown(north, store, later);
     BOOST_TEST(burstOf(north) == 0);
+    BOOST_TEST(sharesReturned(north.ledger_));
 }
 
 BOOST_AUTO_TEST_CASE(outstandingTokensAreNotGivenAway)
--- a/Tests/Link/linkservicetest.cpp
+++ b/Tests/Link/linkservicetest.cpp
@@ -92,7 +92,7 @@
     Node a("a", "tcp://127.0.0.1:20108");
     BOOST_REQUIRE(ok(a.link_->start()));
     a.events_.close();
-    BOOST_TEST(a.link_->send("tcp://127.0.0.1:20109", Offer {}));
+    BOOST_TEST(a.link_->send("tcp://127.0.0.1:20109", Offer{}));
     a.link_->stop();
-    BOOST_TEST(!a.link_->send("tcp://127.0.0.1:20109", Offer {}));
+    BOOST_TEST(!a.link_->send("tcp://127.0.0.1:20109", Offer{}));
 }
--- a/Utilities/fleet.sh
+++ b/Utilities/fleet.sh
@@ -62,7 +62,7 @@
 
 [observe]
 listen = 127.0.0.1:$((basePort + 200 + number))
-spans = true
+spans = ${EELGRASSCOVE_SPANS:-true}
 
 [stop]
 announce = 0s
