--- a/Source/Caller/callerserver.cpp
+++ b/Source/Caller/callerserver.cpp
@@ -4,6 +4,7 @@
 #include "Observe/log.h"
 #include "Observe/metrics.h"
 #include "Vm/boundedring.h"
+#include "Vm/tcplisten.h"
 
 #include <algorithm>
 #include <atomic>
@@ -12,7 +13,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cstdlib>
 #include <map>
 #include <optional>
 #include <set>
@@ -408,22 +408,9 @@
 
 Result<Done, CallerServerError> CallerServer::Impl::listen()
 {
-    const std::size_t colon = settings_.listen_.rfind(':');
-    const std::string host = settings_.listen_.substr(0, colon);
-    const std::string port = colon == std::string::npos ? "" : settings_.listen_.substr(colon + 1);
-    beast::error_code error;
-    const auto address = asio::ip::make_address(host, error);
-    const int number = std::atoi(port.c_str());
-    if (error || number <= 0)
-        return CallerServerError{"can't listen on '" + settings_.listen_ + "': not IP:PORT"};
-    const tcp::endpoint endpoint(address, static_cast<unsigned short>(number));
-    acceptor_.open(endpoint.protocol(), error);
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(endpoint, error);
-    if (!error)
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return CallerServerError{"can't listen on " + settings_.listen_ + ": " + error.message()};
+    const Result<Done, ListenError> listening = listenOn(acceptor_, settings_.listen_);
+    if (!ok(listening))
+        return CallerServerError{errorOf(listening).message_};
     accept();
     return Done{};
 }
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -3,20 +3,12 @@
 #include "Caller/entryparts.h"
 
 #include <algorithm>
-#include <fmt/core.h>
 #include <optional>
 
 namespace eelgrasscove {
 
 namespace {
 
-AttemptId nextAttempt(Entry &entry)
-{
-    ++entry.lastAttemptNumber_;
-    return {fmt::format("{}.{}.{}", entry.identity_.vm_.text_, entry.identity_.incarnation_.value_,
-                        entry.lastAttemptNumber_)};
-}
-
 TargetView viewOf(const Entry &entry, const Peer &peer, const AdapterKey &adapter)
 {
     TargetView view;
@@ -198,9 +190,8 @@
     request->head_ = head;
     if (!request->call_.completion_.stream_ || request->callerGone_)
         return;
-    ReplyHead reply{request->call_.handle_, head.status_, head.contentType_, request->id_.text_};
-    if (!request->call_.callerRequestId_.empty())
-        reply.requestId_ = request->call_.callerRequestId_;
+    ReplyHead reply{request->call_.handle_, head.status_, head.contentType_,
+                    replyId(request->call_, request->id_)};
     actions.emplace_back(CallerReply{std::move(reply)});
 }
 
@@ -242,8 +233,7 @@
     reply.status_ = request.head_.status_;
     reply.contentType_ = request.head_.contentType_;
     reply.body_ = std::move(request.answer_);
-    reply.requestId_ =
-        request.call_.callerRequestId_.empty() ? request.id_.text_ : request.call_.callerRequestId_;
+    reply.requestId_ = replyId(request.call_, request.id_);
     actions.emplace_back(CallerReply{std::move(reply)});
 }
 
--- a/Source/Caller/entryparts.cpp
+++ b/Source/Caller/entryparts.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::int64_t microsPerSecond = 1'000'000;
-
 std::optional<std::string> addressOf(const Entry &entry, const VmName &vm)
 {
     const auto found = entry.fleet_.peers_.find(vm);
@@ -40,12 +38,6 @@
     recheckWaiting(entry, now, actions);
 }
 
-std::uint32_t secondsOf(Duration wait)
-{
-    const std::int64_t seconds = (wait.count() + microsPerSecond - 1) / microsPerSecond;
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(1, seconds));
-}
-
 void replayAnswer(Entry &entry, const PendingRequest &request, const StoredAnswer &answer,
                   EntryActions &actions)
 {
@@ -54,7 +46,7 @@
     reply.status_ = answer.status_;
     reply.contentType_ = answer.contentType_;
     reply.body_ = answer.body_;
-    reply.requestId_ = request.id_.text_;
+    reply.requestId_ = replyId(request.call_, request.id_);
     RequestRecord record = recordOf(entry, request);
     record.status_ = answer.status_;
     record.code_ = "replayed";
@@ -68,14 +60,14 @@
     if (const auto *busy = std::get_if<ClaimInProgress>(&verdict))
         return ApiError{ApiErrorCode::RequestInProgress, RunState::OutcomeUnknown,
                         "a request with this Idempotency-Key is running or its outcome was lost",
-                        secondsOf(busy->retryAfter_)};
+                        retrySeconds(busy->retryAfter_)};
     if (std::holds_alternative<ClaimBodyDiffers>(verdict))
         return ApiError{ApiErrorCode::IdempotencyKeyReused, RunState::NotRun,
                         "this Idempotency-Key was used for another request; choose a new one", 0};
     if (const auto *refused = std::get_if<ClaimRefused>(&verdict))
         return ApiError{ApiErrorCode::ClaimUnavailable, RunState::NotRun,
                         "the Idempotency-Key can't be recorded now",
-                        secondsOf(refused->retryAfter_)};
+                        retrySeconds(refused->retryAfter_)};
     return std::nullopt;
 }
 
--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -116,6 +116,7 @@
                 EntryInput input(std::move(body));
                 if (inputs_.tryPush(std::move(input)))
                     return true;
+                // Untouched by the refusal. NOLINTNEXTLINE(bugprone-use-after-move)
                 body = std::get<std::decay_t<decltype(body)>>(std::move(input));
                 return false;
             },
--- a/Source/Caller/entryrequests.cpp
+++ b/Source/Caller/entryrequests.cpp
@@ -16,13 +16,6 @@
 
 constexpr std::int64_t microsPerSecond = 1'000'000;
 
-/// Whole seconds for a Retry-After header, at least one.
-std::uint32_t retrySeconds(Duration wait)
-{
-    const std::int64_t seconds = (wait.count() + microsPerSecond - 1) / microsPerSecond;
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(1, seconds));
-}
-
 Fingerprint fingerprintOf(const PendingRequest &request)
 {
     const std::string text = request.account_.text_ + '\n' + request.route_.route_.text_ + '\n'
@@ -39,7 +32,7 @@
     reply.contentType_ = "application/json";
     reply.body_ = apiErrorBody(error);
     reply.retryAfter_ = error.retryAfter_;
-    reply.requestId_ = call.callerRequestId_.empty() ? id.text_ : call.callerRequestId_;
+    reply.requestId_ = replyId(call, id);
     actions.emplace_back(CallerReply{std::move(reply)});
 }
 
@@ -215,13 +208,6 @@
     return false;
 }
 
-AttemptId nextAttempt(Entry &entry)
-{
-    ++entry.lastAttemptNumber_;
-    return {fmt::format("{}.{}.{}", entry.identity_.vm_.text_, entry.identity_.incarnation_.value_,
-                        entry.lastAttemptNumber_)};
-}
-
 void awaitTokens(Entry &entry, PendingRequest &request, Time now, EntryActions &actions)
 {
     if (!reserveTokens(entry, request, now, actions))
@@ -270,6 +256,24 @@
 
 } // namespace
 
+AttemptId nextAttempt(Entry &entry)
+{
+    ++entry.lastAttemptNumber_;
+    return {fmt::format("{}.{}.{}", entry.identity_.vm_.text_, entry.identity_.incarnation_.value_,
+                        entry.lastAttemptNumber_)};
+}
+
+std::uint32_t retrySeconds(Duration wait)
+{
+    const std::int64_t seconds = (wait.count() + microsPerSecond - 1) / microsPerSecond;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(1, seconds));
+}
+
+const std::string &replyId(const CallerRequest &call, const RequestId &id)
+{
+    return call.callerRequestId_.empty() ? id.text_ : call.callerRequestId_;
+}
+
 std::int64_t tokensOf(const PendingRequest &request)
 {
     if (request.call_.kind_ != CallKind::Completion)
--- a/Source/Caller/entryrequests.h
+++ b/Source/Caller/entryrequests.h
@@ -48,6 +48,15 @@
 /// Stops an attempt whose answer nobody wants any more.
 void abandonAttempt(Entry &entry, const AttemptId &id, EntryActions &actions);
 
+/// An id for the request's next attempt.
+AttemptId nextAttempt(Entry &entry);
+
+/// Whole seconds for a Retry-After header, at least one.
+std::uint32_t retrySeconds(Duration wait);
+
+/// The id that an answer names: the caller's own where it gave one.
+const std::string &replyId(const CallerRequest &call, const RequestId &id);
+
 /// Tokens that the request reserves.
 std::int64_t tokensOf(const PendingRequest &request);
 
--- a/Source/Observe/metrics.cpp
+++ b/Source/Observe/metrics.cpp
@@ -34,7 +34,7 @@
     std::string name_;
     std::string labels_;
 
-    auto operator<=>(const Series &) const = default;
+    auto operator<=>(const Series &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct Registry
--- a/Source/Observe/observeserver.cpp
+++ b/Source/Observe/observeserver.cpp
@@ -1,10 +1,11 @@
 #include "Observe/observeserver.h"
 
+#include "Vm/tcplisten.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cstdlib>
 #include <thread>
 
 namespace eelgrasscove {
@@ -85,20 +86,9 @@
 
 Result<Done, ObserveError> ObserveServer::Impl::listen()
 {
-    const std::size_t colon = listen_.rfind(':');
-    beast::error_code error;
-    const auto address = asio::ip::make_address(listen_.substr(0, colon), error);
-    const int port = colon == std::string::npos ? 0 : std::atoi(listen_.c_str() + colon + 1);
-    if (error || port <= 0)
-        return ObserveError{"can't listen on '" + listen_ + "': not IP:PORT"};
-    const tcp::endpoint endpoint(address, static_cast<unsigned short>(port));
-    acceptor_.open(endpoint.protocol(), error);
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(endpoint, error);
-    if (!error)
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return ObserveError{"can't listen on " + listen_ + ": " + error.message()};
+    const Result<Done, ListenError> listening = listenOn(acceptor_, listen_);
+    if (!ok(listening))
+        return ObserveError{errorOf(listening).message_};
     accept();
     return Done{};
 }
--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -119,6 +119,7 @@
     asio::awaitable<void> hand(EngineEvent event)
     {
         asio::steady_timer timer(context_);
+        // A refusal leaves the event untouched. NOLINTNEXTLINE(bugprone-use-after-move)
         while (!deliver_(std::move(event))) {
             error_code ignored;
             timer.expires_after(deliverRetry);
