--- a/Tests/Fuzz/platformfuzz.cpp
+++ b/Tests/Fuzz/platformfuzz.cpp
@@ -9,6 +9,7 @@
 
 using namespace eelgrasscove;
 
+// libFuzzer demands the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const unsigned char *data, std::size_t size)
 {
     const std::string text(reinterpret_cast<const char *>(data), size);
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -12,4 +12,4 @@
 for file in "${files[@]}"; do
     [[ $file == *.cpp ]] && sources+=("$file")
 done
-printf '%s\n' "${sources[@]}" | xargs -r -P 8 -n 1 clang-tidy --quiet -p build/default
+printf '%s\n' "${sources[@]}" | xargs -r -P "$(nproc)" -n 1 clang-tidy --quiet -p build/default
