Keep what an entry's action could not do until it is decided on

Where the links' or the platform's queue refused an action, the entry put the outcome into its own ring with the result unlooked at; a full ring then lost it, and a claim or a ledger step would have waited for good.

Ruled out: waiting for room (the thread that empties the ring is the one that would wait); treating KvOutcome alone (SendFailed has the same loss).

Before: lost when the ring was full (found by reading, not reproduced). Conclusion: no outcome depends on the ring's room.

--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <fmt/core.h>
 #include <optional>
 #include <thread>
@@ -58,7 +59,7 @@
           entry_(makeEntry(settings.vm_, startIncarnation(), policyFrom(settings), monotonicNow())),
           observe_(settings.observe_.listen_, board_),
           callers_(settings.callers_, settings.keys_, board_,
-                   [this](CallerEvent &&event) { return pushCaller(std::move(event)); }),
+                   [this](CallerEvent &&event) { return push(std::move(event)); }),
           links_(settings.link_, entry_.identity_,
                  [this](LinkEvent &&event) { return push(std::move(event)); }),
           platform_(settings.platform_,
@@ -105,8 +106,6 @@
         return ExitStopped;
     }
 
-    bool pushCaller(CallerEvent &&event) { return push(std::move(event)); }
-
     /// Moves the event's body into the ring; a full ring leaves the event untouched.
     template <class... Bodies>
     bool push(std::variant<Bodies...> &&event)
@@ -128,7 +127,7 @@
         EntryActions actions;
         startEntry(entry_, monotonicNow(), actions);
         while (!finished()) {
-            std::optional<EntryInput> input = inputs_.pop(inputWait);
+            std::optional<EntryInput> input = nextInput();
             const Time now = monotonicNow();
             if (input)
                 step(entry_, std::move(*input), now, actions);
@@ -142,6 +141,17 @@
         inputs_.close();
     }
 
+    /// What an action could not do comes first: the ring may be full just then, and a lost outcome
+    /// would leave its claim or share waiting for good.
+    std::optional<EntryInput> nextInput()
+    {
+        if (undone_.empty())
+            return inputs_.pop(inputWait);
+        std::optional<EntryInput> input(std::move(undone_.front()));
+        undone_.pop_front();
+        return input;
+    }
+
     /// First unready but serving, then refusing, then gone once nothing is in hand.
     void takeStop(Time now, EntryActions &actions)
     {
@@ -192,7 +202,7 @@
             return;
         // The links' ring is full: the message was not sent, as if its link were down.
         countMetric("eelgrasscove_link_ring_full_total");
-        inputs_.tryPush(SendFailed{send.address_, std::move(send.message_)});
+        undone_.emplace_back(SendFailed{send.address_, std::move(send.message_)});
     }
 
     void performOne(CallerReply &&reply) { callers_.reply(std::move(reply)); }
@@ -201,7 +211,7 @@
     {
         const std::uint64_t tag = operation.tag_;
         if (!platform_.submit(std::move(operation)))
-            inputs_.tryPush(KvOutcome{tag, KvStatus::NotSent, {}, 0});
+            undone_.emplace_back(KvOutcome{tag, KvStatus::NotSent, {}, 0});
     }
 
     void performOne(WatchPlatformRules &&watch) { platform_.setWatching(watch.on_); }
@@ -257,6 +267,8 @@
     StatusBoard board_;
     ObserveServer observe_;
     BoundedRing<EntryInput> inputs_{inputRingInputs};
+    /// Inputs that stand for actions that could not be carried out.
+    std::deque<EntryInput> undone_;
     std::atomic<bool> heartbeatDue_ = true;
     std::atomic<bool> statusDue_ = true;
     std::optional<Time> leavingSince_;
