Look a reservation up in one place

Cause: read-through: noteRun, shrink and settle each held the same lookup of an account and its reservation. Ruled out: one lookup for reserve and countOutstanding as well (they need the account without a reservation). Before: three copies. Conclusion: behaviour unchanged.

--- a/Source/ClientAccount/allowance.cpp
+++ b/Source/ClientAccount/allowance.cpp
@@ -56,6 +56,25 @@
     reservation.run_ = tokensRun;
 }
 
+/// A reservation with its account; both null where there is none.
+struct HeldReservation
+{
+    AccountAllowance *account_ = nullptr;
+    Reservation *reservation_ = nullptr;
+};
+
+HeldReservation findReservation(Allowance &allowance, const AccountName &account,
+                                const AttemptId &attempt)
+{
+    const auto held = allowance.accounts_.find(account);
+    if (held == allowance.accounts_.end())
+        return {};
+    const auto reservation = held->second.reservations_.find(attempt);
+    if (reservation == held->second.reservations_.end())
+        return {};
+    return {&held->second, &reservation->second};
+}
+
 } // namespace
 
 void setShare(Allowance &allowance, const AccountName &account, AllowanceShare share, Time now,
@@ -109,33 +128,25 @@
 void noteRun(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
              std::int64_t tokensRun, Time now)
 {
-    const auto found = allowance.accounts_.find(account);
-    if (found == allowance.accounts_.end())
+    const HeldReservation held = findReservation(allowance, account, attempt);
+    if (held.reservation_ == nullptr)
         return;
-    AccountAllowance &held = found->second;
-    const auto reservation = held.reservations_.find(attempt);
-    if (reservation == held.reservations_.end())
-        return;
-    refill(held, now);
-    takeRun(held, reservation->second, tokensRun);
+    refill(*held.account_, now);
+    takeRun(*held.account_, *held.reservation_, tokensRun);
 }
 
 void shrink(Allowance &allowance, const AccountName &account, const AttemptId &attempt,
             std::int64_t tokens, Time now)
 {
-    const auto found = allowance.accounts_.find(account);
-    if (found == allowance.accounts_.end())
+    const HeldReservation held = findReservation(allowance, account, attempt);
+    if (held.reservation_ == nullptr)
         return;
-    AccountAllowance &held = found->second;
-    const auto reservation = held.reservations_.find(attempt);
-    if (reservation == held.reservations_.end())
-        return;
-    refill(held, now);
-    const std::int64_t least = std::max(tokens, reservation->second.run_);
-    const std::int64_t returned = std::max<std::int64_t>(0, reservation->second.tokens_ - least);
-    reservation->second.tokens_ -= returned;
-    held.outstandingTokens_ -= returned;
-    held.freeMicroTokens_ += returned * microTokensPerToken;
+    refill(*held.account_, now);
+    const std::int64_t least = std::max(tokens, held.reservation_->run_);
+    const std::int64_t returned = std::max<std::int64_t>(0, held.reservation_->tokens_ - least);
+    held.reservation_->tokens_ -= returned;
+    held.account_->outstandingTokens_ -= returned;
+    held.account_->freeMicroTokens_ += returned * microTokensPerToken;
 }
 
 std::int64_t freeTokens(Allowance &allowance, const AccountName &account, Time now)
@@ -151,18 +162,14 @@
             std::int64_t tokensRun, Time now)
 {
     noteRun(allowance, account, attempt, tokensRun, now);
-    const auto found = allowance.accounts_.find(account);
-    if (found == allowance.accounts_.end())
-        return;
-    AccountAllowance &held = found->second;
-    const auto reservation = held.reservations_.find(attempt);
-    if (reservation == held.reservations_.end())
+    const HeldReservation held = findReservation(allowance, account, attempt);
+    if (held.reservation_ == nullptr)
         return;
-    const Reservation &ended = reservation->second;
+    const Reservation &ended = *held.reservation_;
     const std::int64_t unused = std::max<std::int64_t>(0, ended.tokens_ - ended.run_);
-    held.outstandingTokens_ -= unused;
-    held.freeMicroTokens_ += unused * microTokensPerToken;
-    held.reservations_.erase(reservation);
+    held.account_->outstandingTokens_ -= unused;
+    held.account_->freeMicroTokens_ += unused * microTokensPerToken;
+    held.account_->reservations_.erase(AttemptId(attempt));
 }
 
 } // namespace eelgrasscove
