Keep a scenario's ports from other runners

Cause: a run of all tests failed in Scenarios-11-rolling-replacement: e1, stopped and started again, ended with 3 ("an address can't be had"). The runners look for free TCP ports in one range of 1000, and while a scenario's process is stopped, or not yet started, its port looks free to a runner beside it. Ruled out: the daemon's own sockets, which set SO_REUSEADDR; the ports that the system hands out, which begin at 32768. Change: a runner holds the UDP port of the same number until it ends.

--- a/Tests/Scenarios/fleet.cpp
+++ b/Tests/Scenarios/fleet.cpp
@@ -24,10 +24,10 @@
     std::string value_;
 };
 
-/// Takes ports until one is free; 0 where none is, which then fails at the start.
-unsigned short takePort()
+/// 0 where none is free, which then fails at the start.
+unsigned short portOrNone()
 {
-    return freePort().value_or(0);
+    return takePort().value_or(0);
 }
 
 std::string url(unsigned short port)
@@ -74,7 +74,7 @@
 
 std::string startPlatform(Fleet &fleet)
 {
-    fleet.platform_ = takePort();
+    fleet.platform_ = portOrNone();
     const std::string file = fleet.folder_ + "/vms.json";
     writeWholeFile(file, vmListText(fleet));
     return startStandIn(fleet, "standin-platform", platformName,
@@ -131,13 +131,13 @@
 void planRelay(Fleet &fleet, LinkKind kind, const std::string &vm)
 {
     if (relayOn(fleet, kind, vm) == nullptr)
-        fleet.relays_.push_back({kind, vm, takePort(), takePort()});
+        fleet.relays_.push_back({kind, vm, portOrNone(), portOrNone()});
 }
 
 void planPorts(Fleet &fleet)
 {
     for (const VmDeclaration &vm : fleet.scenario_->vms_) {
-        fleet.ports_[vm.name_] = {takePort(), takePort(), takePort(), takePort()};
+        fleet.ports_[vm.name_] = {portOrNone(), portOrNone(), portOrNone(), portOrNone()};
         fleet.listStates_[vm.name_] = "live";
     }
     for (const Step &step : fleet.scenario_->steps_) {
--- a/Tests/Scenarios/processes.cpp
+++ b/Tests/Scenarios/processes.cpp
@@ -23,23 +23,46 @@
 constexpr unsigned portCount = 1000;
 constexpr mode_t fileMode = 0644;
 
-bool isPortFree(unsigned short port)
+sockaddr_in loopback(unsigned short port)
 {
-    const int socketHandle = ::socket(AF_INET, SOCK_STREAM, 0);
-    if (socketHandle < 0)
-        return false;
     sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+bool bindTo(int socketHandle, unsigned short port)
+{
+    const sockaddr_in address = loopback(port);
+    return ::bind(socketHandle, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+}
+
+bool isListenerFree(unsigned short port)
+{
+    const int socketHandle = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (socketHandle < 0)
+        return false;
     const int yes = 1;
     ::setsockopt(socketHandle, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    const bool bound =
-        ::bind(socketHandle, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    const bool bound = bindTo(socketHandle, port);
     ::close(socketHandle);
     return bound;
 }
 
+/// A process that is stopped or not yet started leaves its TCP port free, so another runner could
+/// take it. The UDP port of the same number, held until this runner ends, says that it is taken.
+bool reservePort(unsigned short port)
+{
+    const int socketHandle = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (socketHandle < 0)
+        return false;
+    if (bindTo(socketHandle, port) && isListenerFree(port))
+        return true;
+    ::close(socketHandle);
+    return false;
+}
+
 void noteEnd(ChildProcess &process, int status)
 {
     process.exit_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
@@ -119,13 +142,18 @@
     return static_cast<bool>(file.flush());
 }
 
-std::optional<unsigned short> freePort()
+std::optional<unsigned short> takePort()
 {
     // Runners that run side by side begin at different places.
     static unsigned next = static_cast<unsigned>(::getpid()) * 61;
+    return takePortFrom(next);
+}
+
+std::optional<unsigned short> takePortFrom(unsigned &next)
+{
     for (unsigned tried = 0; tried < portCount; ++tried) {
         const auto port = static_cast<unsigned short>(firstPort + next++ % portCount);
-        if (isPortFree(port))
+        if (reservePort(port))
             return port;
     }
     return std::nullopt;
--- a/Tests/Scenarios/processes.h
+++ b/Tests/Scenarios/processes.h
@@ -45,8 +45,11 @@
 std::string readWholeFile(const std::string &path);
 bool writeWholeFile(const std::string &path, const std::string &text);
 
-/// A port of 127.0.0.1 that nobody listens on, from the runner's own range; empty where all are
-/// taken.
-std::optional<unsigned short> freePort();
+/// A port of 127.0.0.1 that nobody listens on and that no other runner takes until this one ends;
+/// empty where all are taken.
+std::optional<unsigned short> takePort();
+
+/// The same, looking from a place in the range on; moves the place past the port.
+std::optional<unsigned short> takePortFrom(unsigned &next);
 
 } // namespace scenarios
