Send every member of a message, and check it at compile time

Cause: AttemptQuery::giveUp_ was not in the codec's table, so it arrived as true. An entry that only asked after a queued attempt, after 1 s of silence, made the target process bury it; the request then began again elsewhere. Found by reading the tables beside the structs. Ruled out: other omissions. A static_assert now counts each aggregate's members against its table; it fails to compile with the new row left out and passes with it. Also: an enumeration's value that only a newer process knows left the reader with a value outside its table. It now leaves the field's default; for a failed attempt that is "outcome unknown". Tests read a newer envelope (unknown fields, values and kind) and an older one (a field missing). Before: a query with giveUp_ false was read as true.

--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -1,5 +1,6 @@
 #include "Link/messagecodec.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <nlohmann/json.hpp>
@@ -38,6 +39,29 @@
 template <class T>
 constexpr auto fieldsOf = nullptr;
 
+/// Stands for a value of any type, to try how many members an aggregate takes.
+struct AnyValue
+{
+    template <class T>
+    operator T() const;
+};
+
+/// The number of members of an aggregate.
+template <class T, class... Values>
+constexpr std::size_t memberCount()
+{
+    if constexpr (requires { T{Values()..., AnyValue()}; })
+        return memberCount<T, Values..., AnyValue>();
+    else
+        return sizeof...(Values);
+}
+
+/// Whether every member of a message, and of what it holds, is described: one that is left out
+/// would arrive with its default.
+template <class T>
+constexpr bool
+    isWhole = std::tuple_size_v<std::remove_cv_t<decltype(fieldsOf<T>)>> == memberCount<T>();
+
 template <class T>
 constexpr bool hasFields = !std::is_same_v<std::remove_cv_t<decltype(fieldsOf<T>)>, std::nullptr_t>;
 
@@ -110,6 +134,7 @@
     Field{"attempt", &AttemptQuery::attempt_},
     Field{"target_incarnation", &AttemptQuery::targetIncarnation_},
     Field{"have_offset", &AttemptQuery::haveOffset_},
+    Field{"give_up", &AttemptQuery::giveUp_},
 };
 
 template <>
@@ -276,6 +301,45 @@
     Field{"reply", &Envelope::replyAddress_},
 };
 
+template <class... Kinds>
+constexpr bool areWhole(const std::variant<Kinds...> * /*message*/)
+{
+    return (isWhole<Kinds> && ...);
+}
+
+static_assert(areWhole(static_cast<const Message *>(nullptr)));
+static_assert(isWhole<AdapterKey> && isWhole<ResidentAdapter> && isWhole<Strike>);
+static_assert(isWhole<AccountFreeTokens> && isWhole<RulesEdit> && isWhole<ResidentChange>);
+static_assert(isWhole<SpareTarget> && isWhole<GroupSummary>);
+
+constexpr const auto &tableOf(RunState /*kind*/)
+{
+    return runStateNames;
+}
+
+constexpr const auto &tableOf(Reason /*kind*/)
+{
+    return reasonNames;
+}
+
+constexpr const auto &tableOf(Priority /*kind*/)
+{
+    return priorityNames;
+}
+
+constexpr const auto &tableOf(Role /*kind*/)
+{
+    return roleNames;
+}
+
+template <class Enum>
+bool isKnown(Enum value)
+{
+    const auto &table = tableOf(value);
+    return std::any_of(table.begin(), table.end(),
+                       [value](const auto &row) { return row.value_ == value; });
+}
+
 template <class T>
 constexpr bool isName = false;
 template <class Tag>
@@ -348,7 +412,10 @@
         for (const Json &element : json)
             decode(element, value.emplace_back());
     } else if constexpr (std::is_enum_v<T>) {
-        value = static_cast<T>(json.get<std::uint32_t>());
+        // A value that only a newer process knows leaves the default, which is the careful one.
+        const auto received = static_cast<T>(json.get<std::uint32_t>());
+        if (isKnown(received))
+            value = received;
     } else if constexpr (hasFields<T>) {
         decodeFields(json, value);
     } else {
--- a/Tests/Link/messagecodectest.cpp
+++ b/Tests/Link/messagecodectest.cpp
@@ -2,6 +2,7 @@
 #include "Link/messagecodec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace eelgrasscove;
 
@@ -75,6 +76,53 @@
     throughCodec(LoanClosed{});
 }
 
+BOOST_AUTO_TEST_CASE(aQueryThatGivesNothingUpStaysOne)
+{
+    AttemptQuery query;
+    query.giveUp_ = false;
+    BOOST_TEST(!throughCodec(query).giveUp_);
+}
+
+BOOST_AUTO_TEST_CASE(whatOnlyANewerVersionKnowsDoesNoHarm)
+{
+    AttemptFailed failed{AttemptId{"e1.1.1"}, RunState::NotRun, Reason::Cancelled, 5};
+    nlohmann::json newer = nlohmann::json::from_msgpack(encodeEnvelope(envelopeOf(failed)));
+    newer["v"] = messageVersion + 1;
+    newer["colour"] = "green";
+    newer["body"]["shape"] = {1, 2, 3};
+    newer["body"]["run_state"] = runStateNames.size();
+    newer["body"]["reason"] = reasonNames.size();
+    std::string bytes;
+    nlohmann::json::to_msgpack(newer, bytes);
+
+    const auto decoded = decodeEnvelope(bytes);
+    BOOST_REQUIRE(ok(decoded));
+    const auto &read = std::get<AttemptFailed>(valueOf(decoded).message_);
+    BOOST_TEST(read.attempt_.text_ == "e1.1.1");
+    BOOST_TEST(read.tokensRun_ == 5);
+    // Not knowing what became of a run is the careful reading.
+    BOOST_TEST((read.runState_ == RunState::OutcomeUnknown));
+    BOOST_TEST((read.reason_ == Reason::None));
+
+    newer["kind"] = "sing";
+    bytes.clear();
+    nlohmann::json::to_msgpack(newer, bytes);
+    const auto unknownKind = decodeEnvelope(bytes);
+    BOOST_REQUIRE(!ok(unknownKind));
+    BOOST_TEST(errorOf(unknownKind).message_ == "unknown kind of message 'sing'");
+}
+
+BOOST_AUTO_TEST_CASE(whatAnOlderVersionLacksKeepsItsDefault)
+{
+    nlohmann::json older = nlohmann::json::from_msgpack(encodeEnvelope(envelopeOf(AttemptQuery{})));
+    older["body"].erase("give_up");
+    std::string bytes;
+    nlohmann::json::to_msgpack(older, bytes);
+    const auto decoded = decodeEnvelope(bytes);
+    BOOST_REQUIRE(ok(decoded));
+    BOOST_TEST(std::get<AttemptQuery>(valueOf(decoded).message_).giveUp_);
+}
+
 BOOST_AUTO_TEST_CASE(bytesThatAreNoEnvelopeAreRefused)
 {
     BOOST_TEST(!ok(decodeEnvelope("")));
