Leave a target process that answers no question

Cause: with only the inbox of a target process cut off in silence (a black hole), its heartbeats still came, so no entry took it for gone. Offers to it and questions about them were lost, and idempotent requests waited for their deadline of 120 s. Ruled out: a broken connection, which the link reports at once; a busy target process, which answers every question, also for a queued attempt. Change: after three unanswered questions, 4 s of silence, an idempotent request of which nothing was passed on goes elsewhere, as it did when heartbeats stopped. A booking in the same place is still told outcome_unknown at its deadline. Conclusion: words heard from a peer don't show that it hears. New requests may still be offered to such a target process and lose 4 s each.

--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -35,6 +35,8 @@
     Duration retryPause_ = std::chrono::milliseconds(50);
     /// Silence of an attempt after which its target process is asked about it.
     Duration answerSilence_ = std::chrono::seconds(1);
+    /// Questions without an answer after which an idempotent request goes elsewhere.
+    std::uint32_t unansweredQuestions_ = 3;
     /// Runs of an idempotent request whose earlier run came to no answer.
     std::uint32_t reruns_ = 2;
     std::uint32_t requests_ = 4096;
@@ -103,6 +105,8 @@
     AccountName account_;
     std::int64_t reservedTokens_ = 0;
     Time heardAt_;
+    /// Questions asked since the target process was last heard on this attempt.
+    std::uint32_t questions_ = 0;
     Time deadline_;
     /// The request goes on elsewhere, or has ended; only the account is still to be settled.
     bool abandoned_ = false;
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -285,6 +285,7 @@
              EntryActions &actions)
 {
     attempt.heardAt_ = now;
+    attempt.questions_ = 0;
     if (const auto *head = std::get_if<AnswerHead>(&message)) {
         takeHead(entry, attempt, *head, actions);
     } else if (const auto *chunk = std::get_if<AnswerChunk>(&message)) {
@@ -310,6 +311,12 @@
     return !peer.linkUp_ || !peer.lastHeard_ || now - *peer.lastHeard_ > silentAfter;
 }
 
+/// Also where its heartbeats arrive but what is sent to it doesn't, or the reverse.
+bool unreachable(const Entry &entry, const EntryAttempt &attempt, Time now)
+{
+    return attempt.questions_ > entry.policy_.unansweredQuestions_ || vanished(entry, attempt, now);
+}
+
 /// An idempotent request needn't wait for a target process that can't be reached.
 void leaveVanished(Entry &entry, EntryAttempt &attempt, Time now, EntryActions &actions)
 {
@@ -349,7 +356,8 @@
     const PendingRequest *request = requestOf(entry, attempt);
     const bool unanswered = request != nullptr && request->stage_ == Stage::Offered;
     ask(attempt, request == nullptr ? 0 : request->received_, unanswered, actions);
-    if (vanished(entry, attempt, now))
+    ++attempt.questions_;
+    if (unreachable(entry, attempt, now))
         leaveVanished(entry, attempt, now, actions);
 }
 
