Script the failures that had no scenario

Cause: docs/PROOFS.md listed failures without a scenario: an entry frozen through its successor's start, a lost data centre, a list that lags 30 s, leave and return, a stale read at start, a process cut from every source of rules, a graceful stop in an outage, and two failures at once. For them the platform stand-in answers reads from a remembered state, and "repeat" also waits for an error's code. The cut between data centres has no scenario: the relays stand before a process, not between two.

--- a/Tests/Scenarios/runner.cpp
+++ b/Tests/Scenarios/runner.cpp
@@ -180,6 +180,13 @@
     case PlatformAction::ListLag:
         call = {{"list_lag_ms", action.time_.count() / 1000}};
         break;
+    case PlatformAction::Remember:
+        call = {{"remember", true}};
+        break;
+    case PlatformAction::StaleReads:
+    case PlatformAction::FreshReads:
+        call = {{"stale_reads", action.action_ == PlatformAction::StaleReads}};
+        break;
     }
     control(run, step, run.fleet_.platform_, call);
 }
@@ -429,6 +436,12 @@
     run.callers_.send(request, callersOf(run.fleet_, request.entry_));
 }
 
+bool isAwaited(const SendStep &action, const CallerRecord &answer)
+{
+    return action.untilCode_.empty() ? answer.status_ == action.untilStatus_
+                                     : answer.error_.code_ == action.untilCode_;
+}
+
 void repeatUntil(Run &run, const Step &step, const SendStep &action)
 {
     const auto deadline = std::chrono::steady_clock::now() + awaitTimeout;
@@ -439,7 +452,7 @@
             fault(run, step, "no answer to " + name);
             return;
         }
-        if (run.callers_.named(name).front().status_ == action.untilStatus_)
+        if (isAwaited(action, run.callers_.named(name).front()))
             return;
         if (std::chrono::steady_clock::now() > deadline) {
             fault(run, step,
@@ -458,7 +471,7 @@
         send(run, resendFor(run, action));
         return;
     }
-    if (action.untilStatus_ != 0) {
+    if (action.untilStatus_ != 0 || !action.untilCode_.empty()) {
         repeatUntil(run, step, action);
         return;
     }
--- a/Tests/Scenarios/scenario.cpp
+++ b/Tests/Scenarios/scenario.cpp
@@ -63,6 +63,16 @@
     return setting;
 }
 
+RulesDeclaration parseRulesDeclaration(Words &words)
+{
+    RulesDeclaration rules;
+    rules.name_ = takeWord(words, "the rules' name");
+    if (takeIf(words, "from"))
+        rules.file_ = takeWord(words, "a file");
+    expectEnd(words);
+    return rules;
+}
+
 // ---- Steps
 
 StepAction parseProcessStep(Words &words, ProcessAction action)
@@ -173,6 +183,16 @@
     return std::find(methods.begin(), methods.end(), word) != methods.end();
 }
 
+void parseUntil(Words &words, SendStep &step)
+{
+    if (takeIf(words, "status"))
+        step.untilStatus_ = takeNumber(words, "a status");
+    else if (takeIf(words, "code"))
+        step.untilCode_ = takeWord(words, "an error's code");
+    else
+        fail(words, "only a status or a code can be waited for", "write \"until status N\"");
+}
+
 void parseSendOption(Words &words, SendStep &step)
 {
     if (takeIf(words, "count")) {
@@ -184,9 +204,7 @@
     } else if (takeIf(words, "idempotency-key")) {
         step.idempotencyKey_ = takeWord(words, "an Idempotency-Key");
     } else if (takeIf(words, "until")) {
-        if (!takeIf(words, "status"))
-            fail(words, "only a status can be waited for", "write \"until status N\"");
-        step.untilStatus_ = takeNumber(words, "a status");
+        parseUntil(words, step);
     } else if (isMethod(peek(words))) {
         step.method_ = takeWord(words, "a method");
         step.path_ = takeWord(words, "a path");
@@ -219,7 +237,7 @@
 StepAction parseRepeatStep(Words &words)
 {
     SendStep step = parseSend(words);
-    if (step.untilStatus_ == 0)
+    if (step.untilStatus_ == 0 && step.untilCode_.empty())
         fail(words, "what ends the repeating isn't said", "add \"until status N\"");
     return step;
 }
@@ -506,9 +524,8 @@
     } else if (takeIf(words, "setting")) {
         scenario.settings_.push_back(parseSetting(words));
     } else if (takeIf(words, "rules")) {
-        scenario.rules_.push_back({takeWord(words, "the rules' name"), {}});
-        expectEnd(words);
-        reading.inRules_ = true;
+        scenario.rules_.push_back(parseRulesDeclaration(words));
+        reading.inRules_ = scenario.rules_.back().file_.empty();
     } else {
         Step step{line, text, parseStep(words)};
         KnownNames known{scenario, reading.requests_};
--- a/Tests/Scenarios/scenario.h
+++ b/Tests/Scenarios/scenario.h
@@ -9,6 +9,7 @@
 ///     service NAME group GROUP [delay TIME] [data-centre DC]
 ///     setting PROCESS SECTION KEY VALUE
 ///     rules NAME ... end      (rule-file lines; {KEY} stands for the digest of the key KEY)
+///     rules NAME from FILE    (the same from a file beside the scenario)
 ///
 /// An engine or service is a VM: NAME is the system's process beside the target.
 ///
@@ -16,6 +17,7 @@
 ///     start|stop|kill|freeze|thaw|restart NAME...      ("all" for every process of the system)
 ///     cut|heal|blackhole|delay|lose-replies link|platform|target NAME [TIME]
 ///     platform up|down|slow TIME|drop-replies N|list-lag TIME
+///     platform remember|stale-reads|fresh-reads   (stale: as at the moment remembered)
 ///     list leaving|live|removed NAME
 ///     target NAME crash|fail-loads N|freeze TIME|keep-runs|close-before-reply N|fail-calls N
 ///     apply RULES [expecting conflict|partly]   (partly: accepted, not in force everywhere yet)
@@ -25,7 +27,7 @@
 ///          [stop-after N] [prompt TEXT] [idempotency-key TEXT]
 ///     send NAME [count N] via ENTRY[,ENTRY] [key KEY] METHOD /path [idempotency-key TEXT]
 ///     resend NAME of NAME via ENTRY
-///     repeat NAME ... until status N   (as send; sent anew until the status comes)
+///     repeat NAME ... until status N|code CODE   (as send; sent anew until the answer comes)
 ///     cancel NAME
 ///     await answers NAME...|started NAME|tokens NAME N|ready NAME...|exited NAME
 ///     await adapter ENGINE ADAPTER@VERSION
@@ -103,6 +105,8 @@
 {
     std::string name_;
     std::string text_;
+    /// Where the text is still to be read from; empty where it stands in the scenario.
+    std::string file_;
 };
 
 enum class ProcessAction {
@@ -173,14 +177,20 @@
     Slow,
     DropReplies,
     ListLag,
+    Remember,
+    StaleReads,
+    FreshReads,
 };
 
-constexpr eelgrasscove::NameTable<PlatformAction, 5> platformActionNames = {{
+constexpr eelgrasscove::NameTable<PlatformAction, 8> platformActionNames = {{
     {PlatformAction::Up, "up"},
     {PlatformAction::Down, "down"},
     {PlatformAction::Slow, "slow"},
     {PlatformAction::DropReplies, "drop-replies"},
     {PlatformAction::ListLag, "list-lag"},
+    {PlatformAction::Remember, "remember"},
+    {PlatformAction::StaleReads, "stale-reads"},
+    {PlatformAction::FreshReads, "fresh-reads"},
 }};
 
 struct PlatformStep
@@ -290,6 +300,8 @@
     std::string resendOf_;
     /// Sent anew until this status comes; 0 to send once.
     std::int64_t untilStatus_ = 0;
+    /// The same for an error's code; empty for none.
+    std::string untilCode_;
 };
 
 struct CancelStep
--- a/Tests/Scenarios/scenariotest.cpp
+++ b/Tests/Scenarios/scenariotest.cpp
@@ -11,14 +11,23 @@
 
 namespace {
 
-void runFile(const std::string &path)
+/// A file that can't be read leaves no rules, which the daemon and the tool refuse.
+void readRules(Scenario &scenario, const std::filesystem::path &folder)
 {
-    const std::string name = std::filesystem::path(path).filename().string();
-    const auto scenario = parseScenario(readWholeFile(path), name);
+    for (RulesDeclaration &rules : scenario.rules_) {
+        if (!rules.file_.empty())
+            rules.text_ = readWholeFile(folder / rules.file_);
+    }
+}
+
+void runFile(const std::filesystem::path &path)
+{
+    auto scenario = parseScenario(readWholeFile(path), path.filename().string());
     if (!eelgrasscove::ok(scenario)) {
         BOOST_ERROR(describe(eelgrasscove::errorOf(scenario)));
         return;
     }
+    readRules(eelgrasscove::valueOf(scenario), path.parent_path());
     for (const std::string &fault : runScenario(eelgrasscove::valueOf(scenario)))
         BOOST_ERROR(fault);
 }
--- a/Tests/StandIns/platform.cpp
+++ b/Tests/StandIns/platform.cpp
@@ -313,12 +313,26 @@
     return {};
 }
 
+bool writes(const StoreTransaction &transaction)
+{
+    const auto isWrite = [](const StoreOperation &operation) {
+        return operation.kind_ != StoreOperationKind::Range;
+    };
+    const auto &success = transaction.success_;
+    const auto &failure = transaction.failure_;
+    return std::any_of(success.begin(), success.end(), isWrite)
+        || std::any_of(failure.begin(), failure.end(), isWrite);
+}
+
 } // namespace
 
 struct Platform::Impl
 {
     EventLoop &loop_;
     KeyValueStore store_;
+    /// The store at the moment that stale reads see.
+    KeyValueStore remembered_;
+    bool staleReads_ = false;
     PlatformMode mode_ = PlatformMode::Up;
     std::int64_t delayMillis_ = 0;
     std::int64_t listLagMillis_ = 0;
@@ -354,28 +368,22 @@
 
     CallOutcome runStore(const StoreTransaction &transaction, bool whole)
     {
-        const TransactionOutcome outcome = runTransaction(store_, transaction);
+        KeyValueStore &store = staleReads_ && !writes(transaction) ? remembered_ : store_;
+        const TransactionOutcome outcome = runTransaction(store, transaction);
         if (!outcome.error_.empty())
             return {storeErrorResponse(outcome.error_), false};
         if (whole)
-            return {jsonResponse(transactionJson(outcome, store_.revision_)), outcome.wrote_};
-        return {jsonResponse(outcomeJson(outcome.outcomes_.front(), store_.revision_)),
+            return {jsonResponse(transactionJson(outcome, store.revision_)), outcome.wrote_};
+        return {jsonResponse(outcomeJson(outcome.outcomes_.front(), store.revision_)),
                 outcome.wrote_};
     }
 
     void countTransaction(const StoreTransaction &transaction)
     {
-        const auto writes = [](const StoreOperation &operation) {
-            return operation.kind_ != StoreOperationKind::Range;
-        };
-        const auto &success = transaction.success_;
-        const auto &failure = transaction.failure_;
-        if (std::any_of(success.begin(), success.end(), writes)
-            || std::any_of(failure.begin(), failure.end(), writes)) {
+        if (writes(transaction))
             counters_.writes_ += 1;
-        } else {
+        else
             counters_.reads_ += 1;
-        }
     }
 
     std::optional<CallOutcome> storeCall(std::string_view path, const Json &call)
@@ -562,6 +570,9 @@
         delayMillis_ = call.value("delay_ms", delayMillis_);
         listLagMillis_ = call.value("list_lag_ms", listLagMillis_);
         dropReplies_ = call.value("drop_next_replies", dropReplies_);
+        if (call.value("remember", false))
+            remembered_ = store_;
+        staleReads_ = call.value("stale_reads", staleReads_);
         const std::string mode = call.value("mode", "");
         if (mode == "up") {
             mode_ = PlatformMode::Up;
--- a/Tests/StandIns/platform.h
+++ b/Tests/StandIns/platform.h
@@ -4,7 +4,8 @@
 /// lagging list of VMs at GET /vms.
 ///
 /// POST /control takes any of {"mode":"up|down|slow","delay_ms":N,"drop_next_replies":N,
-/// "vms":[...],"list_lag_ms":N}; GET /counters tells the calls so far and the watches waiting.
+/// "vms":[...],"list_lag_ms":N,"remember":true,"stale_reads":true|false}; stale reads see the store
+/// as it was when it was remembered. GET /counters tells the calls so far and the watches waiting.
 /// Both work in every mode. While down, every other connection is closed without effect.
 
 #include "StandIns/http.h"
