Check two points more after every scenario

Cause: the checker read the record for eight invariants. Nothing in it told whether a target process took work after it was leaving, nor whether a process's rules went back. Change: it reads the processes' own logs, in their order; entries log "rules_adopted", as target processes did. Ruled out: asking /status while a scenario runs, which sees only some moments.

--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -183,6 +183,12 @@
     Time arrivedAt_;
 };
 
+/// A later revision of the rules is in force here.
+struct RulesTaken
+{
+    Revision revision_;
+};
+
 /// Stored rules that can't be read; the former ones stay in force.
 struct RulesUnreadable
 {
@@ -190,8 +196,9 @@
     std::string errors_;
 };
 
-using EntryAction = std::variant<SendMessage, CallerReply, RequestRecord, KvOperation,
-                                 WatchPlatformRules, ReadPlatformRules, RulesUnreadable>;
+using EntryAction =
+    std::variant<SendMessage, CallerReply, RequestRecord, KvOperation, WatchPlatformRules,
+                 ReadPlatformRules, RulesTaken, RulesUnreadable>;
 using EntryActions = std::vector<EntryAction>;
 
 /// An entry of this VM and incarnation that knows nothing yet.
--- a/Source/Caller/entryparts.cpp
+++ b/Source/Caller/entryparts.cpp
@@ -34,6 +34,7 @@
     }
     entry.rules_ = valueOf(std::move(rules));
     entry.haveRules_ = true;
+    actions.emplace_back(RulesTaken{stored.revision_});
     takeContracts(entry, now);
     recheckWaiting(entry, now, actions);
 }
--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -218,6 +218,12 @@
 
     void performOne(ReadPlatformRules && /*read*/) { platform_.readRules(); }
 
+    void performOne(RulesTaken &&taken)
+    {
+        logEvent(LogLevel::Info, "rules_adopted",
+                 {{"number", std::to_string(taken.revision_.value_)}});
+    }
+
     void performOne(RulesUnreadable &&unreadable)
     {
         logEvent(LogLevel::Error, "stored_rules_unreadable",
--- a/Tests/Scenarios/checker.cpp
+++ b/Tests/Scenarios/checker.cpp
@@ -401,6 +401,42 @@
     }
 }
 
+bool isStart(const ProcessEvent &event)
+{
+    return event.event_ == "started" || event.event_ == "target_started";
+}
+
+void checkLeaving(const ScenarioRecord &record, Violations &violations)
+{
+    std::set<std::string> leaving;
+    for (const ProcessEvent &event : record.events_) {
+        if (isStart(event))
+            leaving.erase(event.process_);
+        else if (event.event_ == "leaving")
+            leaving.insert(event.process_);
+        else if (event.event_ == "attempt_accepted" && leaving.count(event.process_) > 0)
+            violations.push_back({Invariant::LeavingTakesNothing,
+                                  event.process_ + " accepted an attempt after it was leaving"});
+    }
+}
+
+void checkRevisions(const ScenarioRecord &record, Violations &violations)
+{
+    std::map<std::string, std::int64_t> revisions;
+    for (const ProcessEvent &event : record.events_) {
+        if (isStart(event))
+            revisions.erase(event.process_);
+        if (event.event_ != "rules_adopted")
+            continue;
+        std::int64_t &revision = revisions[event.process_];
+        if (event.number_ < revision)
+            violations.push_back({Invariant::RevisionNeverLower,
+                                  fmt::format("{} went from revision {} to {}", event.process_,
+                                              revision, event.number_)});
+        revision = event.number_;
+    }
+}
+
 } // namespace
 
 std::vector<Violation> checkRecord(const ScenarioRecord &record)
@@ -414,6 +450,8 @@
     checkWholeAnswer(record, violations);
     checkNotRun(record, violations);
     checkBookedAtMostOnce(record, violations);
+    checkLeaving(record, violations);
+    checkRevisions(record, violations);
     return violations;
 }
 
--- a/Tests/Scenarios/checker.h
+++ b/Tests/Scenarios/checker.h
@@ -20,9 +20,11 @@
     WholeAnswer,
     NotRunMeansNotRun,
     BookedAtMostOnce,
+    LeavingTakesNothing,
+    RevisionNeverLower,
 };
 
-constexpr eelgrasscove::NameTable<Invariant, 8> invariantNames = {{
+constexpr eelgrasscove::NameTable<Invariant, 10> invariantNames = {{
     {Invariant::RightAdapter, "right adapter and version"},
     {Invariant::NoEvictionInUse, "no eviction in use"},
     {Invariant::OnlyItsAccount, "only the key's client account"},
@@ -31,6 +33,8 @@
     {Invariant::WholeAnswer, "whole answer to its own request"},
     {Invariant::NotRunMeansNotRun, "not run means not run"},
     {Invariant::BookedAtMostOnce, "booked at most once"},
+    {Invariant::LeavingTakesNothing, "no new work once leaving"},
+    {Invariant::RevisionNeverLower, "the rules' revision never goes down"},
 }};
 
 struct Violation
--- a/Tests/Scenarios/checkertest.cpp
+++ b/Tests/Scenarios/checkertest.cpp
@@ -283,6 +283,31 @@
     BOOST_TEST(describe(checkRecord(record)) == "");
 }
 
+BOOST_AUTO_TEST_CASE(workTakenWhileLeavingIsSeen)
+{
+    ScenarioRecord record = soundRecord();
+    const std::string started = "{\"event\":\"target_started\"}\n";
+    const std::string leaving = "{\"event\":\"leaving\",\"number\":\"0\"}\n";
+    const std::string accepted = "{\"event\":\"attempt_accepted\",\"number\":\"0\"}\n";
+    takeProcessLog(record, "m1", started + accepted + leaving + started + accepted);
+    takeProcessLog(record, "m2", "no JSON\n" + accepted);
+    BOOST_TEST(describe(checkRecord(record)) == "");
+    takeProcessLog(record, "m1", leaving + accepted);
+    needBroken(record, Invariant::LeavingTakesNothing);
+}
+
+BOOST_AUTO_TEST_CASE(aLowerRevisionIsSeen)
+{
+    ScenarioRecord record = soundRecord();
+    const std::string second = "{\"event\":\"rules_adopted\",\"number\":\"2\"}\n";
+    const std::string first = "{\"event\":\"rules_adopted\",\"number\":\"1\"}\n";
+    takeProcessLog(record, "e1", second + "{\"event\":\"started\"}\n" + first + second);
+    takeProcessLog(record, "e2", first);
+    BOOST_TEST(describe(checkRecord(record)) == "");
+    takeProcessLog(record, "e1", first);
+    needBroken(record, Invariant::RevisionNeverLower);
+}
+
 BOOST_AUTO_TEST_CASE(aTargetsLogIsRead)
 {
     ScenarioRecord record;
--- a/Tests/Scenarios/record.cpp
+++ b/Tests/Scenarios/record.cpp
@@ -142,6 +142,19 @@
     return faults;
 }
 
+void takeProcessLog(ScenarioRecord &record, const std::string &process, const std::string &log)
+{
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) {
+        const Json json = Json::parse(line, nullptr, false);
+        if (!json.is_object() || !json.contains("event"))
+            continue;
+        const std::string number = json.value("number", "0");
+        record.events_.push_back(
+            {process, json.value("event", ""), std::strtoll(number.c_str(), nullptr, 10)});
+    }
+}
+
 void readAnswer(CallerRecord &caller)
 {
     if (caller.stream_ && caller.status_ == 200) {
--- a/Tests/Scenarios/record.h
+++ b/Tests/Scenarios/record.h
@@ -95,6 +95,15 @@
     bool inUse_ = false;
 };
 
+/// One line of a process's log, in the order of writing; a process that started again goes on in
+/// the same log.
+struct ProcessEvent
+{
+    std::string process_;
+    std::string event_;
+    std::int64_t number_ = 0;
+};
+
 /// Text that no key may be in: a target's log, a process's standard error, a store's content.
 struct TextRecord
 {
@@ -144,6 +153,7 @@
     std::vector<RunRecord> runs_;
     std::vector<BookingRecord> bookings_;
     std::vector<UnloadRecord> unloads_;
+    std::vector<ProcessEvent> events_;
     std::vector<TextRecord> texts_;
     std::vector<RulesRecord> rules_;
 };
@@ -153,6 +163,9 @@
 std::vector<std::string> takeTargetLog(ScenarioRecord &record, const std::string &target,
                                        const std::string &log);
 
+/// Takes in a process's log; lines that are no log lines are left out.
+void takeProcessLog(ScenarioRecord &record, const std::string &process, const std::string &log);
+
 /// Reads an answer's text, parts, model and error out of raw_.
 void readAnswer(CallerRecord &caller);
 
--- a/Tests/Scenarios/runner.cpp
+++ b/Tests/Scenarios/runner.cpp
@@ -750,6 +750,10 @@
 
 void collectLogs(Run &run)
 {
+    for (const VmDeclaration &vm : run.scenario_.vms_) {
+        if (const ChildProcess *process = daemonOf(run.fleet_, vm.name_))
+            takeProcessLog(run.record_, vm.name_, readWholeFile(process->standardError_));
+    }
     for (const VmDeclaration &vm : run.scenario_.vms_) {
         if (vm.kind_ == VmKind::Entry)
             continue;
