Keep connections to the target between runs

A whole answer now leaves its connection open for the next run, for 2 s at most. It is taken only if a peek shows it open and quiet. A run is sent anew only where the system took no byte of it; once a byte was written, a failure stays "outcome unknown". A status 408 on a reused connection is a target that hangs up, not an answer. The answer to a HEAD has no body: before, its run ended by the close, now the parser knows.

--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -20,6 +20,7 @@
 #include <charconv>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace eelgrasscove {
 
@@ -40,18 +41,31 @@
 constexpr Duration loadTimeout = std::chrono::seconds(60);
 constexpr Duration unloadTimeout = std::chrono::seconds(10);
 constexpr Duration deliverRetry = std::chrono::milliseconds(1);
+constexpr std::size_t idleLimit = 64;
 
 using Request = http::request<http::string_body>;
 
+using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+
 /// A run under way.
 struct Run
 {
-    explicit Run(asio::io_context &context) : stream_(context) { }
-
-    beast::tcp_stream stream_;
+    /// Empty until it has a connection.
+    StreamPtr stream_;
+    /// The connection has carried another run before.
+    bool reused_ = false;
+    /// The answer is whole and the connection can carry another run.
+    bool reusable_ = false;
     bool cancelled_ = false;
 };
 
+/// A connection that a whole answer left open.
+struct IdleConnection
+{
+    StreamPtr stream_;
+    Time since_;
+};
+
 using RunPtr = std::shared_ptr<Run>;
 
 /// A reply that is read whole; status 0 where none came.
@@ -71,6 +85,19 @@
     return !text.empty();
 }
 
+/// Whether the connection is open and has nothing to read: a target that closes it, or that says
+/// something out of turn, can't be given a run on it.
+bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    error_code error;
+    socket.non_blocking(true, error);
+    if (error)
+        return false;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 } // namespace
 
 Result<TargetAddress, EngineError> parseTargetUrl(const std::string &url)
@@ -194,8 +221,8 @@
     void closeRun(const AttemptId &attempt, const RunPtr &run)
     {
         const auto found = runs_.find(attempt);
-        if (found != runs_.end() && found->second == run)
-            run->stream_.close();
+        if (found != runs_.end() && found->second == run && run->stream_)
+            run->stream_->close();
     }
 
     asio::awaitable<void> perform(CancelRun cancel)
@@ -218,6 +245,7 @@
     std::optional<Request> runRequest(StartRun &start) const
     {
         Request made = request(http::verb::get, start.path_);
+        made.keep_alive(true);
         made.method_string(start.method_);
         made.set("X-Attempt-Id", start.attempt_.text_);
         made.set(http::field::accept, start.stream_ ? "text/event-stream" : "*/*");
@@ -239,16 +267,109 @@
         return made;
     }
 
+    /// The newest idle connection that is fit for a run; empty where there is none.
+    StreamPtr takeIdle()
+    {
+        while (!idle_.empty()) {
+            StreamPtr stream = std::move(idle_.back().stream_);
+            idle_.pop_back();
+            if (isQuiet(stream->socket()))
+                return stream;
+        }
+        return nullptr;
+    }
+
+    void keepIdle(StreamPtr stream)
+    {
+        if (idle_.size() >= idleLimit)
+            return;
+        idle_.push_back({std::move(stream), monotonicNow()});
+        if (!std::exchange(closingIdle_, true))
+            asio::co_spawn(context_, closeIdle(), asio::detached);
+    }
+
+    /// Closes what has been idle for too long, until nothing is.
+    asio::awaitable<void> closeIdle()
+    {
+        asio::steady_timer timer(context_);
+        while (!idle_.empty()) {
+            error_code ignored;
+            timer.expires_at(idle_.front().since_ + settings_.idleTime_);
+            co_await timer.async_wait(into(ignored));
+            const Time now = monotonicNow();
+            std::erase_if(idle_, [&](const IdleConnection &connection) {
+                return now - connection.since_ >= settings_.idleTime_;
+            });
+        }
+        closingIdle_ = false;
+    }
+
+    asio::awaitable<bool> connect(RunPtr run)
+    {
+        run->reused_ = false;
+        run->stream_ = std::make_unique<beast::tcp_stream>(context_);
+        run->stream_->expires_after(connectTimeout);
+        error_code error;
+        co_await run->stream_->async_connect(endpoint(), into(error));
+        if (error)
+            co_return false;
+        error_code ignored;
+        run->stream_->socket().set_option(tcp::no_delay(true), ignored);
+        // The decisions keep the deadline, and cancel.
+        run->stream_->expires_never();
+        co_return true;
+    }
+
+    /// How much of a run's request reached the target.
+    enum class Sent {
+        Nothing,
+        Part,
+        All,
+    };
+
+    asio::awaitable<Sent> sendOnce(const Request &made, RunPtr run)
+    {
+        error_code error;
+        const std::size_t written = co_await http::async_write(*run->stream_, made, into(error));
+        if (!error)
+            co_return Sent::All;
+        co_return written == 0 ? Sent::Nothing : Sent::Part;
+    }
+
+    /// Only a request of which the system took no byte is sent anew: the target can't have it.
+    asio::awaitable<Sent> send(const Request &made, RunPtr run)
+    {
+        run->stream_ = takeIdle();
+        run->reused_ = run->stream_ != nullptr;
+        if (run->reused_) {
+            const Sent sent = co_await sendOnce(made, run);
+            if (sent != Sent::Nothing || run->cancelled_)
+                co_return sent;
+        }
+        const bool connected = co_await connect(run);
+        if (!connected || run->cancelled_)
+            co_return Sent::Nothing;
+        co_return co_await sendOnce(made, run);
+    }
+
+    /// A target that closes an idle connection may say so by this status: it isn't the run's
+    /// answer.
+    static bool isOutOfTurn(const Run &run, http::status status)
+    {
+        return run.reused_ && status == http::status::request_timeout;
+    }
+
     /// Passes the answer on as it comes. False where it broke off.
-    asio::awaitable<bool> passAnswer(const AttemptId &attempt, const RunPtr &run,
+    asio::awaitable<bool> passAnswer(const AttemptId &attempt, const RunPtr &run, http::verb method,
                                      AnswerMeter &meter)
     {
         beast::flat_buffer buffer;
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(boost::none);
+        parser.skip(method == http::verb::head);
         error_code error;
-        co_await http::async_read_header(run->stream_, buffer, parser, into(error));
-        if (error)
+        co_await http::async_read_header(*run->stream_, buffer, parser, into(error));
+        if (error || isOutOfTurn(*run, parser.get().result()))
             co_return false;
         const auto type = parser.get()[http::field::content_type];
         meter.form_ =
@@ -259,7 +380,7 @@
         while (!parser.is_done()) {
             parser.get().body().data = bytes.data();
             parser.get().body().size = bytes.size();
-            co_await http::async_read_some(run->stream_, buffer, parser, into(error));
+            co_await http::async_read_some(*run->stream_, buffer, parser, into(error));
             if (error && error != http::error::need_buffer)
                 co_return false;
             const std::size_t count = bytes.size() - parser.get().body().size;
@@ -270,6 +391,7 @@
             EngineEvent part = RunBytes{attempt, std::string(read), generatedTokens(meter)};
             co_await hand(std::move(part));
         }
+        run->reusable_ = parser.keep_alive() && buffer.size() == 0 && !run->cancelled_;
         co_return true;
     }
 
@@ -284,20 +406,11 @@
         const std::optional<Request> made = runRequest(start);
         if (!made)
             co_return failure(attempt, false);
-        error_code error;
-        run->stream_.expires_after(connectTimeout);
-        co_await run->stream_.async_connect(endpoint(), into(error));
-        if (error || run->cancelled_)
-            co_return failure(attempt, false);
-        error_code ignored;
-        run->stream_.socket().set_option(tcp::no_delay(true), ignored);
-        // The decisions keep the deadline, and cancel.
-        run->stream_.expires_never();
-        co_await http::async_write(run->stream_, *made, into(error));
-        if (error)
-            co_return failure(attempt, true);
+        const Sent sent = co_await send(*made, run);
+        if (sent != Sent::All)
+            co_return failure(attempt, sent == Sent::Part);
         AnswerMeter meter;
-        const bool whole = co_await passAnswer(attempt, run, meter);
+        const bool whole = co_await passAnswer(attempt, run, made->method(), meter);
         if (!whole)
             co_return failure(attempt, true);
         meterEnd(meter);
@@ -308,10 +421,13 @@
     asio::awaitable<void> perform(StartRun start)
     {
         const AttemptId attempt = start.attempt_;
-        const RunPtr run = std::make_shared<Run>(context_);
+        const RunPtr run = std::make_shared<Run>();
         runs_[attempt] = run;
         EngineEvent end = co_await carryOut(std::move(start), run);
         runs_.erase(attempt);
+        // Cancelled meanwhile or not: from here on nobody closes it but the pool.
+        if (run->reusable_ && !run->cancelled_)
+            keepIdle(std::move(run->stream_));
         co_await hand(std::move(end));
     }
 
@@ -331,6 +447,9 @@
     BoundedRing<EngineCommand> commands_;
     asio::io_context context_{1};
     std::unordered_map<AttemptId, RunPtr> runs_;
+    /// Connections between runs, the longest idle first.
+    std::vector<IdleConnection> idle_;
+    bool closingIdle_ = false;
     std::optional<asio::executor_work_guard<asio::io_context::executor_type>> work_;
     std::thread thread_;
 };
--- a/Source/Target/engineclient.h
+++ b/Source/Target/engineclient.h
@@ -6,6 +6,7 @@
 #include "Target/engineevents.h"
 
 #include <eelgrasscove/result.h>
+#include <eelgrasscove/time.h>
 
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,8 @@
     TargetAddress address_;
     /// True for a model engine, false for a plain service.
     bool engine_ = true;
+    /// How long a connection is kept between runs. A target may close one that is kept longer.
+    Duration idleTime_ = std::chrono::seconds(2);
 };
 
 class EngineClient
