--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -19,23 +19,17 @@
 
 namespace {
 
-constexpr std::size_t sendRingMessages = 16384;
+/// Messages that may wait to be given back.
+constexpr std::size_t failedRingMessages = 16384;
 constexpr std::size_t largestMessageBytes = 64 * 1024 * 1024;
 constexpr nng_duration shortestReconnectMillis = 50;
 constexpr nng_duration longestReconnectMillis = 1000;
-constexpr Duration sendWait = std::chrono::milliseconds(20);
+constexpr Duration watchPeriod = std::chrono::milliseconds(20);
 constexpr Duration retryWait = std::chrono::milliseconds(1);
 constexpr nng_duration retryWaitMillis = 1;
 constexpr Duration forgetDownLinkAfter = std::chrono::minutes(10);
 constexpr Duration flushTime = std::chrono::milliseconds(200);
 
-/// An empty message only opens the link.
-struct Outgoing
-{
-    std::string address_;
-    std::optional<Message> message_;
-};
-
 /// The sending end of the link to one peer.
 struct PeerLink
 {
@@ -73,10 +67,11 @@
     nng_aio *receiving_ = nullptr;
     /// Received, and not yet taken by the receiver. Only the inbox's callback touches it.
     std::optional<LinkEvent> held_;
-    BoundedRing<Outgoing> outgoing_{sendRingMessages};
+    BoundedRing<SendFailed> failed_{failedRingMessages};
     std::atomic<bool> stopping_ = false;
-    std::thread sender_;
-    /// Only the sender's thread touches it.
+    std::thread watcher_;
+    std::mutex mutex_;
+    /// Guarded by the mutex.
     std::map<std::string, std::unique_ptr<PeerLink>> peers_;
 
     Result<Done, LinkError> listen();
@@ -88,11 +83,12 @@
     bool deliverHeld();
     bool takeWaiting();
     void deliverSurely(LinkEvent event);
-    void sendAll();
-    void sendOne(Outgoing outgoing);
+    void watch();
+    bool send(const std::string &address, Message &&message);
+    bool sendNow(const std::string &address, const Message &message, std::string bytes);
     PeerLink *peerAt(const std::string &address);
     bool open(PeerLink &peer);
-    void reportChanges();
+    std::vector<LinkChanged> takeChanges();
     void forgetLongDown(Time now);
     void closePeers();
 };
@@ -200,38 +196,50 @@
     return peers_.emplace(address, std::move(peer)).first->second.get();
 }
 
-void LinkService::Impl::sendOne(Outgoing outgoing)
+bool LinkService::Impl::sendNow(const std::string &address, const Message &message,
+                                std::string bytes)
 {
-    PeerLink *peer = peerAt(outgoing.address_);
-    if (!outgoing.message_)
-        return;
-    const bool needsLink = std::holds_alternative<Offer>(*outgoing.message_);
-    if (peer == nullptr || (needsLink && !peer->up_)) {
-        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
-        return;
-    }
-    const Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_,
-                            settings_.advertise_, *outgoing.message_};
-    std::string bytes = encodeEnvelope(envelope);
-    const int code = nng_send(peer->socket_, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
-    if (code != 0)
-        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
+    const std::lock_guard guard(mutex_);
+    PeerLink *peer = stopping_ ? nullptr : peerAt(address);
+    const bool needsLink = std::holds_alternative<Offer>(message);
+    if (peer == nullptr || (needsLink && !peer->up_))
+        return false;
+    return nng_send(peer->socket_, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK) == 0;
+}
+
+bool LinkService::Impl::send(const std::string &address, Message &&message)
+{
+    Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_, settings_.advertise_,
+                      std::move(message)};
+    const bool sent = sendNow(address, envelope.message_, encodeEnvelope(envelope));
+    if (sent)
+        return true;
+    SendFailed failed{address, std::move(envelope.message_)};
+    if (failed_.tryPush(std::move(failed)))
+        return true;
+    // Untouched by the refusal. NOLINTNEXTLINE(bugprone-use-after-move)
+    message = std::move(failed.message_);
+    return false;
 }
 
-void LinkService::Impl::reportChanges()
+std::vector<LinkChanged> LinkService::Impl::takeChanges()
 {
+    std::vector<LinkChanged> changes;
+    const std::lock_guard guard(mutex_);
     for (auto &[address, peer] : peers_) {
         const bool up = peer->up_;
         if (up == peer->reportedUp_)
             continue;
         peer->reportedUp_ = up;
         peer->downSince_ = monotonicNow();
-        deliverSurely(LinkChanged{address, up});
+        changes.push_back({address, up});
     }
+    return changes;
 }
 
 void LinkService::Impl::forgetLongDown(Time now)
 {
+    const std::lock_guard guard(mutex_);
     std::erase_if(peers_, [now](const auto &entry) {
         const PeerLink &peer = *entry.second;
         if (peer.up_ || peer.reportedUp_ || now - peer.downSince_ < forgetDownLinkAfter)
@@ -241,16 +249,18 @@
     });
 }
 
-void LinkService::Impl::sendAll()
+/// Gives back what could not be sent, and tells of links that changed.
+void LinkService::Impl::watch()
 {
     Time lastForget = monotonicNow();
     while (true) {
-        std::optional<Outgoing> outgoing = outgoing_.pop(sendWait);
-        if (outgoing)
-            sendOne(std::move(*outgoing));
-        else if (outgoing_.closed())
+        std::optional<SendFailed> failed = failed_.pop(watchPeriod);
+        if (failed)
+            deliverSurely(std::move(*failed));
+        else if (failed_.closed())
             return;
-        reportChanges();
+        for (LinkChanged &change : takeChanges())
+            deliverSurely(std::move(change));
         const Time now = monotonicNow();
         if (now - lastForget > std::chrono::seconds(1)) {
             forgetLongDown(now);
@@ -290,18 +300,18 @@
     if (code != 0)
         return linkError("can't receive", code);
     nng_recv_aio(impl_->inbox_, impl_->receiving_);
-    impl_->sender_ = std::thread([this] { impl_->sendAll(); });
+    impl_->watcher_ = std::thread([this] { impl_->watch(); });
     return Done{};
 }
 
 void LinkService::stop()
 {
-    if (!impl_->sender_.joinable())
+    if (!impl_->watcher_.joinable())
         return;
-    // From here on nobody may take deliveries: neither the sender nor the inbox may wait for it.
+    // From here on nobody may take deliveries: neither the watcher nor the inbox may wait for it.
     impl_->stopping_ = true;
-    impl_->outgoing_.close();
-    impl_->sender_.join();
+    impl_->failed_.close();
+    impl_->watcher_.join();
     // nng closes a socket with what it still holds unsent; give it the time to write.
     std::this_thread::sleep_for(flushTime);
     nng_aio_stop(impl_->receiving_);
@@ -312,12 +322,14 @@
 
 void LinkService::connect(const std::string &address)
 {
-    impl_->outgoing_.tryPush({address, std::nullopt});
+    const std::lock_guard guard(impl_->mutex_);
+    if (!impl_->stopping_)
+        impl_->peerAt(address);
 }
 
-bool LinkService::send(const std::string &address, Message message)
+bool LinkService::send(const std::string &address, Message &&message)
 {
-    return impl_->outgoing_.tryPush({address, std::move(message)});
+    return impl_->send(address, std::move(message));
 }
 
 } // namespace eelgrasscove
