Revert "Send from the thread that decides"

Conclusion: the sender's thread stays, and with it the queue in which messages to one peer can be joined.

--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -198,9 +198,9 @@
 
     void performOne(SendMessage &&send)
     {
-        if (links_.send(send.address_, std::move(send.message_)))
+        if (links_.send(send.address_, send.message_))
             return;
-        // The links are full: the message is untouched and was not sent, as if its link were down.
+        // The links' ring is full: the message was not sent, as if its link were down.
         countMetric("eelgrasscove_link_ring_full_total");
         undone_.emplace_back(SendFailed{send.address_, std::move(send.message_)});
     }
--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -19,17 +19,23 @@
 
 namespace {
 
-/// Messages that may wait to be given back.
-constexpr std::size_t failedRingMessages = 16384;
+constexpr std::size_t sendRingMessages = 16384;
 constexpr std::size_t largestMessageBytes = 64 * 1024 * 1024;
 constexpr nng_duration shortestReconnectMillis = 50;
 constexpr nng_duration longestReconnectMillis = 1000;
-constexpr Duration watchPeriod = std::chrono::milliseconds(20);
+constexpr Duration sendWait = std::chrono::milliseconds(20);
 constexpr Duration retryWait = std::chrono::milliseconds(1);
 constexpr nng_duration retryWaitMillis = 1;
 constexpr Duration forgetDownLinkAfter = std::chrono::minutes(10);
 constexpr Duration flushTime = std::chrono::milliseconds(200);
 
+/// An empty message only opens the link.
+struct Outgoing
+{
+    std::string address_;
+    std::optional<Message> message_;
+};
+
 /// The sending end of the link to one peer.
 struct PeerLink
 {
@@ -67,11 +73,10 @@
     nng_aio *receiving_ = nullptr;
     /// Received, and not yet taken by the receiver. Only the inbox's callback touches it.
     std::optional<LinkEvent> held_;
-    BoundedRing<SendFailed> failed_{failedRingMessages};
+    BoundedRing<Outgoing> outgoing_{sendRingMessages};
     std::atomic<bool> stopping_ = false;
-    std::thread watcher_;
-    std::mutex mutex_;
-    /// Guarded by the mutex.
+    std::thread sender_;
+    /// Only the sender's thread touches it.
     std::map<std::string, std::unique_ptr<PeerLink>> peers_;
 
     Result<Done, LinkError> listen();
@@ -83,12 +88,11 @@
     bool deliverHeld();
     bool takeWaiting();
     void deliverSurely(LinkEvent event);
-    void watch();
-    bool send(const std::string &address, Message &&message);
-    bool sendNow(const std::string &address, const Message &message, std::string bytes);
+    void sendAll();
+    void sendOne(Outgoing outgoing);
     PeerLink *peerAt(const std::string &address);
     bool open(PeerLink &peer);
-    std::vector<LinkChanged> takeChanges();
+    void reportChanges();
     void forgetLongDown(Time now);
     void closePeers();
 };
@@ -196,50 +200,38 @@
     return peers_.emplace(address, std::move(peer)).first->second.get();
 }
 
-bool LinkService::Impl::sendNow(const std::string &address, const Message &message,
-                                std::string bytes)
-{
-    const std::lock_guard guard(mutex_);
-    PeerLink *peer = stopping_ ? nullptr : peerAt(address);
-    const bool needsLink = std::holds_alternative<Offer>(message);
-    if (peer == nullptr || (needsLink && !peer->up_))
-        return false;
-    return nng_send(peer->socket_, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK) == 0;
-}
-
-bool LinkService::Impl::send(const std::string &address, Message &&message)
+void LinkService::Impl::sendOne(Outgoing outgoing)
 {
-    Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_, settings_.advertise_,
-                      std::move(message)};
-    const bool sent = sendNow(address, envelope.message_, encodeEnvelope(envelope));
-    if (sent)
-        return true;
-    SendFailed failed{address, std::move(envelope.message_)};
-    if (failed_.tryPush(std::move(failed)))
-        return true;
-    // Untouched by the refusal. NOLINTNEXTLINE(bugprone-use-after-move)
-    message = std::move(failed.message_);
-    return false;
+    PeerLink *peer = peerAt(outgoing.address_);
+    if (!outgoing.message_)
+        return;
+    const bool needsLink = std::holds_alternative<Offer>(*outgoing.message_);
+    if (peer == nullptr || (needsLink && !peer->up_)) {
+        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
+        return;
+    }
+    const Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_,
+                            settings_.advertise_, *outgoing.message_};
+    std::string bytes = encodeEnvelope(envelope);
+    const int code = nng_send(peer->socket_, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+    if (code != 0)
+        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
 }
 
-std::vector<LinkChanged> LinkService::Impl::takeChanges()
+void LinkService::Impl::reportChanges()
 {
-    std::vector<LinkChanged> changes;
-    const std::lock_guard guard(mutex_);
     for (auto &[address, peer] : peers_) {
         const bool up = peer->up_;
         if (up == peer->reportedUp_)
             continue;
         peer->reportedUp_ = up;
         peer->downSince_ = monotonicNow();
-        changes.push_back({address, up});
+        deliverSurely(LinkChanged{address, up});
     }
-    return changes;
 }
 
 void LinkService::Impl::forgetLongDown(Time now)
 {
-    const std::lock_guard guard(mutex_);
     std::erase_if(peers_, [now](const auto &entry) {
         const PeerLink &peer = *entry.second;
         if (peer.up_ || peer.reportedUp_ || now - peer.downSince_ < forgetDownLinkAfter)
@@ -249,18 +241,16 @@
     });
 }
 
-/// Gives back what could not be sent, and tells of links that changed.
-void LinkService::Impl::watch()
+void LinkService::Impl::sendAll()
 {
     Time lastForget = monotonicNow();
     while (true) {
-        std::optional<SendFailed> failed = failed_.pop(watchPeriod);
-        if (failed)
-            deliverSurely(std::move(*failed));
-        else if (failed_.closed())
+        std::optional<Outgoing> outgoing = outgoing_.pop(sendWait);
+        if (outgoing)
+            sendOne(std::move(*outgoing));
+        else if (outgoing_.closed())
             return;
-        for (LinkChanged &change : takeChanges())
-            deliverSurely(std::move(change));
+        reportChanges();
         const Time now = monotonicNow();
         if (now - lastForget > std::chrono::seconds(1)) {
             forgetLongDown(now);
@@ -300,18 +290,18 @@
     if (code != 0)
         return linkError("can't receive", code);
     nng_recv_aio(impl_->inbox_, impl_->receiving_);
-    impl_->watcher_ = std::thread([this] { impl_->watch(); });
+    impl_->sender_ = std::thread([this] { impl_->sendAll(); });
     return Done{};
 }
 
 void LinkService::stop()
 {
-    if (!impl_->watcher_.joinable())
+    if (!impl_->sender_.joinable())
         return;
-    // From here on nobody may take deliveries: neither the watcher nor the inbox may wait for it.
+    // From here on nobody may take deliveries: neither the sender nor the inbox may wait for it.
     impl_->stopping_ = true;
-    impl_->failed_.close();
-    impl_->watcher_.join();
+    impl_->outgoing_.close();
+    impl_->sender_.join();
     // nng closes a socket with what it still holds unsent; give it the time to write.
     std::this_thread::sleep_for(flushTime);
     nng_aio_stop(impl_->receiving_);
@@ -322,14 +312,12 @@
 
 void LinkService::connect(const std::string &address)
 {
-    const std::lock_guard guard(impl_->mutex_);
-    if (!impl_->stopping_)
-        impl_->peerAt(address);
+    impl_->outgoing_.tryPush({address, std::nullopt});
 }
 
-bool LinkService::send(const std::string &address, Message &&message)
+bool LinkService::send(const std::string &address, Message message)
 {
-    return impl_->send(address, std::move(message));
+    return impl_->outgoing_.tryPush({address, std::move(message)});
 }
 
 } // namespace eelgrasscove
--- a/Source/Link/linkservice.h
+++ b/Source/Link/linkservice.h
@@ -66,12 +66,10 @@
     /// Opens the link to a peer ahead of its first message. Safe from any thread.
     void connect(const std::string &address);
 
-    /// Hands a message to the link. An Offer is given back (SendFailed) unless the link is up, any
-    /// message where the link's queue is full; others wait for the link. False where too many wait
-    /// to be given back, or the service is stopped: the message is then untouched, not sent, and
-    /// never will be. Never waits for a peer or for the receiver of deliveries. Safe from any
-    /// thread.
-    bool send(const std::string &address, Message &&message);
+    /// Queues a message. An Offer is refused (SendFailed) unless the link is up; other messages
+    /// wait for the link. False where the queue is full; the message is then not sent and never
+    /// will be. Safe from any thread.
+    bool send(const std::string &address, Message message);
 
 private:
     struct Impl;
