Send spans to a collector, and never wait for it

Cause: spans went to standard error only; the address of a collector was missing. [observe] collector sends them as OTLP/JSON to /v1/traces, several spans in one resourceSpans, at most 512 in a call and 1 s after the first. The deciding thread only pushes into a ring of 8192; a thread of its own empties it every 50 ms, so that a push wakes nobody, and makes one call at a time on the HTTP client that exists. Ruled out: a call per span, and a second try of a batch, as a collector that is slow would then hold more than the ring. What is not taken is dropped and counted by reason; a graceful stop sends the rest for at most 2 s, a forced one drops it.

Conclusion: a collector can be named without a risk for requests. A span for the target's whole hop, apart from queue, load and run, is still missing.

--- a/Source/Observe/trace.cpp
+++ b/Source/Observe/trace.cpp
@@ -3,10 +3,10 @@
 #include "Observe/log.h"
 
 #include <algorithm>
-#include <atomic>
 #include <cstdio>
 #include <fmt/core.h>
 #include <random>
+#include <utility>
 
 namespace eelgrasscove {
 
@@ -17,7 +17,8 @@
 constexpr std::size_t traceparentLength = 55;
 
 std::string serviceName;
-std::atomic<bool> spansEnabled = false;
+bool toStandardError = false;
+SpanSink spanSink;
 
 std::uint64_t randomBits()
 {
@@ -85,22 +86,32 @@
     return child;
 }
 
-void configureTrace(std::string_view process, bool enabled)
+void configureTrace(std::string_view process, bool standardError, SpanSink sink)
 {
     serviceName = process;
-    spansEnabled = enabled;
+    toStandardError = standardError;
+    spanSink = std::move(sink);
 }
 
-void emitSpan(const Span &span)
+std::string spansJson(const std::vector<Span> &spans)
 {
-    if (!spansEnabled)
-        return;
-    const std::string line = fmt::format(
+    std::string rows;
+    for (const Span &span : spans)
+        rows += (rows.empty() ? "" : ",") + spanJson(span);
+    return fmt::format(
         R"({{"resourceSpans":[{{"resource":{{"attributes":[{{"key":"service.name","value":)"
-        R"({{"stringValue":"{}"}}}}]}},"scopeSpans":[{{"spans":[{}]}}]}}]}})"
-        "\n",
-        escapeJson(serviceName), spanJson(span));
-    std::fwrite(line.data(), 1, line.size(), stderr);
+        R"({{"stringValue":"{}"}}}}]}},"scopeSpans":[{{"spans":[{}]}}]}}]}})",
+        escapeJson(serviceName), rows);
+}
+
+void emitSpan(Span span)
+{
+    if (toStandardError) {
+        const std::string line = spansJson({span}) + "\n";
+        std::fwrite(line.data(), 1, line.size(), stderr);
+    }
+    if (spanSink)
+        spanSink(std::move(span));
 }
 
 } // namespace eelgrasscove
--- a/Source/Observe/trace.h
+++ b/Source/Observe/trace.h
@@ -1,10 +1,12 @@
 #pragma once
 
-/// Traces: W3C traceparent on every hop, spans in the OTLP/JSON shape, one JSON line each.
+/// Traces: W3C traceparent on every hop, spans in the OTLP/JSON shape, to standard error
+/// or a collector.
 
 #include <eelgrasscove/time.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,10 +48,17 @@
     std::vector<SpanAttribute> attributes_;
 };
 
-/// Turns writing on or off; off at start.
-void configureTrace(std::string_view process, bool enabled);
+/// Takes spans on their way to a collector. Must not block.
+using SpanSink = std::function<void(Span &&)>;
 
-/// Writes the span to standard error as one line of the OTLP/JSON resourceSpans shape.
-void emitSpan(const Span &span);
+/// Where spans go: to standard error, to the sink where there is one, or nowhere, as at start. Not
+/// while other threads emit spans.
+void configureTrace(std::string_view process, bool standardError, SpanSink sink = {});
+
+/// The spans as one resource, in the OTLP/JSON resourceSpans shape.
+std::string spansJson(const std::vector<Span> &spans);
+
+/// Hands the span on; to standard error as one line of that shape.
+void emitSpan(Span span);
 
 } // namespace eelgrasscove
--- a/Source/Vm/daemon.cpp
+++ b/Source/Vm/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Caller/entryprocess.h"
 #include "Observe/log.h"
+#include "Observe/spanexporter.h"
 #include "Observe/trace.h"
 #include "Target/targetprocess.h"
 #include "Vm/exitcode.h"
@@ -75,10 +76,15 @@
 int runRole(const Settings &settings)
 {
     configureLog(settings.vm_.vm_.text_, logLevelFrom(settings.observe_.logLevel_));
-    configureTrace(settings.vm_.vm_.text_, settings.observe_.spans_);
     StopSignal &stop = installStopSignal();
-    return settings.vm_.role_ == Role::Entry ? runEntryProcess(settings, stop)
-                                             : runTargetProcess(settings, stop);
+    SpanExporter exporter(settings.observe_.collector_);
+    configureTrace(settings.vm_.vm_.text_, settings.observe_.spans_, exporter.sink());
+    exporter.start();
+    const int code = settings.vm_.role_ == Role::Entry ? runEntryProcess(settings, stop)
+                                                       : runTargetProcess(settings, stop);
+    if (code == ExitStopped)
+        exporter.flushAndStop();
+    return code;
 }
 
 } // namespace
--- a/Source/Vm/settings.cpp
+++ b/Source/Vm/settings.cpp
@@ -164,13 +164,17 @@
      }},
 }};
 
-const std::array<Row, 5> observeRows = {{
+const std::array<Row, 6> observeRows = {{
     {"observe", "log_level",
      [](auto &value, auto &out) { return readLogLevel(value, out.observe_.logLevel_); }},
     {"observe", "listen",
      [](auto &value, auto &out) { return readEndpoint(value, out.observe_.listen_); }},
     {"observe", "spans",
      [](auto &value, auto &out) { return readBool(value, out.observe_.spans_); }},
+    {"observe", "collector",
+     [](auto &value, auto &out) {
+         return readUrl(value, httpScheme, false, out.observe_.collector_);
+     }},
     {"stop", "announce",
      [](auto &value, auto &out) { return readDuration(value, 0s, 1h, out.stop_.announce_); }},
     {"stop", "graceful",
--- a/Source/Vm/settings.h
+++ b/Source/Vm/settings.h
@@ -110,6 +110,8 @@
     std::string listen_;
     /// Spans go to standard error where true.
     bool spans_ = false;
+    /// "http://127.0.0.1:4318": spans are sent there; nowhere where empty.
+    std::string collector_;
 };
 
 /// [stop]: graceful shutdown.
