Tell callers what was wrong before the connection closes

Cause: a caller over the limit of connections got a closed socket. Others that should have got an error didn't: Beast's own timeout closes the socket, so that caller_too_slow could never be written; after 413 and 431 the connection was closed with bytes unread, which resets it and can take the answer with it; HEAD got a body, which the next answer on the connection then stood behind; POST /healthz was answered as GET; errors made in the callers' thread had no X-Request-Id.

Now reads have a timer that cancels them and leaves the socket writable; a refused connection is half closed and read empty for at most 2 s; 64 callers over the limit are told so at a time, once their header has come; wrong methods get 405 with Allow. Ruled out: answering over the limit before the request has come, as some clients take an answer to nothing for a fault, and lingering connections outside of the count, as they hold sockets too.

Conclusion: each limit has its own error with code, run field, id and, on 503, Retry-After.

--- a/Source/Caller/apierror.cpp
+++ b/Source/Caller/apierror.cpp
@@ -16,6 +16,7 @@
     ApiErrorRow{ApiErrorCode::KeyUnknown, "key_unknown", 401},
     ApiErrorRow{ApiErrorCode::RouteNotFound, "route_not_found", 404},
     ApiErrorRow{ApiErrorCode::RouteForbidden, "route_forbidden", 403},
+    ApiErrorRow{ApiErrorCode::MethodNotAllowed, "method_not_allowed", 405},
     ApiErrorRow{ApiErrorCode::BodyTooLarge, "body_too_large", 413},
     ApiErrorRow{ApiErrorCode::HeaderTooLarge, "header_too_large", 431},
     ApiErrorRow{ApiErrorCode::CallerTooSlow, "caller_too_slow", 408},
--- a/Source/Caller/apierror.h
+++ b/Source/Caller/apierror.h
@@ -18,6 +18,7 @@
     KeyUnknown,
     RouteNotFound,
     RouteForbidden,
+    MethodNotAllowed,
     BodyTooLarge,
     HeaderTooLarge,
     CallerTooSlow,
@@ -56,6 +57,8 @@
     std::string message_;
     /// Seconds; 0 where no wait is known to help.
     std::uint32_t retryAfter_ = 0;
+    /// Methods that the path takes, for MethodNotAllowed.
+    std::string_view allow_;
 };
 
 /// {"error":{"code":…,"message":…,"run":…}}
--- a/Source/Caller/callermessages.h
+++ b/Source/Caller/callermessages.h
@@ -69,6 +69,8 @@
     /// Seconds; 0 leaves the header out.
     std::uint32_t retryAfter_ = 0;
     std::string requestId_;
+    /// Methods for the Allow header; empty leaves it out.
+    std::string allow_;
 };
 
 /// The start of a streamed answer.
--- a/Source/Caller/callerserver.cpp
+++ b/Source/Caller/callerserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
@@ -36,6 +37,13 @@
 constexpr std::size_t longestIdBytes = 128;
 constexpr Duration ringWait = std::chrono::milliseconds(1);
 constexpr Duration closeWait = std::chrono::seconds(2);
+/// Time for a refused caller to read its answer; bytes that it still sends are thrown away.
+constexpr Duration lingerTime = std::chrono::seconds(2);
+constexpr std::size_t lingerBytes = 4096;
+/// A caller over the limit of connections has this part of the usual time to send its header.
+constexpr int refusalHaste = 10;
+constexpr std::uint32_t refusalRetrySeconds = 1;
+constexpr std::string_view requestIdHeader = "X-Request-Id";
 constexpr std::string_view bearer = "Bearer ";
 
 using RequestParser = http::request_parser<http::string_body>;
@@ -76,14 +84,47 @@
            });
 }
 
-ReplyWhole errorReply(CallerHandle handle, const ApiError &error)
+/// An id for a request that the deciding thread never sees.
+std::string newRequestId()
 {
+    return childOf({}).traceId_;
+}
+
+/// The caller's own id of its request where it may be sent back.
+std::string requestIdOf(const HttpRequest &request)
+{
+    const std::string given = text(request[requestIdHeader]);
+    const std::string key = keyOfRequest(request);
+    const bool holdsKey = !key.empty() && given.find(key) != std::string::npos;
+    return given.empty() || holdsKey || !plainId(given) ? newRequestId() : given;
+}
+
+/// GET, or HEAD, which asks for the same without its body.
+bool isReading(const HttpRequest &request)
+{
+    return request.method() == http::verb::get || request.method() == http::verb::head;
+}
+
+ApiError wrongMethod(std::string_view allowed)
+{
+    return {ApiErrorCode::MethodNotAllowed, RunState::NotRun, "use " + std::string(allowed), 0,
+            allowed};
+}
+
+/// Counts and logs the refusal, which no other thread hears of.
+ReplyWhole errorReply(const std::string &requestId, const ApiError &error,
+                      LogLevel level = LogLevel::Info)
+{
+    const std::string code(apiErrorRow(error.code_).name_);
+    countMetric("eelgrasscove_callers_refused_total", "code=\"" + code + "\"");
+    logEvent(level, "caller_refused", {{"request", requestId}, {"code", code}});
     ReplyWhole reply;
-    reply.handle_ = handle;
     reply.status_ = apiErrorRow(error.code_).status_;
     reply.contentType_ = "application/json";
     reply.body_ = apiErrorBody(error);
     reply.retryAfter_ = error.retryAfter_;
+    reply.allow_ = error.allow_;
+    reply.requestId_ = requestId;
     return reply;
 }
 
@@ -95,7 +136,9 @@
     if (reply.retryAfter_ > 0)
         response.set(http::field::retry_after, std::to_string(reply.retryAfter_));
     if (!reply.requestId_.empty())
-        response.set("X-Request-Id", reply.requestId_);
+        response.set(requestIdHeader, reply.requestId_);
+    if (!reply.allow_.empty())
+        response.set(http::field::allow, reply.allow_);
     response.keep_alive(keepAlive);
     response.body() = reply.body_;
     response.prepare_payload();
@@ -107,7 +150,7 @@
     http::response<http::empty_body> response{http::int_to_status(reply.status_), 11};
     response.result(reply.status_);
     response.set(http::field::content_type, reply.contentType_);
-    response.set("X-Request-Id", reply.requestId_);
+    response.set(requestIdHeader, reply.requestId_);
     response.keep_alive(keepAlive);
     response.chunked(true);
     std::ostringstream out;
@@ -139,6 +182,8 @@
     std::thread thread_;
     std::uint64_t lastHandle_ = 0;
     std::set<std::shared_ptr<Session>> sessions_;
+    /// Those of the sessions that are over the limit and only being told so.
+    std::size_t refusals_ = 0;
     std::map<CallerHandle, Session *> byHandle_;
     std::atomic<bool> leaving_ = false;
 
@@ -149,6 +194,7 @@
 
     Result<Done, CallerServerError> listen();
     void accept();
+    void admit(tcp::socket socket);
     void drainReplies();
     void takeReply(CallerReply &reply);
     std::variant<CallerRequest, ApiError> readCall(const HttpRequest &request) const;
@@ -159,20 +205,31 @@
 class CallerServer::Impl::Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(Impl &server, tcp::socket socket) : server_(server), stream_(std::move(socket)) { }
+    Session(Impl &server, tcp::socket socket)
+        : server_(server), stream_(std::move(socket)), readTimer_(server.context_)
+    { }
 
     void readNext()
     {
-        parser_.emplace();
-        parser_->header_limit(server_.settings_.headerBytes_);
-        parser_->body_limit(server_.settings_.bodyBytes_);
-        expireIn(server_.settings_.callerTimeout_);
+        beginRead(server_.settings_.callerTimeout_);
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](beast::error_code error, std::size_t) {
                              self->afterRead(error);
                          });
     }
 
+    /// Reads only what is needed for the caller to be able to take a refusal.
+    void readToRefuse()
+    {
+        overLimit_ = true;
+        server_.refusals_ += 1;
+        beginRead(server_.settings_.callerTimeout_ / refusalHaste);
+        http::async_read_header(stream_, buffer_, *parser_,
+                                [self = shared_from_this()](beast::error_code error, std::size_t) {
+                                    self->afterRead(error);
+                                });
+    }
+
     void write(const std::string &bytes, bool last)
     {
         outgoing_ += bytes;
@@ -188,8 +245,12 @@
     void replyWhole(const ReplyWhole &reply)
     {
         keepAlive_ = keepAlive_ && !server_.leaving_;
+        const http::response<http::string_body> response = wholeResponse(reply, keepAlive_);
         std::ostringstream out;
-        out << wholeResponse(reply, keepAlive_);
+        if (headOnly_)
+            out << response.base();
+        else
+            out << response;
         write(out.str(), true);
     }
 
@@ -201,17 +262,17 @@
 
     void replyPart(const std::string &bytes)
     {
-        if (!bytes.empty())
+        if (!bytes.empty() && !headOnly_)
             write(chunkText(bytes), false);
     }
 
-    void replyEnd() { write("0\r\n\r\n", true); }
+    void replyEnd() { write(headOnly_ ? "" : "0\r\n\r\n", true); }
 
     /// The stream's end is never written, so that the caller can't take the answer for whole.
     void replyAbort(const std::string &lastBytes)
     {
         keepAlive_ = false;
-        write(lastBytes.empty() ? std::string() : chunkText(lastBytes), true);
+        write(lastBytes.empty() || headOnly_ ? std::string() : chunkText(lastBytes), true);
     }
 
     void close()
@@ -222,13 +283,39 @@
         beast::error_code ignored;
         stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
         stream_.socket().close(ignored);
+        readTimer_.cancel();
         loseCaller();
+        if (overLimit_)
+            server_.refusals_ -= 1;
         server_.sessions_.erase(shared_from_this());
     }
 
     bool busy() const { return handle_.value_ != 0; }
 
 private:
+    /// The stream's own timeout would close the connection before the caller could be told.
+    void beginRead(Duration time)
+    {
+        parser_.emplace();
+        parser_->header_limit(server_.settings_.headerBytes_);
+        parser_->body_limit(server_.settings_.bodyBytes_);
+        stream_.expires_never();
+        reading_ = true;
+        tooSlow_ = false;
+        readTimer_.expires_after(time);
+        readTimer_.async_wait(
+            [self = shared_from_this(), read = ++reads_](beast::error_code error) {
+                if (!error && self->reading_ && read == self->reads_)
+                    self->endSlowRead();
+            });
+    }
+
+    void endSlowRead()
+    {
+        tooSlow_ = true;
+        stream_.cancel();
+    }
+
     void expireIn(Duration time)
     {
         stream_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(time));
@@ -258,18 +345,27 @@
 
     void afterRead(beast::error_code error)
     {
-        if (error == http::error::header_limit) {
+        reading_ = false;
+        readTimer_.cancel();
+        if (closed_)
+            return;
+        if (overLimit_) {
+            refuse({ApiErrorCode::TooManyConnections, RunState::NotRun,
+                    "this entry has its fill of connections", refusalRetrySeconds});
+        } else if (!error) {
+            takeRequest();
+        } else if (error == http::error::header_limit) {
             refuse({ApiErrorCode::HeaderTooLarge, RunState::NotRun, "the header is too large", 0});
         } else if (error == http::error::body_limit) {
             refuse({ApiErrorCode::BodyTooLarge, RunState::NotRun, "the body is too large", 0});
-        } else if (error == beast::error::timeout && parser_->got_some()) {
+        } else if (tooSlow_ && parser_->got_some()) {
             refuse(
                 {ApiErrorCode::CallerTooSlow, RunState::NotRun, "the request came too slowly", 0});
-        } else if (error == http::error::end_of_stream || error == beast::error::timeout
-                   || error == asio::error::operation_aborted || error.category() != badInput()) {
-            error ? close() : takeRequest();
+        } else if (error == http::error::end_of_stream || error.category() != badInput()) {
+            close();
         } else {
-            refuse({ApiErrorCode::BadRequest, RunState::NotRun, error.message(), 0});
+            refuse({ApiErrorCode::BadRequest, RunState::NotRun,
+                    "the request is not HTTP/1.1: " + error.message(), 0});
         }
     }
 
@@ -282,31 +378,43 @@
     /// Answers without asking anyone, then closes: what follows on the connection can't be trusted.
     void refuse(const ApiError &error)
     {
-        countMetric("eelgrasscove_callers_refused_total",
-                    "code=\"" + std::string(apiErrorRow(error.code_).name_) + "\"");
         keepAlive_ = false;
-        replyWhole(errorReply({}, error));
+        linger_ = true;
+        // There may be as many as callers like, so they aren't logged as a rule.
+        replyWhole(errorReply(newRequestId(), error, LogLevel::Debug));
     }
 
     void takeRequest()
     {
         const HttpRequest request = parser_->release();
         keepAlive_ = request.keep_alive() && !server_.leaving_;
+        headOnly_ = request.method() == http::verb::head;
         const std::string path = text(request.target()).substr(0, request.target().find('?'));
         if (isObservePath(path)) {
-            const ObserveAnswer answer = answerObserve(server_.board_, path);
-            replyWhole({{}, answer.status_, answer.contentType_, answer.body_, 0, {}});
+            replyWhole(observeReply(request, path));
             return;
         }
         std::variant<CallerRequest, ApiError> call = server_.readCall(request);
         if (const ApiError *error = std::get_if<ApiError>(&call)) {
-            replyWhole(errorReply({}, *error));
+            replyWhole(errorReply(requestIdOf(request), *error));
             return;
         }
-        hand(std::get<CallerRequest>(std::move(call)));
+        hand(std::get<CallerRequest>(std::move(call)), requestIdOf(request));
+    }
+
+    ReplyWhole observeReply(const HttpRequest &request, const std::string &path) const
+    {
+        if (!isReading(request))
+            return errorReply(requestIdOf(request), wrongMethod("GET, HEAD"));
+        const ObserveAnswer answer = answerObserve(server_.board_, path);
+        ReplyWhole reply;
+        reply.status_ = answer.status_;
+        reply.contentType_ = answer.contentType_;
+        reply.body_ = answer.body_;
+        return reply;
     }
 
-    void hand(CallerRequest call)
+    void hand(CallerRequest call, const std::string &requestId)
     {
         handle_ = {++server_.lastHandle_};
         call.handle_ = handle_;
@@ -318,9 +426,9 @@
         }
         server_.byHandle_.erase(handle_);
         handle_ = {};
-        replyWhole(errorReply({},
+        replyWhole(errorReply(requestId,
                               {ApiErrorCode::Overloaded, RunState::NotRun,
-                               "this entry has its fill of requests", 1}));
+                               "this entry has its fill of requests", refusalRetrySeconds}));
     }
 
     /// A caller that goes away shows as a readable socket without bytes.
@@ -383,7 +491,7 @@
         server_.byHandle_.erase(handle_);
         handle_ = {};
         if (!keepAlive_) {
-            close();
+            linger_ ? endWriting() : close();
             return;
         }
         if (watching_)
@@ -391,8 +499,28 @@
         readNext();
     }
 
+    /// Closing at once would reset the connection, and the caller could lose its answer.
+    void endWriting()
+    {
+        beast::error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        expireIn(lingerTime);
+        discardRest();
+    }
+
+    void discardRest()
+    {
+        buffer_.clear();
+        stream_.async_read_some(buffer_.prepare(lingerBytes),
+                                [self = shared_from_this()](beast::error_code error, std::size_t) {
+                                    error ? self->close() : self->discardRest();
+                                });
+    }
+
     Impl &server_;
     beast::tcp_stream stream_;
+    asio::steady_timer readTimer_;
+    std::uint64_t reads_ = 0;
     beast::flat_buffer buffer_;
     std::optional<RequestParser> parser_;
     CallerHandle handle_;
@@ -400,6 +528,11 @@
     std::string outgoing_;
     std::string inFlight_;
     bool keepAlive_ = true;
+    bool headOnly_ = false;
+    bool linger_ = false;
+    bool overLimit_ = false;
+    bool reading_ = false;
+    bool tooSlow_ = false;
     bool writing_ = false;
     bool watching_ = false;
     bool lastQueued_ = false;
@@ -420,23 +553,26 @@
     acceptor_.async_accept([this](beast::error_code error, tcp::socket socket) {
         if (!acceptor_.is_open())
             return;
-        if (!error) {
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            const auto session = std::make_shared<Session>(*this, std::move(socket));
-            if (sessions_.size() >= settings_.connections_) {
-                sessions_.insert(session);
-                session->replyAbort({});
-                countMetric("eelgrasscove_callers_refused_total", "code=\"too_many_connections\"");
-            } else {
-                sessions_.insert(session);
-                session->readNext();
-            }
-        }
+        if (!error)
+            admit(std::move(socket));
         accept();
     });
 }
 
+void CallerServer::Impl::admit(tcp::socket socket)
+{
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const bool overLimit = sessions_.size() - refusals_ >= settings_.connections_;
+    if (overLimit && refusals_ >= refusalsAtOnce) {
+        countMetric("eelgrasscove_callers_cut_total");
+        return;
+    }
+    const auto session = std::make_shared<Session>(*this, std::move(socket));
+    sessions_.insert(session);
+    overLimit ? session->readToRefuse() : session->readNext();
+}
+
 std::optional<ApiError> CallerServer::Impl::readKind(const HttpRequest &request,
                                                      CallerRequest &call) const
 {
@@ -444,7 +580,7 @@
     const bool chat = path == "/v1/chat/completions";
     if (chat || path == "/v1/completions") {
         if (request.method() != http::verb::post)
-            return ApiError{ApiErrorCode::BadRequest, RunState::NotRun, "use POST", 0};
+            return wrongMethod("POST");
         call.kind_ = CallKind::Completion;
         Result<Completion, ApiError> completion =
             parseCompletion(request.body(), chat, settings_.defaultMaxTokens_);
@@ -452,6 +588,8 @@
             return errorOf(completion);
         call.completion_ = valueOf(std::move(completion));
     } else if (path == "/v1/models") {
+        if (!isReading(request))
+            return wrongMethod("GET, HEAD");
         call.kind_ = CallKind::Models;
     }
     return std::nullopt;
@@ -471,7 +609,7 @@
     call.contentType_ = text(request[http::field::content_type]);
     call.body_ = request.body();
     call.idempotencyKey_ = text(request["Idempotency-Key"]);
-    call.callerRequestId_ = text(request["X-Request-Id"]);
+    call.callerRequestId_ = text(request[requestIdHeader]);
     if (!plainId(call.idempotencyKey_) || !plainId(call.callerRequestId_))
         return ApiError{ApiErrorCode::BadRequest, RunState::NotRun,
                         "Idempotency-Key and X-Request-Id take up to 128 printable characters", 0};
--- a/Source/Caller/callerserver.h
+++ b/Source/Caller/callerserver.h
@@ -8,6 +8,7 @@
 
 #include <eelgrasscove/result.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,6 +17,9 @@
 
 namespace eelgrasscove {
 
+/// Callers over the limit of connections that are told so at a time; more are cut off.
+constexpr std::size_t refusalsAtOnce = 64;
+
 /// What the callers' thread hands to the thread that decides.
 using CallerEvent = std::variant<CallerRequest, CallerGone>;
 
