Read the settings that daemon and tool share by one table

Cause: the rows of [platform] and [keys] stood once in the daemon's settings and once in the tool's, so that a range could change in one alone. They are templates over the settings struct now; when a key must be there is still each side's own. Ruled out: one struct for both, as each would then take the other's sections.

Conclusion: behaviour as before, order of the messages included.

--- a/Source/Operator/operatorsettings.cpp
+++ b/Source/Operator/operatorsettings.cpp
@@ -1,6 +1,6 @@
 #include "Operator/operatorsettings.h"
 
-#include "Vm/settingstable.h"
+#include "Vm/sharedsettings.h"
 
 #include <array>
 
@@ -8,16 +8,8 @@
 
 namespace {
 
-using namespace std::chrono_literals;
 using Row = SettingRow<OperatorSettings>;
 
-constexpr std::string_view httpScheme = "http://";
-
-bool always(const OperatorSettings & /*settings*/)
-{
-    return true;
-}
-
 std::string trimmed(const std::string &text)
 {
     const std::size_t begin = text.find_first_not_of(' ');
@@ -49,25 +41,7 @@
     return std::nullopt;
 }
 
-const std::array<Row, 8> rows = {{
-    {"platform", "key_value_url",
-     [](auto &value, auto &out) {
-         return readUrl(value, httpScheme, false, out.platform_.keyValueUrl_);
-     },
-     always},
-    {"platform", "vm_list_url",
-     [](auto &value, auto &out) {
-         return readUrl(value, httpScheme, true, out.platform_.vmListUrl_);
-     },
-     always},
-    {"platform", "prefix",
-     [](auto &value, auto &out) { return readKeyPrefix(value, out.platform_.prefix_); }},
-    {"platform", "call_timeout",
-     [](auto &value, auto &out) {
-         return readDuration(value, 1ms, 1min, out.platform_.callTimeout_);
-     }},
-    {"keys", "digest_secret",
-     [](auto &value, auto &out) { return readSecret(value, out.keys_.digestSecret_); }},
+const std::array<Row, 3> operatorRows = {{
     {"operator", "status_urls",
      [](auto &value, auto &out) { return readUrls(value, out.statusUrls_); }},
     {"operator", "status_port",
@@ -75,13 +49,25 @@
     {"operator", "who", [](auto &value, auto &out) { return readText(value, out.who_); }},
 }};
 
+std::vector<Row> allRows()
+{
+    std::vector<Row> rows;
+    const auto add = [&rows](const auto &more) {
+        rows.insert(rows.end(), more.begin(), more.end());
+    };
+    add(platformRows<OperatorSettings>());
+    add(keyRows<OperatorSettings>(nullptr));
+    add(operatorRows);
+    return rows;
+}
+
 } // namespace
 
 Result<OperatorSettings, std::vector<SettingsError>> parseOperatorSettings(const std::string &text,
                                                                            const std::string &file)
 {
     OperatorSettings settings;
-    std::vector<SettingsError> errors = readSettings(text, file, rows, settings);
+    std::vector<SettingsError> errors = readSettings(text, file, allRows(), settings);
     if (!errors.empty())
         return errors;
     return settings;
--- a/Source/Vm/settings.cpp
+++ b/Source/Vm/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "Observe/log.h"
 #include "Vm/settingstable.h"
+#include "Vm/sharedsettings.h"
 
 #include <array>
 #include <fmt/core.h>
@@ -15,7 +16,6 @@
 
 constexpr std::uint32_t mostCount = 1000 * 1000;
 constexpr std::uint32_t mostBytes = 1024 * 1024 * 1024;
-constexpr std::string_view httpScheme = "http://";
 constexpr std::string_view tcpScheme = "tcp://";
 
 ValueResult readLogLevel(const std::string &value, std::string &level)
@@ -27,11 +27,6 @@
     return refused;
 }
 
-bool always(const Settings & /*settings*/)
-{
-    return true;
-}
-
 bool forEntry(const Settings &settings)
 {
     return settings.vm_.role_ == Role::Entry;
@@ -44,20 +39,22 @@
 
 const std::array<Row, 4> vmRows = {{
     {"vm", "role",
-     [](auto &value, auto &out) { return readNamed(value, roleNames, out.vm_.role_); }, always},
+     [](auto &value, auto &out) { return readNamed(value, roleNames, out.vm_.role_); },
+     always<Settings>},
     {"vm", "vm", [](auto &value, auto &out) { return readIdentifier(value, out.vm_.vm_.text_); },
-     always},
+     always<Settings>},
     {"vm", "region",
-     [](auto &value, auto &out) { return readIdentifier(value, out.vm_.region_.text_); }, always},
+     [](auto &value, auto &out) { return readIdentifier(value, out.vm_.region_.text_); },
+     always<Settings>},
     {"vm", "data_centre",
      [](auto &value, auto &out) { return readIdentifier(value, out.vm_.dataCentre_.text_); },
-     always},
+     always<Settings>},
 }};
 
-const std::array<Row, 9> linkRows = {{
+const std::array<Row, 4> linkRows = {{
     {"link", "listen",
      [](auto &value, auto &out) { return readUrl(value, tcpScheme, false, out.link_.listen_); },
-     always},
+     always<Settings>},
     {"link", "advertise",
      [](auto &value, auto &out) { return readUrl(value, tcpScheme, false, out.link_.advertise_); }},
     {"link", "peer_queue_messages",
@@ -68,29 +65,16 @@
      [](auto &value, auto &out) {
          return readDuration(value, 10ms, 1min, out.link_.heartbeatPeriod_);
      }},
-    {"platform", "key_value_url",
-     [](auto &value, auto &out) {
-         return readUrl(value, httpScheme, false, out.platform_.keyValueUrl_);
-     },
-     always},
-    {"platform", "vm_list_url",
-     [](auto &value, auto &out) {
-         return readUrl(value, httpScheme, true, out.platform_.vmListUrl_);
-     },
-     always},
-    {"platform", "prefix",
-     [](auto &value, auto &out) { return readKeyPrefix(value, out.platform_.prefix_); }},
-    {"platform", "call_timeout",
-     [](auto &value, auto &out) {
-         return readDuration(value, 1ms, 1min, out.platform_.callTimeout_);
-     }},
+}};
+
+const std::array<Row, 1> vmListRows = {{
     {"platform", "vm_list_period",
      [](auto &value, auto &out) {
          return readDuration(value, 10ms, 1h, out.platform_.vmListPeriod_);
      }},
 }};
 
-const std::array<Row, 10> callerRows = {{
+const std::array<Row, 8> callerRows = {{
     {"callers", "listen",
      [](auto &value, auto &out) { return readEndpoint(value, out.callers_.listen_); }, forEntry},
     {"callers", "connections",
@@ -119,8 +103,9 @@
      [](auto &value, auto &out) {
          return readNumber(value, 1, mostCount, out.callers_.defaultMaxTokens_);
      }},
-    {"keys", "digest_secret",
-     [](auto &value, auto &out) { return readSecret(value, out.keys_.digestSecret_); }, forEntry},
+}};
+
+const std::array<Row, 1> ruleRows = {{
     {"rules", "stale_after",
      [](auto &value, auto &out) {
          return readDuration(value, 100ms, 24 * 365h, out.rules_.staleAfter_);
@@ -184,11 +169,18 @@
 std::vector<Row> allRows()
 {
     std::vector<Row> rows;
-    rows.insert(rows.end(), vmRows.begin(), vmRows.end());
-    rows.insert(rows.end(), linkRows.begin(), linkRows.end());
-    rows.insert(rows.end(), callerRows.begin(), callerRows.end());
-    rows.insert(rows.end(), targetRows.begin(), targetRows.end());
-    rows.insert(rows.end(), observeRows.begin(), observeRows.end());
+    const auto add = [&rows](const auto &more) {
+        rows.insert(rows.end(), more.begin(), more.end());
+    };
+    add(vmRows);
+    add(linkRows);
+    add(platformRows<Settings>());
+    add(vmListRows);
+    add(callerRows);
+    add(keyRows<Settings>(forEntry));
+    add(ruleRows);
+    add(targetRows);
+    add(observeRows);
     return rows;
 }
 
