End with the documented code on a wrong command line

Cause: docopt's own entry point ends the process with 255 where the words don't fit; the pages say 2.

Conclusion: exit codes are as the help says.

--- a/Source/Vm/daemon.cpp
+++ b/Source/Vm/daemon.cpp
@@ -12,6 +12,7 @@
 #include <docopt/docopt.h>
 #include <fmt/core.h>
 #include <fstream>
+#include <map>
 #include <optional>
 #include <sstream>
 
@@ -92,7 +93,20 @@
 int runDaemon(int argc, const char *const *argv)
 {
     const std::vector<std::string> words(argv + 1, argv + argc);
-    const auto arguments = docopt::docopt(usage, words, true, version);
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, words, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        fmt::print("{}", usage);
+        return ExitStopped;
+    } catch (const docopt::DocoptExitVersion &) {
+        fmt::print("{}\n", version);
+        return ExitStopped;
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "the command line doesn't fit: {}; see eelgrasscoved --help\n",
+                   error.what());
+        return ExitUsage;
+    }
     const std::optional<Settings> settings = loadSettings(arguments.at("--settings").asString());
     if (!settings)
         return ExitUsage;
