Show shares, residents and queues in status, drain marks in decide

Cause: status printed a line for each process, with numbers only; what the processes say of shares, adapters and queues by account was not shown. Ruled out: marking drained VMs in status too, which has to answer while the platform is away.

Conclusion: status shows what the issue lists; decide agrees with the entries on drained VMs.

--- a/Source/Operator/commandline.cpp
+++ b/Source/Operator/commandline.cpp
@@ -4,6 +4,7 @@
 #include "Platform/kvcall.h"
 #include "Vm/inifile.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -30,7 +31,7 @@
   eelgrasscove key withdraw ID [--wait=TIME] [--who=TEXT] [--settings=FILE] [--json]
   eelgrasscove vm list [--settings=FILE] [--json]
   eelgrasscove vm drain VM [--undo] [--who=TEXT] [--settings=FILE] [--json]
-  eelgrasscove status [--settings=FILE] [--json]
+  eelgrasscove status [--account=NAME] [--settings=FILE] [--json]
   eelgrasscove decide --route=NAME [--account=NAME] [--data-centre=NAME] [--settings=FILE] [--json]
   eelgrasscove decide --method=METHOD --path=PATH [--account=NAME] [--data-centre=NAME] [--settings=FILE] [--json]
   eelgrasscove --help
@@ -251,7 +252,8 @@
         return vmDrain(desk, {textOf(arguments, "VM")}, isSet(arguments, "--undo"));
     if (isSet(arguments, "vm"))
         return vmListing(desk);
-    return isSet(arguments, "decide") ? runDecide(arguments, desk) : statusOfAll(desk);
+    return isSet(arguments, "decide") ? runDecide(arguments, desk)
+                                      : statusOfAll(desk, {textOf(arguments, "--account")});
 }
 
 void print(const Report &report, bool asJson)
@@ -262,7 +264,7 @@
     }
     fmt::print("{}", report.text_);
     if (!report.textOnly_)
-        fmt::print("{}", tableOf(report.rows_));
+        fmt::print("{}", tablesOf(report));
     fmt::print(stderr, "{}", report.error_);
 }
 
@@ -280,8 +282,12 @@
         fmt::print("{}\n", versionText);
         return static_cast<int>(ExitCode::Done);
     } catch (const std::exception &error) {
-        fmt::print(stderr, "the command line doesn't fit: {}; see eelgrasscove --help\n",
-                   error.what());
+        const bool asJson =
+            std::find(arguments.begin(), arguments.end(), "--json") != arguments.end();
+        print(failedReport(ExitCode::Usage,
+                           fmt::format("the command line doesn't fit: {}; see eelgrasscove --help",
+                                       error.what())),
+              asJson);
         return static_cast<int>(ExitCode::Usage);
     }
     const Report report = runCommand(parsed);
--- a/Source/Operator/commands.h
+++ b/Source/Operator/commands.h
@@ -45,7 +45,8 @@
 /// undo takes the mark away again.
 Report vmDrain(const Desk &desk, const VmName &vm, bool undo);
 
-Report statusOfAll(const Desk &desk);
+/// Shares and queues of all client accounts where none is given.
+Report statusOfAll(const Desk &desk, const AccountName &account = {});
 
 /// A request as "decide" is asked about it.
 struct DecideQuestion
--- a/Source/Operator/processstatus.cpp
+++ b/Source/Operator/processstatus.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <type_traits>
 
 namespace eelgrasscove {
 
@@ -19,7 +20,9 @@
 void readField(const Json &json, const char *name, Number &number)
 {
     const auto found = json.find(name);
-    if (found != json.end() && found->is_number_unsigned())
+    if (found == json.end() || !found->is_number_integer())
+        return;
+    if (std::is_signed_v<Number> || found->is_number_unsigned())
         number = found->get<Number>();
 }
 
@@ -32,8 +35,6 @@
 
 std::optional<ResidentAdapter> residentOf(const Json &json)
 {
-    if (!json.is_object())
-        return std::nullopt;
     const std::string name = textField(json, "adapter");
     const std::size_t at = name.rfind('@');
     if (at == std::string::npos)
@@ -45,14 +46,41 @@
     return resident;
 }
 
-void readResidents(const Json &json, std::vector<ResidentAdapter> &residents)
+std::optional<ShareStatus> shareOf(const Json &json)
 {
-    const auto found = json.find("residents");
+    ShareStatus share;
+    share.account_.text_ = textField(json, "account");
+    if (share.account_.empty())
+        return std::nullopt;
+    readField(json, "rate", share.rate_);
+    readField(json, "burst", share.burst_);
+    readField(json, "free", share.free_);
+    readField(json, "outstanding", share.outstanding_);
+    return share;
+}
+
+std::optional<QueueStatus> queueOf(const Json &json)
+{
+    QueueStatus queue;
+    queue.account_.text_ = textField(json, "account");
+    readField(json, "interactive", queue.interactive_);
+    readField(json, "batch", queue.batch_);
+    return queue;
+}
+
+/// The items of a list that can be read; none where there is no such list.
+template <class Item>
+void readList(const Json &json, const char *name, std::optional<Item> (*read)(const Json &),
+              std::vector<Item> &items)
+{
+    const auto found = json.find(name);
     if (found == json.end() || !found->is_array())
         return;
-    for (const Json &item : *found) {
-        if (const std::optional<ResidentAdapter> resident = residentOf(item))
-            residents.push_back(*resident);
+    for (const Json &one : *found) {
+        if (!one.is_object())
+            continue;
+        if (const std::optional<Item> item = read(one))
+            items.push_back(*item);
     }
 }
 
@@ -79,7 +107,10 @@
     readField(json, "running", status.running_);
     readField(json, "batch_slots", status.batchSlots_);
     readField(json, "adapter_slots", status.adapterSlots_);
-    readResidents(json, status.residents_);
+    readField(json, "requests", status.requests_);
+    readList(json, "residents", residentOf, status.residents_);
+    readList(json, "queues", queueOf, status.queues_);
+    readList(json, "accounts", shareOf, status.shares_);
     return status;
 }
 
--- a/Source/Operator/report.cpp
+++ b/Source/Operator/report.cpp
@@ -42,6 +42,14 @@
     return json.empty() ? "{}" : json + "}";
 }
 
+std::string jsonRows(const std::vector<ReportRow> &rows)
+{
+    std::string json;
+    for (const ReportRow &row : rows)
+        json += (json.empty() ? "" : ",") + jsonRow(row);
+    return "[" + json + "]";
+}
+
 std::string padded(const std::string &text, std::size_t width, bool isLast)
 {
     return isLast ? text : fmt::format("{:<{}}  ", text, width);
@@ -86,16 +94,26 @@
     return table;
 }
 
+std::string tablesOf(const Report &report)
+{
+    std::string text = tableOf(report.rows_);
+    for (const ReportTable &table : report.more_) {
+        if (!table.rows_.empty())
+            text += "\n" + table.name_ + "\n" + tableOf(table.rows_);
+    }
+    return text;
+}
+
 std::string jsonOf(const Report &report)
 {
-    std::string rows;
-    for (const ReportRow &row : report.rows_)
-        rows += (rows.empty() ? "" : ",") + jsonRow(row);
+    std::string more;
+    for (const ReportTable &table : report.more_)
+        more += "," + jsonText(table.name_) + ":" + jsonRows(table.rows_);
     const std::string &message =
         report.error_.empty() && !report.textOnly_ ? report.text_ : report.error_;
-    return fmt::format(R"({{"result":"{}","exit_code":{},"message":{},"rows":[{}]}})",
+    return fmt::format(R"({{"result":"{}","exit_code":{},"message":{},"rows":{}{}}})",
                        nameOf(exitCodeNames, report.code_), static_cast<int>(report.code_),
-                       jsonText(message), rows)
+                       jsonText(message), jsonRows(report.rows_), more)
         + "\n";
 }
 
--- a/Source/Operator/report.h
+++ b/Source/Operator/report.h
@@ -61,6 +61,13 @@
     std::vector<ReportField> fields_;
 };
 
+/// Rows of another kind than the report's own.
+struct ReportTable
+{
+    std::string name_;
+    std::vector<ReportRow> rows_;
+};
+
 struct Report
 {
     ExitCode code_ = ExitCode::Done;
@@ -70,6 +77,8 @@
     /// For people, on standard error.
     std::string error_;
     std::vector<ReportRow> rows_;
+    /// After the rows, each under its name.
+    std::vector<ReportTable> more_;
 };
 
 /// A report that only says what went wrong.
@@ -78,7 +87,10 @@
 /// The rows as columns with a heading.
 std::string tableOf(const std::vector<ReportRow> &rows);
 
-/// {"result":…,"exit_code":…,"message":…,"rows":[…]}
+/// The report's rows, then its other tables that have any, each under its name.
+std::string tablesOf(const Report &report);
+
+/// {"result":…,"exit_code":…,"message":…,"rows":[…]}, and a list for each other table.
 std::string jsonOf(const Report &report);
 
 } // namespace eelgrasscove
--- a/Source/Operator/statuscommands.cpp
+++ b/Source/Operator/statuscommands.cpp
@@ -22,6 +22,7 @@
              {"data_centre", status.dataCentre_.text_},
              {"revision", static_cast<std::int64_t>(status.rulesRevision_.value_)},
              {"leaving", status.leaving_},
+             {"requests", static_cast<std::int64_t>(status.requests_)},
              {"group", status.group_.text_},
              {"queued", static_cast<std::int64_t>(status.queued_)},
              {"running", static_cast<std::int64_t>(status.running_)},
@@ -30,6 +31,46 @@
              {"fault", fault}}};
 }
 
+bool isWanted(const AccountName &asked, const AccountName &account)
+{
+    return asked.empty() || asked == account;
+}
+
+void addShares(const ProcessStatus &status, const AccountName &asked, ReportTable &table)
+{
+    for (const ShareStatus &share : status.shares_) {
+        if (isWanted(asked, share.account_)) {
+            table.rows_.push_back({{{"vm", status.vm_.text_},
+                                    {"account", share.account_.text_},
+                                    {"rate", share.rate_},
+                                    {"burst", share.burst_},
+                                    {"free", share.free_},
+                                    {"outstanding", share.outstanding_}}});
+        }
+    }
+}
+
+void addResidents(const ProcessStatus &status, ReportTable &table)
+{
+    for (const ResidentAdapter &resident : status.residents_) {
+        table.rows_.push_back({{{"vm", status.vm_.text_},
+                                {"adapter", engineModelName(resident.adapter_)},
+                                {"running", static_cast<std::int64_t>(resident.running_)}}});
+    }
+}
+
+void addQueues(const ProcessStatus &status, const AccountName &asked, ReportTable &table)
+{
+    for (const QueueStatus &queue : status.queues_) {
+        if (isWanted(asked, queue.account_)) {
+            table.rows_.push_back({{{"vm", status.vm_.text_},
+                                    {"account", queue.account_.text_},
+                                    {"interactive", static_cast<std::int64_t>(queue.interactive_)},
+                                    {"batch", static_cast<std::int64_t>(queue.batch_)}}});
+        }
+    }
+}
+
 Result<Rules, Report> rulesInForce(const Desk &desk)
 {
     const Result<StoredHead, RuleStoreError> stored = readRuleHead(desk.keyValue_);
@@ -68,14 +109,25 @@
     return view;
 }
 
+/// Null where the platform doesn't list the VM.
+const ListedVm *listedVm(const VmList &vms, const VmName &vm)
+{
+    const auto found = std::find_if(vms.vms_.begin(), vms.vms_.end(),
+                                    [&vm](const ListedVm &listed) { return listed.vm_ == vm; });
+    return found == vms.vms_.end() ? nullptr : &*found;
+}
+
 /// Why a process can't be the target; empty where it can.
-std::string reasonAgainst(const ProcessStatus &status, const RouteRule &route)
+std::string reasonAgainst(const ProcessStatus &status, const VmList &vms, const RouteRule &route)
 {
     if (status.role_ != Role::Target)
         return "an entry";
     if (status.group_ != route.targets_)
         return "group " + status.group_.text_;
-    if (status.leaving_)
+    const ListedVm *listed = listedVm(vms, status.vm_);
+    if (listed == nullptr)
+        return "not on the platform's list";
+    if (status.leaving_ || listed->leaving_)
         return "leaving";
     return status.engineUp_ ? "" : "engine down";
 }
@@ -99,6 +151,13 @@
              {"batch_slots", static_cast<std::int64_t>(status.batchSlots_)}}};
 }
 
+ReportRow unheardRow(const ProbedProcess &process)
+{
+    ReportRow row = candidateRow(ProcessStatus{}, RouteRule{}, errorOf(process.status_).message_);
+    row.fields_.front().value_ = process.url_;
+    return row;
+}
+
 std::string describeRoute(const RouteRule &route)
 {
     const std::string leads = route.kind_ == RouteKind::Adapter
@@ -123,17 +182,26 @@
 
 } // namespace
 
-Report statusOfAll(const Desk &desk)
+Report statusOfAll(const Desk &desk, const AccountName &account)
 {
     const Result<std::vector<std::string>, Report> urls = statusUrls(desk);
     if (!ok(urls))
         return errorOf(urls);
     Report report;
+    ReportTable shares{"shares", {}};
+    ReportTable residents{"residents", {}};
+    ReportTable queues{"queues", {}};
     for (const ProbedProcess &process : probe(desk, valueOf(urls))) {
         report.rows_.push_back(statusRow(process));
-        if (!ok(process.status_))
+        if (!ok(process.status_)) {
             report.code_ = ExitCode::Unreachable;
+            continue;
+        }
+        addShares(valueOf(process.status_), account, shares);
+        addResidents(valueOf(process.status_), residents);
+        addQueues(valueOf(process.status_), account, queues);
     }
+    report.more_ = {std::move(shares), std::move(residents), std::move(queues)};
     return report;
 }
 
@@ -144,25 +212,34 @@
         return errorOf(rules);
     const RouteRule *route = routeOf(valueOf(rules), question);
     if (route == nullptr)
-        return failedReport(ExitCode::NotFound, "no route takes this request");
+        return failedReport(ExitCode::NotFound,
+                            "no route takes this request; see \"eelgrasscove rules show\"");
     Report report;
     report.text_ =
         fmt::format("revision {}\n", valueOf(rules).revision_.value_) + describeRoute(*route);
     if (!mayUse(*route, question.account_)) {
         report.code_ = ExitCode::Refused;
-        report.error_ = fmt::format("account \"{}\" may not use route {}\n",
-                                    question.account_.text_, route->route_.text_);
+        report.error_ =
+            fmt::format("{} may not use route {}; name one of its accounts\n",
+                        question.account_.empty() ? "a caller without a key"
+                                                  : "account \"" + question.account_.text_ + "\"",
+                        route->route_.text_);
         return report;
     }
     const Result<std::vector<std::string>, Report> urls = statusUrls(desk);
     if (!ok(urls))
         return errorOf(urls);
+    const Result<VmList, Report> vms = readVms(desk);
+    if (!ok(vms))
+        return errorOf(vms);
     std::vector<TargetView> candidates;
     for (const ProbedProcess &process : probe(desk, valueOf(urls))) {
-        if (!ok(process.status_))
+        if (!ok(process.status_)) {
+            report.rows_.push_back(unheardRow(process));
             continue;
+        }
         const ProcessStatus &status = valueOf(process.status_);
-        const std::string against = reasonAgainst(status, *route);
+        const std::string against = reasonAgainst(status, valueOf(vms), *route);
         report.rows_.push_back(candidateRow(status, *route, against));
         if (against.empty())
             candidates.push_back(viewOf(status, question));
--- a/Tests/Operator/operatortest.cpp
+++ b/Tests/Operator/operatortest.cpp
@@ -52,6 +52,17 @@
                        ""};
     }
 
+    void listVms(const std::vector<std::string> &names)
+    {
+        std::string rows;
+        for (const std::string &name : names) {
+            rows += (rows.empty() ? "" : ",") + std::string("{\"name\":\"") + name
+                + R"(","region":"r","data_centre":"d","role":"target",)"
+                  R"("address":"tcp://127.0.0.1:1","state":"live"})";
+        }
+        pages_["vms"] = {200, "{\"vms\":[" + rows + "]}", ""};
+    }
+
     Report apply(const std::string &text)
     {
         ApplyOptions options;
@@ -189,10 +200,7 @@
 BOOST_AUTO_TEST_CASE(drainMarksTheVmAsLeaving)
 {
     Bench bench;
-    bench.pages_["vms"] = {200,
-                           R"({"vms":[{"name":"t1","region":"r","data_centre":"d",)"
-                           R"("role":"target","address":"tcp://127.0.0.1:1","state":"live"}]})",
-                           ""};
+    bench.listVms({"t1"});
     BOOST_TEST(fieldOf(vmListing(bench.desk_), 0, "state") == "live");
     BOOST_TEST(isExit(vmDrain(bench.desk_, {"t1"}, false), ExitCode::Done));
     BOOST_TEST(fieldOf(vmListing(bench.desk_), 0, "state") == "leaving");
@@ -214,10 +222,18 @@
     bench.holdRevision("one", "target", 1,
                        R"(,"group":"advice","residents":[{"adapter":"oak@3","running":1}])");
     bench.holdRevision("two", "target", 1, R"(,"group":"advice","leaving":true)");
+    bench.holdRevision("three", "target", 1, R"(,"group":"advice")");
+    bench.holdRevision("four", "target", 1, R"(,"group":"advice")");
+    bench.listVms({"one", "two", "three"});
+    bench.desk_.settings_.statusUrls_ = {"one", "two", "three", "four", "five"};
+    BOOST_TEST(isExit(vmDrain(bench.desk_, {"three"}, false), ExitCode::Done));
     const Report report = decide(bench.desk_, {{"joiners"}, {"oak"}, "", "", {"d"}});
     BOOST_TEST(isExit(report, ExitCode::Done));
     BOOST_TEST(report.text_.find("goes to one: the adapter is there") != std::string::npos);
     BOOST_TEST(fieldOf(report, 1, "reason") == "leaving");
+    BOOST_TEST(fieldOf(report, 2, "reason") == "leaving");
+    BOOST_TEST(fieldOf(report, 3, "reason") == "not on the platform's list");
+    BOOST_TEST(fieldOf(report, 4, "reason").find("no answer") == 0U);
     BOOST_TEST(isExit(decide(bench.desk_, {{"other"}, {"oak"}, "", "", {}}), ExitCode::Refused));
     BOOST_TEST(isExit(decide(bench.desk_, {{"joiners"}, {"elm"}, "", "", {}}), ExitCode::NotFound));
 }
@@ -265,6 +281,34 @@
     BOOST_TEST(isExit(report, ExitCode::Done), report.error_);
 }
 
+BOOST_AUTO_TEST_CASE(statusShowsSharesResidentsAndQueuesOfEachProcess)
+{
+    Bench bench;
+    bench.holdRevision("one", "entry", 4,
+                       R"(,"requests":2,"accounts":[{"account":"joiners","rate":150,"burst":3000,)"
+                       R"("free":-7,"outstanding":40},{"account":"turners","rate":1},7,{}])");
+    bench.holdRevision("two", "target", 3,
+                       R"(,"residents":[{"adapter":"oak@3","running":1}],)"
+                       R"("queues":[{"account":"joiners","interactive":5,"batch":6}])");
+    bench.desk_.settings_.statusUrls_ = {"one", "two", "silent"};
+    const Report report = statusOfAll(bench.desk_, {"joiners"});
+    BOOST_TEST(isExit(report, ExitCode::Unreachable));
+    BOOST_TEST(report.rows_.size() == 3U);
+    const std::string json = jsonOf(report);
+    for (
+        const char *part :
+        {R"("vm":"one","role":"entry","data_centre":"d","revision":4,"leaving":false,"requests":2)",
+         R"("shares":[{"vm":"one","account":"joiners","rate":150,"burst":3000,"free":-7,)"
+         R"("outstanding":40}])",
+         R"("residents":[{"vm":"two","adapter":"oak@3","running":1}])",
+         R"("queues":[{"vm":"two","account":"joiners","interactive":5,"batch":6}])"})
+        BOOST_TEST(json.find(part) != std::string::npos, part << " isn't in " << json);
+    BOOST_TEST(tablesOf(report).find("\nqueues\nvm   account  interactive  batch\n"
+                                     "two  joiners  5            6\n")
+               != std::string::npos);
+    BOOST_TEST(statusOfAll(bench.desk_).more_.front().rows_.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(everyCommandHasAHelpPageThatNamesItsOptions)
 {
     std::istringstream usage(operatorUsage);
