Send a caller's own X-Request-Id back with its models

Cause: GET /v1/models answered with the entry's id of the request, whatever the caller had sent; all other answers keep the caller's.

Conclusion: docs/API.md's line on X-Request-Id holds for each answer but those of /healthz, /readyz, /metrics and /status, which have none.

--- a/Source/Caller/entryrequests.cpp
+++ b/Source/Caller/entryrequests.cpp
@@ -112,7 +112,7 @@
     reply.handle_ = request.call_.handle_;
     reply.contentType_ = "application/json";
     reply.body_ = R"({"object":"list","data":[)" + rows + "]}";
-    reply.requestId_ = request.id_.text_;
+    reply.requestId_ = replyId(request.call_, request.id_);
     actions.emplace_back(CallerReply{std::move(reply)});
 }
 
