--- a/Source/Observe/observeserver.cpp
+++ b/Source/Observe/observeserver.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::seconds observerTime{5};
 constexpr std::size_t largestHeaderBytes = 8 * 1024;
 constexpr std::size_t largestBodyBytes = 1024;
+constexpr unsigned wrongMethod = 405;
 
 /// One request of an observer.
 class Observation : public std::enable_shared_from_this<Observation>
@@ -43,21 +44,40 @@
     }
 
 private:
-    void answer()
+    ObserveAnswer find() const
     {
+        const http::verb method = parser_.get().method();
+        if (method != http::verb::get && method != http::verb::head)
+            return {wrongMethod, "text/plain", "use GET or HEAD\n"};
         const beast::string_view target = parser_.get().target();
         const std::string path(target.data(), target.size());
-        const ObserveAnswer found = answerObserve(board_, path.substr(0, path.find('?')));
+        return answerObserve(board_, path.substr(0, path.find('?')));
+    }
+
+    void answer()
+    {
+        const ObserveAnswer found = find();
         response_.result(found.status_);
+        if (found.status_ == wrongMethod)
+            response_.set(http::field::allow, "GET, HEAD");
         response_.set(http::field::content_type, found.contentType_);
         response_.keep_alive(false);
         response_.body() = found.body_;
         response_.prepare_payload();
-        http::async_write(stream_, response_,
-                          [self = shared_from_this()](beast::error_code, std::size_t) {
-                              beast::error_code ignored;
-                              self->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-                          });
+        if (parser_.get().method() == http::verb::head)
+            http::async_write_header(
+                stream_, serializer_,
+                [self = shared_from_this()](beast::error_code, std::size_t) { self->end(); });
+        else
+            http::async_write(
+                stream_, serializer_,
+                [self = shared_from_this()](beast::error_code, std::size_t) { self->end(); });
+    }
+
+    void end()
+    {
+        beast::error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
     beast::tcp_stream stream_;
@@ -65,6 +85,7 @@
     beast::flat_buffer buffer_;
     http::request_parser<http::string_body> parser_;
     http::response<http::string_body> response_;
+    http::response_serializer<http::string_body> serializer_{response_};
 };
 
 } // namespace
--- a/Tests/Caller/callerservertest.cpp
+++ b/Tests/Caller/callerservertest.cpp
@@ -1,16 +1,13 @@
 #include "Caller/callerserver.h"
 
 #include "Observe/statusboard.h"
+#include "rawcaller.h"
 
-#include <arpa/inet.h>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <fmt/core.h>
 #include <memory>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace eelgrasscove;
 
@@ -26,73 +23,6 @@
 constexpr Duration shortTime = std::chrono::milliseconds(100);
 constexpr Duration longTime = std::chrono::minutes(2);
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
-/// A port that nobody listens on just now.
-std::uint16_t freePort()
-{
-    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t length = sizeof(address);
-    auto *plain = reinterpret_cast<sockaddr *>(&address);
-    BOOST_REQUIRE(::bind(handle, plain, length) == 0);
-    BOOST_REQUIRE(::getsockname(handle, plain, &length) == 0);
-    ::close(handle);
-    return ntohs(address.sin_port);
-}
-
-/// A caller that writes what it likes.
-class RawCaller
-{
-public:
-    explicit RawCaller(std::uint16_t port) : handle_(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const sockaddr_in address = loopback(port);
-        BOOST_REQUIRE(
-            ::connect(handle_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
-    }
-    ~RawCaller() { ::close(handle_); }
-
-    RawCaller(const RawCaller &) = delete;
-    RawCaller &operator=(const RawCaller &) = delete;
-
-    void send(std::string_view bytes) const
-    {
-        while (!bytes.empty()) {
-            const auto sent = ::send(handle_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-            if (sent <= 0)
-                return;
-            bytes.remove_prefix(static_cast<std::size_t>(sent));
-        }
-    }
-
-    /// All that comes until the server closes, or until the text has come.
-    std::string receive(std::string_view until = {}) const
-    {
-        std::string all;
-        char part[4096];
-        while (until.empty() || all.find(until) == std::string::npos) {
-            const auto got = ::recv(handle_, part, sizeof(part), 0);
-            if (got < 0)
-                all += "<reset>";
-            if (got <= 0)
-                break;
-            all.append(part, static_cast<std::size_t>(got));
-        }
-        return all;
-    }
-
-private:
-    int handle_;
-};
-
 /// The server with a deciding thread that takes all it is given, and answers all but "/hold".
 class Front
 {
@@ -151,16 +81,6 @@
     std::unique_ptr<CallerServer> server_;
 };
 
-std::string headerOf(const std::string &answer, const std::string &name)
-{
-    const std::string head = answer.substr(0, answer.find("\r\n\r\n"));
-    const std::size_t at = head.find("\r\n" + name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const std::size_t begin = at + name.size() + 4;
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 /// A clear error: status, code, run field, an id to ask about, and when to come again.
 void checkError(const std::string &answer, unsigned status, std::string_view code)
 {
