--- a/Tests/Vm/settingstest.cpp
+++ b/Tests/Vm/settingstest.cpp
@@ -109,6 +109,20 @@
     BOOST_TEST(errorsOf("").front().line_ == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aCollectorIsAnAddressAndNoMore)
+{
+    const std::string section = entryText + "[observe]\ncollector = ";
+    const auto good = parseSettings(section + "http://127.0.0.1:4318\n", "vm.ini");
+    BOOST_REQUIRE(ok(good));
+    BOOST_TEST(valueOf(good).observe_.collector_ == "http://127.0.0.1:4318");
+    for (const char *bad : {"https://127.0.0.1:4318", "http://127.0.0.1", "http://otel:4318",
+                            "http://127.0.0.1:4318/v1/traces"}) {
+        const SettingsError error = errorsOf(section + bad + "\n").front();
+        BOOST_TEST(error.line_ == 16U, bad);
+        BOOST_TEST(error.remedy_ == "write http://IP:PORT", bad);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(examplesAreGoodAndStateTheDefaults)
 {
     for (const char *name : {"entry.ini", "target-engine.ini", "target-service.ini"}) {
