--- a/Source/Vm/daemon.cpp
+++ b/Source/Vm/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Caller/entryprocess.h"
 #include "Observe/log.h"
+#include "Observe/spanexporter.h"
 #include "Observe/trace.h"
 #include "Target/targetprocess.h"
 #include "Vm/exitcode.h"
@@ -11,6 +12,7 @@
 #include <docopt/docopt.h>
 #include <fmt/core.h>
 #include <fstream>
+#include <map>
 #include <optional>
 #include <sstream>
 
@@ -75,10 +77,15 @@
 int runRole(const Settings &settings)
 {
     configureLog(settings.vm_.vm_.text_, logLevelFrom(settings.observe_.logLevel_));
-    configureTrace(settings.vm_.vm_.text_, settings.observe_.spans_);
     StopSignal &stop = installStopSignal();
-    return settings.vm_.role_ == Role::Entry ? runEntryProcess(settings, stop)
-                                             : runTargetProcess(settings, stop);
+    SpanExporter exporter(settings.observe_.collector_);
+    configureTrace(settings.vm_.vm_.text_, settings.observe_.spans_, exporter.sink());
+    exporter.start();
+    const int code = settings.vm_.role_ == Role::Entry ? runEntryProcess(settings, stop)
+                                                       : runTargetProcess(settings, stop);
+    if (code == ExitStopped)
+        exporter.flushAndStop();
+    return code;
 }
 
 } // namespace
@@ -86,7 +93,20 @@
 int runDaemon(int argc, const char *const *argv)
 {
     const std::vector<std::string> words(argv + 1, argv + argc);
-    const auto arguments = docopt::docopt(usage, words, true, version);
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, words, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        fmt::print("{}", usage);
+        return ExitStopped;
+    } catch (const docopt::DocoptExitVersion &) {
+        fmt::print("{}\n", version);
+        return ExitStopped;
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "the command line doesn't fit: {}; see eelgrasscoved --help\n",
+                   error.what());
+        return ExitUsage;
+    }
     const std::optional<Settings> settings = loadSettings(arguments.at("--settings").asString());
     if (!settings)
         return ExitUsage;
