Mix failures over the whole fleet in virtual time

Cause: the parts have properties of their own, but nothing drove entries, target processes, engines, links and the platform together under several failures. Ruled out: real processes with a seeded schedule (threads and clocks make a seed mean nothing); the parts' simulations side by side (the faults sit between parts). Change: FleetMix drives the product's step functions, 3 entries and 4 targets in 2 data centres, with 1 to 6 times a failure of 16 kinds, and checks 12 properties from the fakes' record. The window check of ClientAccountTest moves to Tests/Shared.

--- a/Tests/ClientAccount/fleetsimulation.cpp
+++ b/Tests/ClientAccount/fleetsimulation.cpp
@@ -661,24 +661,6 @@
 
 } // namespace
 
-std::int64_t worstBurstMicroTokens(std::vector<TokenRun> runs, std::int64_t tokensPerSecond)
-{
-    std::stable_sort(runs.begin(), runs.end(), [](const TokenRun &left, const TokenRun &right) {
-        return left.at_ < right.at_;
-    });
-    std::int64_t worst = 0;
-    std::int64_t endingHere = 0;
-    std::optional<Time> before;
-    for (const TokenRun &run : runs) {
-        const Duration gap = before ? Duration(run.at_ - *before) : Duration(0);
-        endingHere = std::max<std::int64_t>(0, endingHere - gap.count() * tokensPerSecond);
-        endingHere += run.tokens_ * microTokensPerToken;
-        worst = std::max(worst, endingHere);
-        before = run.at_;
-    }
-    return worst;
-}
-
 SimulationResult simulateFleet(std::uint64_t seed, Sabotage sabotage)
 {
     Simulation simulation;
--- a/Tests/ClientAccount/fleetsimulation.h
+++ b/Tests/ClientAccount/fleetsimulation.h
@@ -4,6 +4,7 @@
 /// loans have to stand: kills, replacements, freezes, cuts, lost, doubled and overtaken messages,
 /// outages of the key-value service, lost replies and late writes.
 
+#include "../Shared/tokenwindow.h"
 #include "ClientAccount/ledger.h"
 #include "ClientAccount/loan.h"
 
@@ -34,16 +35,6 @@
     {Sabotage::LoanForgottenAtItsEnd, "loan_forgotten_at_its_end"},
 }};
 
-/// Tokens that a target ran at one moment.
-struct TokenRun
-{
-    Time at_;
-    std::int64_t tokens_ = 0;
-};
-
-/// Most that any window exceeds rate * window by, in millionths of a token.
-std::int64_t worstBurstMicroTokens(std::vector<TokenRun> runs, std::int64_t tokensPerSecond);
-
 struct SimulationResult
 {
     AllowanceShare contract_;
--- /dev/null
+++ b/Tests/FleetMix/fleetmix.cpp
@@ -0,0 +1,327 @@
+#include "fleetmix.h"
+
+#include "mixworld.h"
+
+#include <algorithm>
+#include <fmt/core.h>
+
+namespace eelgrasscove::mix {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time start = Time(1000s);
+constexpr Duration warmUp = 2200ms;
+constexpr Duration busy = 3500ms;
+constexpr Duration healing = 1500ms;
+constexpr Duration longestFailure = 1200ms;
+constexpr Duration busyTick = 25ms;
+constexpr Duration calmTick = 250ms;
+/// All shares are settled again, and all answers forgotten.
+constexpr Duration resting = 13s;
+constexpr Duration draining = 7s;
+
+} // namespace
+
+World::World(std::uint64_t seed, const Property *sabotage, bool log)
+    : random_(seed), sabotage_(sabotage), log_(log), now_(start), tickPeriod_(busyTick)
+{
+    store_.random_.seed(seed);
+    const auto place = [&](std::size_t index, const char *vm, const char *dataCentre,
+                           const char *group) {
+        Node &node = nodes_.at(index);
+        node.vm_ = {vm};
+        node.address_ = std::string("mem://") + std::to_string(index) + vm;
+        node.dataCentre_ = {dataCentre};
+        node.group_ = {group};
+        node.isEntry_ = node.group_.empty();
+        node.isEngine_ = !node.isEntry_ && node.group_.text_ != "records";
+    };
+    place(0, "e0", "north", "");
+    place(1, "e1", "north", "");
+    place(2, "e2", "south", "");
+    place(3, "t0", "north", "runners");
+    place(4, "t1", "south", "runners");
+    place(5, "t2", "north", "mill");
+    place(6, "t3", "south", "records");
+    place(successorNode, "e0", "north", "");
+    nodes_.at(successorNode).listed_ = false;
+    publish();
+    snapshotList();
+}
+
+bool World::chance(double probability)
+{
+    return probability > 0 && static_cast<double>(random_() % 100'000) < probability * 100'000;
+}
+
+std::size_t World::below(std::size_t bound)
+{
+    return random_() % bound;
+}
+
+Duration World::upTo(Duration longest)
+{
+    return Duration(1 + static_cast<std::int64_t>(below(longest.count())));
+}
+
+void World::after(Duration delay, Happen happen)
+{
+    events_.push({now_ + delay, eventOrder_++, std::move(happen)});
+}
+
+void World::runUntil(Time end)
+{
+    while (!events_.empty() && events_.top().at_ <= end) {
+        // The queue gives no other way to move out of it.
+        Event event = std::move(const_cast<Event &>(events_.top())); // NOLINT
+        events_.pop();
+        now_ = event.at_;
+        event.happen_();
+    }
+    now_ = end;
+}
+
+void World::violate(Property property, const std::string &what)
+{
+    note("VIOLATED: " + std::string(nameOf(propertyNames, property)) + ": " + what);
+    result_.violations_.push_back({property, what});
+}
+
+void World::note(const std::string &what) const
+{
+    if (log_)
+        fmt::print("{:9.4f} {}\n", static_cast<double>((now_ - start).count()) / 1e6, what);
+}
+
+// ---- The scenario
+
+void World::replaceFrozen()
+{
+    Node &old = nodes_.at(below(entryNodes));
+    Node &successor = nodes_.at(successorNode);
+    if (!old.alive_ || old.frozen_ || old.stopAt_ || successor.alive_)
+        return;
+    const Duration frozen = 400ms + upTo(800ms);
+    freeze(old, frozen);
+    after(upTo(400ms), [this, &old, &successor] {
+        successor.vm_ = old.vm_;
+        successor.dataCentre_ = old.dataCentre_;
+        old.listed_ = false;
+        successor.listed_ = true;
+        snapshotList();
+        startNode(successor);
+    });
+    after(frozen + upTo(500ms), [this, &old] { kill(old); });
+}
+
+void World::failOnce()
+{
+    ++result_.counts_.failures_;
+    Node &node = nodes_.at(below(successorNode));
+    Node &other = nodes_.at(below(successorNode));
+    const Duration time = upTo(longestFailure);
+    const std::size_t kind = below(16);
+    note(fmt::format("failure {} of {} for {} ms", kind, node.vm_.text_, time / 1ms));
+    const auto restart = [this, &node] {
+        if (node.listed_)
+            startNode(node);
+    };
+    switch (kind) {
+    case 0:
+    case 1:
+        kill(node);
+        after(time, restart);
+        break;
+    case 2:
+        kill(node);
+        if (!node.isEntry_)
+            crashEngine(node);
+        after(time, restart);
+        break;
+    case 3:
+        freeze(node, time);
+        break;
+    case 4:
+        cutBetween(
+            [&](const Node &left, const Node &right) { return &left == &node && &right == &other; },
+            time);
+        break;
+    case 5:
+        stickBetween(indexOf(node), indexOf(other), time);
+        break;
+    case 6:
+        cutBetween([&](const Node &left,
+                       const Node &right) { return left.dataCentre_ != right.dataCentre_; },
+                   time);
+        break;
+    case 7:
+        cutBetween([&](const Node &left, const Node &) { return &left == &node; }, time);
+        node.platformCut_ = true;
+        after(time, [&node] { node.platformCut_ = false; });
+        break;
+    case 8:
+        platformDown_ = true;
+        after(time, [this] { platformDown_ = false; });
+        break;
+    case 9:
+        staleReads_ = true;
+        store_.faults_ = {10, 10, 20, 10};
+        after(time, [this] { staleReads_ = false; });
+        break;
+    case 10:
+        if (!node.isEntry_)
+            crashEngine(node);
+        break;
+    case 11:
+    case 12:
+        changeRules();
+        break;
+    case 13:
+        if (!node.isEntry_)
+            node.listedLeaving_ = chance(0.5);
+        snapshotList();
+        stopGracefully(node);
+        after(time, [this, &node, restart] {
+            node.listedLeaving_ = false;
+            snapshotList();
+            restart();
+        });
+        break;
+    case 14:
+        for (Node &gone : nodes_) {
+            if (!gone.alive_ || gone.dataCentre_ != node.dataCentre_)
+                continue;
+            kill(gone);
+            if (!gone.isEntry_)
+                crashEngine(gone);
+            after(time, [this, &gone] {
+                if (gone.listed_)
+                    startNode(gone);
+            });
+        }
+        break;
+    default:
+        replaceFrozen();
+        break;
+    }
+}
+
+void World::heal()
+{
+    note("all heals");
+    calm_ = true;
+    platformDown_ = false;
+    staleReads_ = false;
+    listLag_ = Duration(0);
+    store_.faults_ = {};
+    applyLate(store_, 100);
+    for (std::size_t from = 0; from < nodeCount; ++from) {
+        for (std::size_t to = 0; to < nodeCount; ++to) {
+            links_.at(from).at(to).cut_ = false;
+            unstick(from, to);
+        }
+    }
+    for (Node &node : nodes_) {
+        node.platformCut_ = false;
+        node.listedLeaving_ = false;
+        thaw(node);
+        if (!node.listed_)
+            kill(node);
+        else if (!node.stopAt_)
+            startNode(node);
+    }
+    snapshotList();
+}
+
+void World::checkRest()
+{
+    const std::uint64_t newest = truths_.size() - 1;
+    for (const Node &node : nodes_) {
+        if (!node.alive_)
+            continue;
+        const std::string name = node.vm_.text_;
+        if (node.shown_.value_ != newest)
+            violate(Property::ComesToRest,
+                    fmt::format("{} holds revision {} of {}", name, node.shown_.value_, newest));
+        if (node.isEntry_ && !idle(node.entry_))
+            violate(Property::ComesToRest,
+                    fmt::format("{} has {} requests, {} attempts, {} claims in hand", name,
+                                node.entry_.requests_.size(), node.entry_.attempts_.size(),
+                                node.entry_.claims_.claims_.size()));
+        if (!node.isEntry_ && !node.door_.attempts_.inHand_.empty())
+            violate(Property::ComesToRest, name + " has attempts in hand");
+        if (!node.engine_.running_.empty())
+            violate(Property::ComesToRest, name + " still runs something");
+    }
+}
+
+void World::checkWindows()
+{
+    // The greater of the contracts; a rate is only ever lowered here, and bursts stay.
+    const std::int64_t rate = truths_.front().rate_;
+    for (std::size_t account = 0; account < tokens_.size(); ++account) {
+        const std::int64_t worst = worstBurstMicroTokens(tokens_.at(account), rate);
+        if (worst > 90 * 1'000'000)
+            violate(
+                Property::TokenWindow,
+                fmt::format("a{} ran {} millionths of a token beyond its rate", account, worst));
+    }
+}
+
+MixResult World::run()
+{
+    for (Node &node : nodes_) {
+        if (node.listed_)
+            startNode(node);
+    }
+    runUntil(start + warmUp);
+    listLag_ = chance(0.5) ? upTo(2s) : Duration(0);
+    const std::size_t jobs = 50 + below(70);
+    for (std::size_t job = 0; job < jobs; ++job)
+        after(upTo(busy), [this] { newJob(); });
+    const std::size_t failures = 1 + below(6);
+    for (std::size_t failure = 0; failure < failures; ++failure) {
+        const Duration when = upTo(busy);
+        const int together = chance(0.2) ? 2 : 1;
+        for (int times = 0; times < together; ++times)
+            after(when, [this] { failOnce(); });
+    }
+    runUntil(now_ + busy + healing);
+    checkCallsInTime();
+    heal();
+    runUntil(now_ + 1s);
+    // Those that had been told to stop are back by now.
+    for (Node &node : nodes_) {
+        if (node.listed_)
+            startNode(node);
+    }
+    runUntil(now_ + 4s);
+    tickPeriod_ = calmTick;
+    checkCallsInTime();
+    runUntil(now_ + resting);
+    for (Node &node : nodes_) {
+        if (node.listed_)
+            startNode(node);
+    }
+    runUntil(now_ + 3s);
+    checkCallsInTime();
+    checkRest();
+    for (Node &node : nodes_)
+        stopGracefully(node);
+    runUntil(now_ + draining);
+    for (const Node &node : nodes_) {
+        if (node.alive_)
+            violate(Property::GracefulStop, node.vm_.text_ + " doesn't come to its end");
+    }
+    checkWindows();
+    return std::move(result_);
+}
+
+MixResult runMix(std::uint64_t seed, const Property *sabotage, bool log)
+{
+    return World(seed, sabotage, log).run();
+}
+
+} // namespace eelgrasscove::mix
