--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -1,5 +1,6 @@
 #include "Caller/entry.h"
 
+#include "Caller/entryload.h"
 #include "Caller/entryparts.h"
 #include "Caller/entryrequests.h"
 #include "Observe/log.h"
@@ -13,19 +14,8 @@
 
 /// Time an attempt may still run after its entry has given it up.
 constexpr Duration attemptMargin = std::chrono::seconds(30);
-/// Accounts whose free tokens a heartbeat names.
-constexpr std::size_t freeTokenAccounts = 8;
-
-void noteStrikes(Entry &entry, const Heartbeat &heartbeat, Time now)
-{
-    for (const Strike &strike : heartbeat.strikes_) {
-        KnownStrike &known = entry.strikes_[strike.fingerprint_];
-        if (strike.count_ <= known.count_)
-            continue;
-        known.count_ = strike.count_;
-        known.heardAt_ = now;
-    }
-}
+/// Time between the spreading's ticks in a large fleet, where a view of the members costs more.
+constexpr Duration largeSpreadTick = std::chrono::milliseconds(250);
 
 void forgetOldStrikes(Entry &entry, Time now)
 {
@@ -44,27 +34,14 @@
     takeCallerGone(entry, gone, now, actions);
 }
 
-void takeEnvelopeHeartbeat(Entry &entry, const Envelope &envelope, const Heartbeat &heartbeat,
-                           Time now, EntryActions &actions)
-{
-    const auto known = entry.fleet_.peers_.find(envelope.from_);
-    const Incarnation before =
-        known == entry.fleet_.peers_.end() ? Incarnation() : known->second.incarnation_;
-    takeHeartbeat(entry.fleet_, envelope, heartbeat, now);
-    entry.sentSinceReport_.erase(envelope.from_);
-    noteStrikes(entry, heartbeat, now);
-    takePeerAllowance(entry, envelope, heartbeat, before, now);
-    performSpread(entry,
-                  takePeerRevision(entry.spread_, envelope.from_, heartbeat.rulesRevision_, now),
-                  now, actions);
-}
-
 void takeInput(Entry &entry, Envelope &&envelope, Time now, EntryActions &actions)
 {
     if (const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_)) {
-        takeEnvelopeHeartbeat(entry, envelope, *heartbeat, now, actions);
+        takeEntryHeartbeat(entry, envelope, *heartbeat, now, actions);
         return;
     }
+    if (takeLoadMessage(entry, envelope, now, actions))
+        return;
     if (takeRulesMessage(entry, envelope, now, actions))
         return;
     if (!takeLoanMessage(entry, envelope, now, actions))
@@ -85,7 +62,7 @@
 
 void takeInput(Entry &entry, VmList &&list, Time now, EntryActions &actions)
 {
-    takeVmList(entry.fleet_, list, now);
+    takeEntryVmList(entry, list, now, actions);
     takeShareList(entry, list, now, actions);
 }
 
@@ -105,6 +82,24 @@
     takePlatformReachable(entry.spread_, reachable.reachable_, now);
 }
 
+/// Spreads rules, from the moment on at which the peers are known.
+void advanceSpread(Entry &entry, Time now, EntryActions &actions)
+{
+    EntryLoad &load = entry.load_;
+    if (!load.spreadStarted_) {
+        load.spreadStarted_ = mayStartSpread(entry.fleet_, load.createdAt_, now);
+        if (load.spreadStarted_)
+            performSpread(entry, startSpread(entry.spread_, spreadView(entry, now), now), now,
+                          actions);
+        return;
+    }
+    if (isLarge(entry.fleet_) && now < load.nextSpreadTick_)
+        return;
+    load.nextSpreadTick_ = now + largeSpreadTick;
+    tellDrainsAgain(entry, now, actions);
+    performSpread(entry, tickSpread(entry.spread_, spreadView(entry, now), now), now, actions);
+}
+
 void takeInput(Entry &entry, EntryTick && /*tick*/, Time now, EntryActions &actions)
 {
     advanceWaiting(entry, now, actions);
@@ -112,7 +107,7 @@
     forgetOldStrikes(entry, now);
     advanceShares(entry, now, actions);
     performClaims(entry, tickClaims(entry.claims_, now), now, actions);
-    performSpread(entry, tickSpread(entry.spread_, spreadView(entry, now), now), now, actions);
+    advanceSpread(entry, now, actions);
 }
 
 void takeInput(Entry &entry, StopRequested && /*stop*/, Time now, EntryActions &actions)
@@ -173,33 +168,15 @@
     entry.spread_.policy_.staleAfter_ = policy.rulesStaleAfter_;
     entry.spread_.seed_ = incarnation.value_;
     entry.spread_.startedAt_ = now;
+    entry.load_.createdAt_ = now;
     return entry;
 }
 
-void startEntry(Entry &entry, Time now, EntryActions &actions)
-{
-    performSpread(entry, startSpread(entry.spread_, spreadView(entry, now), now), now, actions);
-}
-
 void step(Entry &entry, EntryInput &&input, Time now, EntryActions &actions)
 {
     std::visit([&](auto &body) { takeInput(entry, std::move(body), now, actions); }, input);
 }
 
-void sendHeartbeats(Entry &entry, Time now, EntryActions &actions)
-{
-    Heartbeat heartbeat;
-    heartbeat.role_ = Role::Entry;
-    heartbeat.dataCentre_ = entry.fleet_.dataCentre_;
-    heartbeat.leaving_ = entry.leaving_;
-    heartbeat.rulesRevision_ = entry.rules_.revision_;
-    heartbeat.freeTokens_ = freeTokenHints(entry.allowance_, freeTokenAccounts, now);
-    for (const auto &[fingerprint, known] : entry.strikes_)
-        heartbeat.strikes_.push_back({fingerprint, known.count_});
-    for (const std::string &address : heartbeatAddresses(entry.fleet_))
-        actions.emplace_back(SendMessage{address, heartbeat});
-}
-
 bool idle(const Entry &entry)
 {
     return entry.requests_.empty() && entry.attempts_.empty() && entry.claims_.claims_.empty();
--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -8,8 +8,10 @@
 #include "ClientAccount/loan.h"
 #include "Contract/claims.h"
 #include "DataCentre/fleet.h"
+#include "DataCentre/loadreport.h"
 #include "DataCentre/routing.h"
 #include "DataCentre/rulespread.h"
+#include "DataCentre/vmnews.h"
 #include "Link/linkservice.h"
 
 #include <eelgrasscove/platform.h>
@@ -46,6 +48,7 @@
     std::uint32_t strikes_ = 2;
     Duration strikeMemory_ = std::chrono::minutes(10);
     RoutingPolicy routing_;
+    LoadReportPolicy load_;
 };
 
 /// Where a request stands.
@@ -121,6 +124,20 @@
     Time heardAt_;
 };
 
+/// When this entry of a large fleet next tells others of itself and of its data centre.
+struct EntryLoad
+{
+    Time nextHeartbeats_;
+    Time nextSummary_;
+    Time createdAt_;
+    bool spreadStarted_ = false;
+    Time nextSpreadTick_;
+    /// It has told that it leaves.
+    bool toldLeaving_ = false;
+    /// Time between readings of the VM list that its size asks for.
+    Duration listPeriod_ = Duration(0);
+};
+
 struct Entry
 {
     LinkIdentity identity_;
@@ -134,6 +151,7 @@
     Claims claims_;
     RuleSpread spread_;
     Fleet fleet_;
+    EntryLoad load_;
     std::map<RequestId, PendingRequest> requests_;
     std::map<CallerHandle, RequestId> requestByHandle_;
     std::map<AttemptId, EntryAttempt> attempts_;
@@ -164,6 +182,12 @@
     Message message_;
 };
 
+/// Open the link to a peer ahead of its first message.
+struct OpenLink
+{
+    std::string address_;
+};
+
 /// How a request ended, for logs, metrics and traces.
 struct RequestRecord
 {
@@ -186,16 +210,14 @@
     std::string errors_;
 };
 
-using EntryAction = std::variant<SendMessage, CallerReply, RequestRecord, KvOperation,
-                                 WatchPlatformRules, ReadPlatformRules, RulesUnreadable>;
+using EntryAction =
+    std::variant<SendMessage, CallerReply, RequestRecord, KvOperation, WatchPlatformRules,
+                 ReadPlatformRules, RulesUnreadable, OpenLink, StretchVmList>;
 using EntryActions = std::vector<EntryAction>;
 
 /// An entry of this VM and incarnation that knows nothing yet.
 Entry makeEntry(const VmSettings &vm, Incarnation incarnation, const EntryPolicy &policy, Time now);
 
-/// Asks the peers for their rules; once, after the start.
-void startEntry(Entry &entry, Time now, EntryActions &actions);
-
 void step(Entry &entry, EntryInput &&input, Time now, EntryActions &actions);
 
 /// Sends this entry's heartbeat to its peers.
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -1,5 +1,6 @@
 #include "Caller/entryrequests.h"
 
+#include "Caller/entryload.h"
 #include "Caller/entryparts.h"
 
 #include <algorithm>
@@ -225,7 +226,7 @@
 void replyAnswer(PendingRequest &request, EntryActions &actions)
 {
     if (request.call_.completion_.stream_) {
-        actions.emplace_back(CallerReply{ReplyEnd{request.call_.handle_}});
+        actions.emplace_back(std::in_place_type<CallerReply>, ReplyEnd{request.call_.handle_});
         return;
     }
     ReplyWhole reply;
@@ -306,8 +307,7 @@
     if (found == entry.fleet_.peers_.end())
         return true;
     const Peer &peer = found->second;
-    const Duration silentAfter = entry.fleet_.policy_.silentAfter_;
-    return !peer.linkUp_ || !peer.lastHeard_ || now - *peer.lastHeard_ > silentAfter;
+    return !peer.linkUp_ || !knownLive(entry.fleet_, peer, now);
 }
 
 /// An idempotent request needn't wait for a target process that can't be reached.
@@ -360,8 +360,10 @@
     const RouteNeeds needs{request.route_.adapter_, request.call_.priority_, request.tried_};
     const std::optional<RoutingDecision> decision =
         chooseTarget(viewsFor(entry, request, now), needs, entry.policy_.routing_);
-    if (!decision)
+    if (!decision) {
+        linkToSpares(entry, request.route_.targets_, now, actions);
         return false;
+    }
     const Peer &peer = entry.fleet_.peers_.at(decision->vm_);
     EntryAttempt attempt;
     attempt.id_ = nextAttempt(entry);
--- a/Source/Caller/entryprocess.cpp
+++ b/Source/Caller/entryprocess.cpp
@@ -12,6 +12,7 @@
 #include "Vm/exitcode.h"
 #include "Vm/timerservice.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -98,6 +99,8 @@
             logEvent(LogLevel::Error, "start_failed", {{"error", errorOf(observing).message_}});
             return ExitAddress;
         }
+        // Whether this entry watches the rules is decided once it knows its peers.
+        platform_.setWatching(false);
         platform_.start();
         timer_.subscribe(tickPeriod, [this](Time) { inputs_.tryPush(EntryTick()); });
         timer_.subscribe(settings_.link_.heartbeatPeriod_, [this](Time) { heartbeatDue_ = true; });
@@ -125,7 +128,6 @@
     void decide()
     {
         EntryActions actions;
-        startEntry(entry_, monotonicNow(), actions);
         while (!finished()) {
             std::optional<EntryInput> input = nextInput();
             const Time now = monotonicNow();
@@ -218,6 +220,13 @@
 
     void performOne(ReadPlatformRules && /*read*/) { platform_.readRules(); }
 
+    void performOne(OpenLink &&open) { links_.connect(open.address_); }
+
+    void performOne(StretchVmList &&stretch)
+    {
+        platform_.setVmListPeriod(std::max(stretch.period_, settings_.platform_.vmListPeriod_));
+    }
+
     void performOne(RulesUnreadable &&unreadable)
     {
         logEvent(LogLevel::Error, "stored_rules_unreadable",
--- a/Source/DataCentre/fleet.cpp
+++ b/Source/DataCentre/fleet.cpp
@@ -14,15 +14,36 @@
     peer.linkUp_ = fleet.linksUp_.contains(address);
 }
 
+void forgetOldNews(Fleet &fleet, Time now)
+{
+    std::erase_if(fleet.toldLeavingUntil_, [&](const auto &told) { return now > told.second; });
+    std::erase_if(fleet.toldDrains_, [&](const auto &told) {
+        return now - told.second.at_ > fleet.policy_.toldDrainsFor_;
+    });
+}
+
+/// Whether others told lately that the VM leaves.
+bool toldLeaving(const Fleet &fleet, const VmName &vm)
+{
+    if (fleet.toldLeavingUntil_.contains(vm))
+        return true;
+    return std::any_of(fleet.toldDrains_.begin(), fleet.toldDrains_.end(), [&](const auto &told) {
+        const std::vector<VmName> &drained = told.second.vms_;
+        return std::find(drained.begin(), drained.end(), vm) != drained.end();
+    });
+}
+
 void takeListedVm(Fleet &fleet, const ListedVm &vm, Time now)
 {
     Peer &peer = fleet.peers_[vm.vm_];
     peer.onList_ = true;
     peer.listed_.region_ = vm.region_;
-    peer.listed_.leaving_ = vm.leaving_;
-    if (heardLately(fleet, peer, now))
+    const bool leaving = vm.leaving_ || toldLeaving(fleet, vm.vm_);
+    peer.listed_.leaving_ = leaving;
+    if (knownLive(fleet, peer, now))
         return;
     peer.listed_ = vm;
+    peer.listed_.leaving_ = leaving;
     setAddress(fleet, peer, vm.address_);
 }
 
@@ -85,7 +106,9 @@
 {
     std::vector<VmName> home;
     for (const auto &[vm, peer] : fleet.peers_) {
-        if (peer.listed_.dataCentre_ == fleet.dataCentre_ && !leaving(peer))
+        const bool getsReports =
+            fleet.selfRole_ == Role::Target && peer.listed_.role_ == Role::Entry;
+        if (peer.listed_.dataCentre_ == fleet.dataCentre_ && !leaving(peer) && !getsReports)
             home.push_back(vm);
     }
     std::vector<std::string> addresses;
@@ -101,10 +124,12 @@
 {
     for (auto &[vm, peer] : fleet.peers_)
         peer.onList_ = false;
-    fleet.selfListedLeaving_ = false;
+    forgetOldNews(fleet, now);
+    fleet.listRead_ = true;
+    fleet.selfListedLeaving_ = toldLeaving(fleet, fleet.self_);
     for (const ListedVm &vm : list.vms_) {
         if (vm.vm_ == fleet.self_) {
-            fleet.selfListedLeaving_ = vm.leaving_;
+            fleet.selfListedLeaving_ = fleet.selfListedLeaving_ || vm.leaving_;
         } else {
             takeListedVm(fleet, vm, now);
         }
@@ -121,15 +146,39 @@
         return;
     const bool sameRun = envelope.incarnation_ == peer.incarnation_;
     const bool saidLeaving = sameRun && peer.heartbeat_.leaving_;
+    const bool keepsBase = sameRun && heartbeat.number_ == 0;
+    const std::uint64_t base = peer.heartbeat_.number_;
     peer.incarnation_ = envelope.incarnation_;
+    peer.version_ = envelope.version_;
     peer.lastHeard_ = now;
     peer.heartbeat_ = heartbeat;
     peer.heartbeat_.leaving_ = heartbeat.leaving_ || saidLeaving;
-    peer.fullResidents_ = heartbeat.residents_;
-    peer.reportNumber_ = heartbeat.number_;
+    if (keepsBase) {
+        peer.heartbeat_.number_ = base;
+    } else {
+        peer.fullResidents_ = heartbeat.residents_;
+        peer.reportNumber_ = heartbeat.number_;
+    }
     takeOwnWords(fleet, peer, envelope, heartbeat);
 }
 
+bool isLarge(const Fleet &fleet)
+{
+    return fleet.peers_.size() > fleet.policy_.fullMeshUpTo_;
+}
+
+Duration silentAfter(const Fleet &fleet)
+{
+    return std::max(fleet.policy_.silentAfter_, fleet.reportSilence_);
+}
+
+void noteVersion(Fleet &fleet, const Envelope &envelope)
+{
+    const auto found = fleet.peers_.find(envelope.from_);
+    if (found != fleet.peers_.end() && envelope.incarnation_ >= found->second.incarnation_)
+        found->second.version_ = envelope.version_;
+}
+
 void takeLinkChange(Fleet &fleet, const std::string &address, bool up)
 {
     if (up) {
@@ -138,14 +187,23 @@
         fleet.linksUp_.erase(address);
     }
     for (auto &[vm, peer] : fleet.peers_) {
-        if (peer.listed_.address_ == address)
-            peer.linkUp_ = up;
+        if (peer.listed_.address_ != address)
+            continue;
+        peer.linkUp_ = up;
+        // Another build may run there when the link comes back.
+        if (!up)
+            peer.version_ = 0;
     }
 }
 
 bool heardLately(const Fleet &fleet, const Peer &peer, Time now)
 {
-    return peer.lastHeard_ && now - *peer.lastHeard_ <= fleet.policy_.silentAfter_;
+    return peer.lastHeard_ && now - *peer.lastHeard_ <= silentAfter(fleet);
+}
+
+bool knownLive(const Fleet &fleet, const Peer &peer, Time now)
+{
+    return heardLately(fleet, peer, now) || (peer.spareUntil_ && now <= *peer.spareUntil_);
 }
 
 bool acceptsWork(const Fleet &fleet, const Peer &peer, Time now)
@@ -154,12 +212,12 @@
         return false;
     if (leaving(peer) || !peer.heartbeat_.engineUp_)
         return false;
-    return heardLately(fleet, peer, now);
+    return knownLive(fleet, peer, now);
 }
 
 std::vector<std::string> heartbeatAddresses(const Fleet &fleet)
 {
-    if (fleet.peers_.size() > fleet.policy_.fullMeshUpTo_)
+    if (isLarge(fleet))
         return fewAtHome(fleet);
     std::vector<std::string> addresses;
     std::map<DataCentreName, OtherDataCentre> others;
--- a/Source/DataCentre/fleet.h
+++ b/Source/DataCentre/fleet.h
@@ -24,7 +24,11 @@
     bool onList_ = false;
     bool linkUp_ = false;
     Incarnation incarnation_;
+    /// Version of its messages; 0 until it speaks on the present link.
+    std::uint32_t version_ = 0;
     std::optional<Time> lastHeard_;
+    /// Until when a summary of its data centre vouches for it.
+    std::optional<Time> spareUntil_;
     /// Its latest heartbeat.
     Heartbeat heartbeat_;
     /// Residents as of its latest full heartbeat, which later load reports change.
@@ -44,8 +48,21 @@
     std::size_t heartbeatsAcross_ = 2;
     /// With more peers than this, heartbeats only carry revisions, to a few peers at home; load
     /// travels in load reports and between data centres in summaries.
-    std::size_t fullMeshUpTo_ = 256;
+    std::size_t fullMeshUpTo_ = 32;
     std::size_t heartbeatsHome_ = 8;
+    /// Period of those few heartbeats.
+    Duration fewHeartbeatsPeriod_ = std::chrono::seconds(2);
+    /// A VM that others told to be leaving counts as leaving for so long, whatever a reading of its
+    /// own says, as that may come from an older list; likewise for a drain mark that was told.
+    Duration toldLeavingFor_ = std::chrono::seconds(60);
+    Duration toldDrainsFor_ = std::chrono::seconds(90);
+};
+
+/// The drained VMs as one peer told them.
+struct ToldDrains
+{
+    std::vector<VmName> vms_;
+    Time at_;
 };
 
 struct Fleet
@@ -53,12 +70,23 @@
     VmName self_;
     RegionName region_;
     DataCentreName dataCentre_;
+    Role selfRole_ = Role::Entry;
     FleetPolicy policy_;
+    /// Silence that the period of load reports asks for, where it is longer than the policy's.
+    Duration reportSilence_ = Duration(0);
     std::map<VmName, Peer> peers_;
     /// Addresses whose link is up, also those of peers not known yet.
     std::set<std::string> linksUp_;
     /// The list says that this process's own VM is leaving.
     bool selfListedLeaving_ = false;
+    /// The list has been read here.
+    bool listRead_ = false;
+    /// What others told of the platform; see vmnews.h.
+    std::map<VmName, Time> toldLeavingUntil_;
+    std::map<VmName, ToldDrains> toldDrains_;
+    /// The drained VMs as this process reads them, and when it last told them.
+    std::vector<VmName> ownDrains_;
+    Time drainsToldAt_;
 };
 
 /// Takes in a reading of the platform's list. Peers that left it are kept while they still speak.
@@ -69,18 +97,31 @@
 /// replaces all that was said before. Within one incarnation, leaving is final.
 void takeHeartbeat(Fleet &fleet, const Envelope &envelope, const Heartbeat &heartbeat, Time now);
 
+/// Whether the fleet is above the policy's full mesh.
+bool isLarge(const Fleet &fleet);
+
+/// Silence after which a peer gets no new work.
+Duration silentAfter(const Fleet &fleet);
+
+/// Notes the version of messages that a known peer writes.
+void noteVersion(Fleet &fleet, const Envelope &envelope);
+
 void takeLinkChange(Fleet &fleet, const std::string &address, bool up);
 
-/// Whether the peer has spoken within the policy's time.
+/// Whether the peer has spoken within silentAfter().
 bool heardLately(const Fleet &fleet, const Peer &peer, Time now);
 
+/// Whether the peer has spoken lately, or a summary of its data centre still vouches for it.
+bool knownLive(const Fleet &fleet, const Peer &peer, Time now);
+
 /// Whether new work may go to the peer now. A peer that the list shows as leaving gets none even
 /// after a restart: the VM goes, whatever its process says.
 bool acceptsWork(const Fleet &fleet, const Peer &peer, Time now);
 
 /// Addresses that this process should send its heartbeats to: all peers of its data centre and a
 /// few of each other one, entries before target processes, by rendezvous hashing. In a fleet above
-/// the policy's full mesh: a few at home only.
+/// the policy's full mesh: a few at home only, and from a target process no entries, which get its
+/// load reports.
 std::vector<std::string> heartbeatAddresses(const Fleet &fleet);
 
 } // namespace eelgrasscove
--- a/Source/DataCentre/loadreport.cpp
+++ b/Source/DataCentre/loadreport.cpp
@@ -97,6 +97,107 @@
         group.spares_.push_back({vm, peer.incarnation_, peer.listed_.address_, free});
 }
 
+/// What entries have to know at once.
+bool urgent(const Heartbeat &sent, const Heartbeat &current)
+{
+    return sent.leaving_ != current.leaving_ || sent.engineUp_ != current.engineUp_
+        || sent.rulesRevision_ != current.rulesRevision_;
+}
+
+std::size_t targetsAt(const Fleet &fleet, const DataCentreName &dataCentre)
+{
+    std::size_t targets = 0;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        const bool counts =
+            peer.listed_.role_ == Role::Target && peer.listed_.dataCentre_ == dataCentre;
+        targets += counts ? 1 : 0;
+    }
+    return targets;
+}
+
+/// Addresses of entries that have shown on the present link that they take load reports.
+std::set<std::string> takingReports(const Fleet &fleet)
+{
+    std::set<std::string> addresses;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.role_ == Role::Entry && peer.version_ >= loadReportVersion)
+            addresses.insert(peer.listed_.address_);
+    }
+    return addresses;
+}
+
+void addReports(std::vector<AddressedMessage> &messages, LoadSender &sender, const Fleet &fleet,
+                const std::set<std::string> &speakers, const Heartbeat &current,
+                const LoadReportPolicy &policy)
+{
+    const std::vector<std::string> atHome = reportAddresses(fleet);
+    std::set<std::string> addresses(atHome.begin(), atHome.end());
+    addresses.insert(speakers.begin(), speakers.end());
+    const std::set<std::string> taking = takingReports(fleet);
+    const Message report = nextReport(sender, current, policy);
+    for (const std::string &address : addresses)
+        messages.push_back({address, taking.contains(address) ? report : Message(current)});
+}
+
+/// The region of a data centre as the list tells it of any of its VMs.
+RegionName regionOf(const Fleet &fleet, const DataCentreName &dataCentre)
+{
+    for (const auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.dataCentre_ == dataCentre && !peer.listed_.region_.empty())
+            return peer.listed_.region_;
+    }
+    return {};
+}
+
+/// The sender's words reach here through its summaries alone.
+void hearSender(Fleet &fleet, const Envelope &envelope, Revision rulesRevision, Time now)
+{
+    const auto found = fleet.peers_.find(envelope.from_);
+    if (found == fleet.peers_.end() || envelope.incarnation_ < found->second.incarnation_)
+        return;
+    Peer &peer = found->second;
+    if (envelope.incarnation_ > peer.incarnation_)
+        peer.heartbeat_ = {};
+    peer.incarnation_ = envelope.incarnation_;
+    peer.version_ = envelope.version_;
+    peer.lastHeard_ = now;
+    peer.heartbeat_.rulesRevision_ = rulesRevision;
+}
+
+/// What a summary tells of one spare. Its own words, where they reach here, go first.
+void takeSpare(Fleet &fleet, const DataCentreSummary &summary, const GroupSummary &group,
+               const SpareTarget &spare, Time until, Time now)
+{
+    if (spare.vm_ == fleet.self_)
+        return;
+    Peer &peer = fleet.peers_[spare.vm_];
+    if (spare.incarnation_ < peer.incarnation_)
+        return;
+    peer.spareUntil_ = until;
+    const bool ownWords = spare.incarnation_ == peer.incarnation_ && heardLately(fleet, peer, now);
+    if (ownWords)
+        return;
+    if (spare.incarnation_ > peer.incarnation_)
+        peer.heartbeat_ = {};
+    peer.incarnation_ = spare.incarnation_;
+    peer.listed_.vm_ = spare.vm_;
+    peer.listed_.dataCentre_ = summary.dataCentre_;
+    peer.listed_.role_ = Role::Target;
+    peer.listed_.group_ = group.group_;
+    peer.listed_.address_ = spare.address_;
+    peer.linkUp_ = fleet.linksUp_.contains(spare.address_);
+    if (peer.listed_.region_.empty())
+        peer.listed_.region_ = regionOf(fleet, summary.dataCentre_);
+    Heartbeat &load = peer.heartbeat_;
+    load.role_ = Role::Target;
+    load.dataCentre_ = summary.dataCentre_;
+    load.group_ = group.group_;
+    load.engineUp_ = true;
+    load.batchSlots_ = std::max(group.batchSlots_ / std::max(group.targets_, 1U), spare.freeSlots_);
+    load.running_ = load.batchSlots_ - spare.freeSlots_;
+    load.queued_ = 0;
+}
+
 bool leaving(const Peer &peer)
 {
     return peer.listed_.leaving_ || peer.heartbeat_.leaving_;
@@ -112,6 +213,41 @@
     return full;
 }
 
+std::vector<Message> fullReportAgain(LoadSender &sender, const Heartbeat &current,
+                                     const LoadReportPolicy &policy)
+{
+    if (!sender.full_)
+        return {current};
+    const Heartbeat full = *sender.full_;
+    LoadSender since = sender;
+    Message report = nextReport(since, current, policy);
+    // A new full report would have to go to all; until then this peer has the load unnumbered.
+    if (std::holds_alternative<Heartbeat>(report))
+        return {full, current};
+    sender.number_ = since.number_;
+    return {full, std::move(report)};
+}
+
+std::vector<AddressedMessage> targetReports(LoadSender &sender, const Fleet &fleet,
+                                            const std::set<std::string> &speakers,
+                                            const Heartbeat &current,
+                                            const LoadReportPolicy &policy, Time now)
+{
+    std::vector<AddressedMessage> messages;
+    if (now >= sender.nextReport_ || urgent(sender.sent_, current)) {
+        addReports(messages, sender, fleet, speakers, current, policy);
+        sender.sent_ = current;
+        const std::size_t senders = targetsAt(fleet, fleet.dataCentre_) + 1;
+        sender.nextReport_ = now + reportPeriod(senders, policy);
+    }
+    if (now < sender.nextFewHeartbeats_)
+        return messages;
+    sender.nextFewHeartbeats_ = now + fleet.policy_.fewHeartbeatsPeriod_;
+    for (std::string &address : heartbeatAddresses(fleet))
+        messages.push_back({std::move(address), current});
+    return messages;
+}
+
 Message nextReport(LoadSender &sender, const Heartbeat &current, const LoadReportPolicy &policy)
 {
     if (!sender.full_ || !sameBesidesLoad(*sender.full_, current))
@@ -169,6 +305,50 @@
     return std::max(fleetPolicy.silentAfter_, policy.silentPeriods_ * period);
 }
 
+void adaptSilence(Fleet &fleet, const LoadReportPolicy &policy)
+{
+    fleet.reportSilence_ = Duration(0);
+    if (!isLarge(fleet))
+        return;
+    std::map<DataCentreName, std::size_t> targets;
+    std::size_t most = 0;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.role_ == Role::Target)
+            most = std::max(most, ++targets[peer.listed_.dataCentre_]);
+    }
+    const Duration period =
+        std::max(reportPeriod(most, policy), fleet.policy_.fewHeartbeatsPeriod_);
+    fleet.reportSilence_ = silenceFor(period, policy, fleet.policy_);
+}
+
+void takeSummary(Fleet &fleet, const Envelope &envelope, const DataCentreSummary &summary,
+                 const LoadReportPolicy &policy, Time now)
+{
+    if (summary.dataCentre_ == fleet.dataCentre_)
+        return;
+    hearSender(fleet, envelope, summary.rulesRevision_, now);
+    for (auto &[vm, peer] : fleet.peers_) {
+        if (peer.listed_.dataCentre_ == summary.dataCentre_)
+            peer.spareUntil_.reset();
+    }
+    const Time until = now + policy.sparePeriods_ * policy.summaryPeriod_;
+    for (const GroupSummary &group : summary.groups_) {
+        for (const SpareTarget &spare : group.spares_)
+            takeSpare(fleet, summary, group, spare, until, now);
+    }
+}
+
+std::vector<std::string> unlinkedSpares(const Fleet &fleet, const TargetGroup &group, Time now)
+{
+    std::vector<std::string> addresses;
+    for (const auto &[vm, peer] : fleet.peers_) {
+        const bool spare = peer.spareUntil_ && now <= *peer.spareUntil_ && !leaving(peer);
+        if (spare && !peer.linkUp_ && peer.heartbeat_.group_ == group)
+            addresses.push_back(peer.listed_.address_);
+    }
+    return addresses;
+}
+
 DataCentreSummary summaryOf(const Fleet &fleet, Revision rulesRevision,
                             const LoadReportPolicy &policy, Time now)
 {
--- a/Source/DataCentre/loadreport.h
+++ b/Source/DataCentre/loadreport.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,15 @@
     Duration summaryPeriod_ = std::chrono::seconds(3);
     /// Target processes that a summary names for each group.
     std::size_t sparesPerGroup_ = 2;
+    /// A spare is taken for live so many summary periods after the summary that named it.
+    int sparePeriods_ = 3;
+};
+
+/// A message for the process at this address.
+struct AddressedMessage
+{
+    std::string address_;
+    Message message_;
 };
 
 /// What a target process remembers of its own reports.
@@ -38,14 +48,32 @@
 {
     std::uint64_t number_ = 0;
     std::optional<Heartbeat> full_;
+    /// The latest load that was sent.
+    Heartbeat sent_;
+    Time nextReport_;
+    Time nextFewHeartbeats_;
 };
 
 /// The next report: a load report where it says all that changed, else a full heartbeat.
 Message nextReport(LoadSender &sender, const Heartbeat &current, const LoadReportPolicy &policy);
 
-/// The report to a peer that asked for a full one.
+/// A full report, which later load reports change; it has to go to all receivers.
 Heartbeat fullReport(LoadSender &sender, const Heartbeat &current);
 
+/// What a peer needs that asked for a full report: the latest full one again and what has changed
+/// since. The other receivers' reports go on unharmed.
+std::vector<Message> fullReportAgain(LoadSender &sender, const Heartbeat &current,
+                                     const LoadReportPolicy &policy);
+
+/// What a target process of a large fleet has to send now: a report where one is due, or at once
+/// when it leaves, its engine goes or comes, or new rules are in force; and few heartbeats. Entries
+/// that are not known to take load reports, such as older builds, get a whole heartbeat instead.
+/// speakers are addresses that reports also go to.
+std::vector<AddressedMessage> targetReports(LoadSender &sender, const Fleet &fleet,
+                                            const std::set<std::string> &speakers,
+                                            const Heartbeat &current,
+                                            const LoadReportPolicy &policy, Time now);
+
 enum class ReportTaken {
     Taken,
     /// An old one, or of an earlier incarnation.
@@ -60,6 +88,9 @@
 /// Time between reports where so many processes report to each entry.
 Duration reportPeriod(std::size_t senders, const LoadReportPolicy &policy);
 
+/// Sets the silence of the fleet by the period of reports in its largest data centre.
+void adaptSilence(Fleet &fleet, const LoadReportPolicy &policy);
+
 /// Silence after which a peer gets no work at that period.
 Duration silenceFor(Duration period, const LoadReportPolicy &policy,
                     const FleetPolicy &fleetPolicy);
@@ -68,6 +99,14 @@
 DataCentreSummary summaryOf(const Fleet &fleet, Revision rulesRevision,
                             const LoadReportPolicy &policy, Time now);
 
+/// Takes in the summary of another data centre: the target processes it names may get work until
+/// later summaries leave them out or stay away. They are known without their residents.
+void takeSummary(Fleet &fleet, const Envelope &envelope, const DataCentreSummary &summary,
+                 const LoadReportPolicy &policy, Time now);
+
+/// Addresses of spares of the group that no link is up to.
+std::vector<std::string> unlinkedSpares(const Fleet &fleet, const TargetGroup &group, Time now);
+
 /// Where load reports go: the entries of this data centre.
 std::vector<std::string> reportAddresses(const Fleet &fleet);
 
--- a/Source/DataCentre/rulespread.cpp
+++ b/Source/DataCentre/rulespread.cpp
@@ -308,6 +308,8 @@
 
 bool shouldWatch(const RuleSpread &spread, const SpreadView &view)
 {
+    if (view.members_.size() <= spread.policy_.everyoneWatchesUpTo_)
+        return true;
     const std::vector<VmName> order = spreadOrder(view, spread.dataCentre_);
     return rankOf(order, spread.self_) < spread.policy_.watchersPerDataCentre_;
 }
@@ -371,6 +373,19 @@
 
 } // namespace
 
+/// Whether the peer has stopped speaking. In a large fleet only target processes speak to entries
+/// all the time; a target process, in turn, has links to all entries at home. Who else is gone is
+/// what the list says.
+static bool fellSilent(const Fleet &fleet, const Peer &peer, Time now)
+{
+    if (!peer.lastHeard_ || heardLately(fleet, peer, now))
+        return false;
+    if (!isLarge(fleet))
+        return true;
+    const bool target = peer.listed_.role_ == Role::Target;
+    return fleet.selfRole_ == Role::Entry ? target : !target && !peer.linkUp_;
+}
+
 SpreadView spreadViewOf(const Fleet &fleet, Role selfRole, Time now)
 {
     SpreadView view;
@@ -378,7 +393,7 @@
     for (const auto &[vm, peer] : fleet.peers_) {
         const bool leaving = peer.listed_.leaving_ || peer.heartbeat_.leaving_;
         const bool home = peer.listed_.dataCentre_ == fleet.dataCentre_;
-        const bool silent = home && peer.lastHeard_ && !heardLately(fleet, peer, now);
+        const bool silent = home && fellSilent(fleet, peer, now);
         if (leaving || silent || (!peer.onList_ && !heardLately(fleet, peer, now)))
             continue;
         view.members_.push_back({vm, peer.listed_.dataCentre_, peer.listed_.role_});
--- a/Source/DataCentre/rulespread.h
+++ b/Source/DataCentre/rulespread.h
@@ -62,6 +62,8 @@
 {
     PushChoice pushChoice_ = treePushTargets;
     std::size_t watchersPerDataCentre_ = 2;
+    /// Where there are no more members than this, the process watches whatever its place is.
+    std::size_t everyoneWatchesUpTo_ = 0;
     /// Peers that a process pushes to in its data centre's tree, and data centres in the tree
     /// above.
     std::size_t fanout_ = 4;
--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -21,7 +21,7 @@
     "attempt_cancel", "answer_received",     "heartbeat",           "rules_request",
     "rules_text",     "rules_delta",         "rules_part_request",  "rules_part",
     "loan_request",   "loan_grant",          "loan_report",         "loan_closed",
-    "load_report",    "full_report_request", "data_centre_summary",
+    "load_report",    "full_report_request", "data_centre_summary", "vm_news",
 };
 static_assert(messageNames.size() == std::variant_size_v<Message>);
 
@@ -291,6 +291,27 @@
     Field{"data_centre", &DataCentreSummary::dataCentre_},
     Field{"rules_revision", &DataCentreSummary::rulesRevision_},
     Field{"groups", &DataCentreSummary::groups_},
+    Field{"strikes", &DataCentreSummary::strikes_},
+    Field{"free_tokens", &DataCentreSummary::freeTokens_},
+};
+
+template <>
+constexpr auto fieldsOf<ListedVm> = std::tuple{
+    Field{"vm", &ListedVm::vm_},
+    Field{"region", &ListedVm::region_},
+    Field{"data_centre", &ListedVm::dataCentre_},
+    Field{"role", &ListedVm::role_},
+    Field{"address", &ListedVm::address_},
+    Field{"group", &ListedVm::group_},
+    Field{"leaving", &ListedVm::leaving_},
+    Field{"drained", &ListedVm::drained_},
+};
+
+template <>
+constexpr auto fieldsOf<VmNews> = std::tuple{
+    Field{"vms", &VmNews::vms_},
+    Field{"tells_drained", &VmNews::tellsDrained_},
+    Field{"drained", &VmNews::drained_},
 };
 
 template <>
@@ -310,7 +331,7 @@
 static_assert(areWhole(static_cast<const Message *>(nullptr)));
 static_assert(isWhole<AdapterKey> && isWhole<ResidentAdapter> && isWhole<Strike>);
 static_assert(isWhole<AccountFreeTokens> && isWhole<RulesEdit> && isWhole<ResidentChange>);
-static_assert(isWhole<SpareTarget> && isWhole<GroupSummary>);
+static_assert(isWhole<SpareTarget> && isWhole<GroupSummary> && isWhole<ListedVm>);
 
 constexpr const auto &tableOf(RunState /*kind*/)
 {
--- a/Source/Platform/platformservice.cpp
+++ b/Source/Platform/platformservice.cpp
@@ -56,6 +56,7 @@
     std::optional<bool> reachable_;
 
     std::optional<VmList> list_;
+    Duration listPeriod_{};
     std::set<std::string> drained_;
 
     bool watching_ = true;
@@ -130,7 +131,7 @@
         noteReachable(replied);
         if (replied)
             takeVmList(reply.body_);
-        const Duration period = settings_.vmListPeriod_;
+        const Duration period = listPeriod_;
         client_.after(between(period * 9 / 10, period * 11 / 10), [this] { pollVms(); });
     }
 
@@ -150,8 +151,10 @@
         if (!list_)
             return;
         VmList list = *list_;
-        for (ListedVm &vm : list.vms_)
-            vm.leaving_ = vm.leaving_ || drained_.contains(vm.vm_.text_);
+        for (ListedVm &vm : list.vms_) {
+            vm.drained_ = drained_.contains(vm.vm_.text_);
+            vm.leaving_ = vm.leaving_ || vm.drained_;
+        }
         // Only the newest reading is worth waiting for the receiver.
         std::erase_if(outbox_, [this](const PlatformEvent &event) {
             return std::holds_alternative<VmList>(event) && &event != &outbox_.front();
@@ -388,8 +391,12 @@
             return;
         watching_ = watching;
         closeWatch();
-        if (watching)
+        if (watching) {
             scheduleRefresh(Duration(0));
+        } else {
+            // Marks that are no longer followed would keep a VM drained for good.
+            takeDrained({});
+        }
     }
 
     void begin()
@@ -403,6 +410,7 @@
     : impl_(std::make_unique<Impl>())
 {
     impl_->settings_ = std::move(settings);
+    impl_->listPeriod_ = impl_->settings_.vmListPeriod_;
     impl_->deliver_ = std::move(deliver);
 }
 
@@ -429,6 +437,11 @@
                          [impl = impl_.get(), watching] { impl->setWatching(watching); });
 }
 
+void PlatformService::setVmListPeriod(Duration period)
+{
+    impl_->client_.after(Duration(0), [impl = impl_.get(), period] { impl->listPeriod_ = period; });
+}
+
 void PlatformService::readRules()
 {
     impl_->client_.after(Duration(0), [impl = impl_.get()] { impl->refresh(); });
--- a/Source/Platform/platformservice.h
+++ b/Source/Platform/platformservice.h
@@ -36,6 +36,10 @@
     /// told otherwise. Safe from any thread.
     void setWatching(bool watching);
 
+    /// How often the list of VMs is read from the next reading on; first as the settings say. Safe
+    /// from any thread.
+    void setVmListPeriod(Duration period);
+
     /// Reads the rules once, whether it watches them or not. Safe from any thread.
     void readRules();
 
--- /dev/null
+++ b/Source/Target/targetfleet.cpp
@@ -0,0 +1,225 @@
+#include "Target/targetfleet.h"
+
+#include <optional>
+#include <set>
+
+namespace eelgrasscove {
+
+namespace {
+
+/// An entry that isn't listed gets heartbeats for so long after its last message.
+constexpr Duration unlistedMemory = std::chrono::seconds(60);
+constexpr std::size_t unlistedLimit = 1024;
+/// Time between the spreading's ticks.
+constexpr Duration spreadTick = std::chrono::milliseconds(250);
+
+SpreadView viewOf(const TargetFleet &target, Time now)
+{
+    return spreadViewOf(target.fleet_, Role::Target, now);
+}
+
+void noteSpeaker(TargetFleet &target, const Envelope &envelope, Time now)
+{
+    const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_);
+    const bool entry = heartbeat ? heartbeat->role_ == Role::Entry
+                                 : std::holds_alternative<Offer>(envelope.message_);
+    if (!entry || envelope.replyAddress_.empty())
+        return;
+    const std::string &address = envelope.replyAddress_;
+    if (target.speakers_.size() < unlistedLimit || target.speakers_.contains(address))
+        target.speakers_[address] = now;
+}
+
+void forgetSpeakers(TargetFleet &target, Time now)
+{
+    std::erase_if(target.speakers_,
+                  [&](const auto &speaker) { return now - speaker.second > unlistedMemory; });
+}
+
+std::set<std::string> speakersOf(const TargetFleet &target)
+{
+    std::set<std::string> addresses;
+    for (const auto &[address, heard] : target.speakers_)
+        addresses.insert(address);
+    return addresses;
+}
+
+void sendToPeer(const TargetFleet &target, SendToPeer &&send, TargetFleetActions &actions)
+{
+    const auto found = target.fleet_.peers_.find(send.peer_);
+    if (found == target.fleet_.peers_.end() || found->second.listed_.address_.empty())
+        return;
+    actions.emplace_back(
+        AddressedMessage{found->second.listed_.address_, std::move(send.message_)});
+}
+
+void performSpread(const TargetFleet &target, SpreadActions &&spread, TargetFleetActions &actions)
+{
+    for (SpreadAction &action : spread) {
+        if (auto *send = std::get_if<SendToPeer>(&action))
+            sendToPeer(target, std::move(*send), actions);
+        else if (auto *adopt = std::get_if<AdoptRules>(&action))
+            actions.emplace_back(std::move(*adopt));
+        else if (const auto *watch = std::get_if<WatchPlatformRules>(&action))
+            actions.emplace_back(*watch);
+        else
+            actions.emplace_back(ReadPlatformRules());
+    }
+}
+
+std::optional<SpreadActions> spreadMessage(TargetFleet &target, const Envelope &envelope, Time now)
+{
+    const VmName &from = envelope.from_;
+    const Message &message = envelope.message_;
+    RuleSpread &spread = target.spread_;
+    if (const auto *request = std::get_if<RulesRequest>(&message))
+        return takeRulesRequest(spread, from, *request, now);
+    if (const auto *asked = std::get_if<RulesPartRequest>(&message))
+        return takeRulesPartRequest(spread, from, *asked, now);
+    if (const auto *text = std::get_if<RulesText>(&message))
+        return takeRulesText(spread, viewOf(target, now), from, *text, now);
+    if (const auto *delta = std::get_if<RulesDelta>(&message))
+        return takeRulesDelta(spread, viewOf(target, now), from, *delta, now);
+    if (const auto *part = std::get_if<RulesPart>(&message))
+        return takeRulesPart(spread, viewOf(target, now), from, *part, now);
+    return std::nullopt;
+}
+
+void takePeerHeartbeat(TargetFleet &target, const Envelope &envelope, const Heartbeat &heartbeat,
+                       Time now, TargetFleetActions &actions)
+{
+    takeHeartbeat(target.fleet_, envelope, heartbeat, now);
+    performSpread(target,
+                  takePeerRevision(target.spread_, envelope.from_, heartbeat.rulesRevision_, now),
+                  actions);
+}
+
+void tell(const TargetFleet &target, const std::optional<VmNews> &news, TargetFleetActions &actions)
+{
+    if (!news)
+        return;
+    for (std::string &address : newsAddresses(target.fleet_))
+        actions.emplace_back(AddressedMessage{std::move(address), *news});
+}
+
+/// Heartbeats of a small fleet: to all entries.
+void tellAllEntries(const TargetFleet &target, const Heartbeat &load, TargetFleetActions &actions)
+{
+    std::set<std::string> addresses = speakersOf(target);
+    for (const auto &[vm, peer] : target.fleet_.peers_) {
+        if (peer.listed_.role_ == Role::Entry && !peer.listed_.address_.empty())
+            addresses.insert(peer.listed_.address_);
+    }
+    for (const std::string &address : addresses)
+        actions.emplace_back(AddressedMessage{address, load});
+}
+
+} // namespace
+
+TargetFleet makeTargetFleet(const Settings &settings, Incarnation incarnation, Time now)
+{
+    TargetFleet target;
+    target.fleet_.self_ = settings.vm_.vm_;
+    target.fleet_.region_ = settings.vm_.region_;
+    target.fleet_.dataCentre_ = settings.vm_.dataCentre_;
+    target.fleet_.selfRole_ = Role::Target;
+    target.group_ = settings.target_.group_;
+    target.spread_.self_ = settings.vm_.vm_;
+    target.spread_.dataCentre_ = settings.vm_.dataCentre_;
+    target.spread_.policy_.staleAfter_ = settings.rules_.staleAfter_;
+    target.spread_.policy_.everyoneWatchesUpTo_ = target.fleet_.policy_.fullMeshUpTo_ + 1;
+    target.spread_.seed_ = incarnation.value_;
+    target.createdAt_ = now;
+    return target;
+}
+
+bool takeFleetMessage(TargetFleet &target, const Envelope &envelope, Time now,
+                      TargetFleetActions &actions)
+{
+    noteSpeaker(target, envelope, now);
+    noteVersion(target.fleet_, envelope);
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_)) {
+        takePeerHeartbeat(target, envelope, *heartbeat, now, actions);
+        return false;
+    }
+    if (const auto *news = std::get_if<VmNews>(&envelope.message_)) {
+        takeVmNews(target.fleet_, envelope, *news, now);
+        return true;
+    }
+    std::optional<SpreadActions> spread = spreadMessage(target, envelope, now);
+    if (spread)
+        performSpread(target, std::move(*spread), actions);
+    return spread.has_value();
+}
+
+void answerFullReportRequest(TargetFleet &target, const Envelope &envelope, const Heartbeat &load,
+                             TargetFleetActions &actions)
+{
+    noteVersion(target.fleet_, envelope);
+    for (Message &message : fullReportAgain(target.sender_, load, target.policy_))
+        actions.emplace_back(AddressedMessage{envelope.replyAddress_, std::move(message)});
+}
+
+void takeFleetVmList(TargetFleet &target, const VmList &list, Time now, TargetFleetActions &actions)
+{
+    tell(target, newsOf(target.fleet_, list), actions);
+    takeVmList(target.fleet_, list, now);
+    if (target.spread_.watching_)
+        tell(target, drainNews(target.fleet_, list, now), actions);
+    adaptSilence(target.fleet_, target.policy_);
+    const Duration period = listPeriodFor(target.fleet_, list, target.spread_.policy_);
+    if (period != target.listPeriod_)
+        actions.emplace_back(StretchVmList{period});
+    target.listPeriod_ = period;
+}
+
+void takeFleetRules(TargetFleet &target, const StoredRules &rules, Time now,
+                    TargetFleetActions &actions)
+{
+    performSpread(target, takeStoredRules(target.spread_, viewOf(target, now), rules, now),
+                  actions);
+}
+
+void tickTargetFleet(TargetFleet &target, Time now, TargetFleetActions &actions)
+{
+    if (!target.spreadStarted_) {
+        target.spreadStarted_ = mayStartSpread(target.fleet_, target.createdAt_, now);
+        if (target.spreadStarted_)
+            performSpread(target, startSpread(target.spread_, viewOf(target, now), now), actions);
+        return;
+    }
+    if (now < target.nextSpreadTick_)
+        return;
+    target.nextSpreadTick_ = now + spreadTick;
+    if (target.spread_.watching_)
+        tell(target, drainNewsAgain(target.fleet_, now), actions);
+    else
+        forgetOwnDrains(target.fleet_);
+    performSpread(target, tickSpread(target.spread_, viewOf(target, now), now), actions);
+}
+
+void tellLoad(TargetFleet &target, const Heartbeat &load, Time now, TargetFleetActions &actions)
+{
+    forgetSpeakers(target, now);
+    if (!isLarge(target.fleet_)) {
+        tellAllEntries(target, load, actions);
+        return;
+    }
+    for (AddressedMessage &message : targetReports(target.sender_, target.fleet_,
+                                                   speakersOf(target), load, target.policy_, now))
+        actions.emplace_back(std::move(message));
+}
+
+void tellStrikes(const TargetFleet &target, const Heartbeat &load, TargetFleetActions &actions)
+{
+    const bool large = isLarge(target.fleet_);
+    for (const auto &[vm, peer] : target.fleet_.peers_) {
+        const bool sameGroup = peer.listed_.role_ == Role::Target
+            && peer.listed_.group_ == target.group_ && !peer.listed_.address_.empty();
+        const bool near = !large || peer.listed_.dataCentre_ == target.fleet_.dataCentre_;
+        if (sameGroup && near)
+            actions.emplace_back(AddressedMessage{peer.listed_.address_, load});
+    }
+}
+
+} // namespace eelgrasscove
--- a/Source/Target/targetprocess.cpp
+++ b/Source/Target/targetprocess.cpp
@@ -1,7 +1,6 @@
 #include "Target/targetprocess.h"
 
 #include "Contract/rulefile.h"
-#include "DataCentre/fleet.h"
 #include "Link/linkservice.h"
 #include "Observe/log.h"
 #include "Observe/metrics.h"
@@ -13,6 +12,7 @@
 #include "Target/doorstatus.h"
 #include "Target/engineclient.h"
 #include "Target/startnumber.h"
+#include "Target/targetfleet.h"
 #include "Vm/boundedring.h"
 #include "Vm/exitcode.h"
 #include "Vm/timerservice.h"
@@ -20,9 +20,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
-#include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 
 namespace eelgrasscove {
@@ -37,11 +35,10 @@
 constexpr int storeTries = 3;
 /// How long the start waits for the engine's state.
 constexpr Duration engineWait = std::chrono::milliseconds(1500);
-/// An entry that isn't listed gets heartbeats for so long after its last message.
-constexpr Duration unlistedMemory = std::chrono::seconds(60);
-constexpr std::size_t unlistedLimit = 1024;
 /// Strikes are told again to peer targets, for those that have started since.
 constexpr Duration strikePeriod = std::chrono::seconds(5);
+/// The door learns no more often than this that its rules still stand.
+constexpr Duration rulesConfirmPeriod = std::chrono::seconds(1);
 /// The engine reading of the start, before the door counts its own.
 constexpr std::uint64_t startRead = 0;
 
@@ -99,11 +96,7 @@
           platform_(settings.platform_, deliverTo<PlatformEvent>(ring_)),
           engine_({.address_ = address, .engine_ = settings.target_.engine_},
                   deliverTo<EngineEvent>(ring_))
-    {
-        fleet_.self_ = settings.vm_.vm_;
-        fleet_.region_ = settings.vm_.region_;
-        fleet_.dataCentre_ = settings.vm_.dataCentre_;
-    }
+    { }
 
     int run();
 
@@ -125,8 +118,9 @@
     void takeLink(LinkEvent &&event, Time now);
     void takeEnvelope(Envelope &&envelope, Time now);
     void takePlatform(PlatformEvent &&event, Time now);
-    void takeRulesText(Revision revision, const std::string &text, Time now);
-    void answerRulesRequest(const std::string &address, const RulesRequest &request);
+    void adoptRules(const StoredRules &rules, Time now);
+    void confirmRules(Time now);
+    void performFleet(TargetFleetActions &&actions, Time now);
     void decide(DoorInput input, Time now);
 
     // Actions.
@@ -138,8 +132,6 @@
     void sendHeartbeats(Time now);
     void sendStrikes(Time now);
     Heartbeat heartbeat(Time now) const;
-    std::set<std::string> heartbeatTargets(Time now);
-    void noteSpeaker(const Envelope &envelope, Time now);
 
     const Settings &settings_;
     StopSignal &stop_;
@@ -149,15 +141,14 @@
     std::unique_ptr<LinkService> link_;
     StatusBoard board_;
     Door door_;
-    Fleet fleet_;
+    TargetFleet fleet_;
     std::uint64_t nextTag_ = 1;
     /// Inputs that came while the start waited for others, or that stand for refused commands.
     std::deque<ProcessInput> early_;
     /// Cancels that the engine's ring had no room for; one a run at most.
     std::deque<CancelRun> heldCancels_;
-    std::string rulesText_;
-    /// Entries that have spoken, by address.
-    std::map<std::string, Time> speakers_;
+    /// When the door last learned that its rules still stand.
+    Time rulesConfirmedAt_;
     std::unordered_map<AttemptId, TraceContext> runContexts_;
     Time nextHeartbeat_;
     Time nextStrikes_;
@@ -254,6 +245,8 @@
 
 int TargetProcess::run()
 {
+    // Whether this process watches the rules is decided once it knows its peers.
+    platform_.setWatching(false);
     platform_.start();
     engine_.start();
     const std::uint64_t number = startNumber();
@@ -262,6 +255,7 @@
         engine_.stop();
         return ExitAddress;
     }
+    fleet_ = makeTargetFleet(settings_, Incarnation{number}, monotonicNow());
     door_ = makeDoor(doorPolicy(settings_.target_, settings_.rules_), Incarnation{number},
                      FencingNumber{number}, monotonicNow());
     logEvent(LogLevel::Info, "target_started", {{"incarnation", std::to_string(number)}});
@@ -321,6 +315,9 @@
         now = monotonicNow();
         if (input)
             take(std::move(*input), now);
+        TargetFleetActions actions;
+        tickTargetFleet(fleet_, now, actions);
+        performFleet(std::move(actions), now);
         if (now >= nextStrikes_)
             sendStrikes(now);
         if (announce_ || now >= nextHeartbeat_)
@@ -346,72 +343,75 @@
     if (auto *envelope = std::get_if<Envelope>(&event))
         takeEnvelope(std::move(*envelope), now);
     else if (const auto *changed = std::get_if<LinkChanged>(&event))
-        takeLinkChange(fleet_, changed->address_, changed->up_);
+        takeLinkChange(fleet_.fleet_, changed->address_, changed->up_);
     else
         countMetric("eelgrasscove_target_messages_unsent_total");
 }
 
 void TargetProcess::takeEnvelope(Envelope &&envelope, Time now)
 {
-    noteSpeaker(envelope, now);
-    if (const auto *request = std::get_if<RulesRequest>(&envelope.message_)) {
-        answerRulesRequest(envelope.replyAddress_, *request);
-        return;
-    }
-    if (const auto *rules = std::get_if<RulesText>(&envelope.message_)) {
-        takeRulesText(rules->revision_, rules->text_, now);
-        return;
-    }
-    if (const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_))
-        takeHeartbeat(fleet_, envelope, *heartbeat, now);
-    decide(MessageReceived{envelope.replyAddress_, std::move(envelope.message_)}, now);
+    TargetFleetActions actions;
+    const bool reportAsked = std::holds_alternative<FullReportRequest>(envelope.message_);
+    if (reportAsked)
+        answerFullReportRequest(fleet_, envelope, heartbeat(now), actions);
+    const bool taken = reportAsked || takeFleetMessage(fleet_, envelope, now, actions);
+    performFleet(std::move(actions), now);
+    if (!taken)
+        decide(MessageReceived{envelope.replyAddress_, std::move(envelope.message_)}, now);
 }
 
-void TargetProcess::noteSpeaker(const Envelope &envelope, Time now)
+void TargetProcess::takePlatform(PlatformEvent &&event, Time now)
 {
-    const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message_);
-    const bool entry = heartbeat ? heartbeat->role_ == Role::Entry
-                                 : std::holds_alternative<Offer>(envelope.message_);
-    if (!entry || envelope.replyAddress_.empty())
-        return;
-    if (speakers_.size() < unlistedLimit || speakers_.contains(envelope.replyAddress_))
-        speakers_[envelope.replyAddress_] = now;
+    TargetFleetActions actions;
+    if (const auto *list = std::get_if<VmList>(&event))
+        takeFleetVmList(fleet_, *list, now, actions);
+    else if (const auto *rules = std::get_if<StoredRules>(&event))
+        takeFleetRules(fleet_, *rules, now, actions);
+    else if (const auto *reachable = std::get_if<PlatformReachable>(&event))
+        takePlatformReachable(fleet_.spread_, reachable->reachable_, now);
+    performFleet(std::move(actions), now);
 }
 
-void TargetProcess::takePlatform(PlatformEvent &&event, Time now)
-{
-    if (const auto *list = std::get_if<VmList>(&event)) {
-        takeVmList(fleet_, *list, now);
-    } else if (const auto *rules = std::get_if<StoredRules>(&event)) {
-        takeRulesText(rules->revision_, rules->text_, now);
-    } else if (const auto *reachable = std::get_if<PlatformReachable>(&event)) {
-        if (reachable->reachable_)
-            decide(RulesConfirmed{}, now);
+void TargetProcess::performFleet(TargetFleetActions &&actions, Time now)
+{
+    for (TargetFleetAction &action : actions) {
+        if (auto *message = std::get_if<AddressedMessage>(&action))
+            link_->send(message->address_, std::move(message->message_));
+        else if (const auto *adopt = std::get_if<AdoptRules>(&action))
+            adoptRules(adopt->rules_, now);
+        else if (const auto *watch = std::get_if<WatchPlatformRules>(&action))
+            platform_.setWatching(watch->on_);
+        else if (const auto *stretch = std::get_if<StretchVmList>(&action))
+            platform_.setVmListPeriod(
+                std::max(stretch->period_, settings_.platform_.vmListPeriod_));
+        else
+            platform_.readRules();
     }
+    confirmRules(now);
 }
 
-void TargetProcess::takeRulesText(Revision revision, const std::string &text, Time now)
+void TargetProcess::adoptRules(const StoredRules &rules, Time now)
 {
-    if (revision <= door_.rules_.revision_) {
-        decide(RulesConfirmed{}, now);
-        return;
-    }
-    Result<Rules, std::vector<RuleError>> parsed = parseRules(text, "rules", revision);
+    Result<Rules, std::vector<RuleError>> parsed =
+        parseRules(rules.text_, "rules", rules.revision_);
     if (!ok(parsed)) {
         logEvent(LogLevel::Error, "rules_unreadable",
-                 {{"revision", std::to_string(revision.value_)},
+                 {{"revision", std::to_string(rules.revision_.value_)},
                   {"errors", describeRuleErrors(errorOf(parsed))}});
         return;
     }
-    rulesText_ = text;
     decide(RulesReceived{std::move(valueOf(parsed))}, now);
     announce_ = true;
 }
 
-void TargetProcess::answerRulesRequest(const std::string &address, const RulesRequest &request)
+/// The rules held still stand as long as the platform or any peer is heard.
+void TargetProcess::confirmRules(Time now)
 {
-    if (door_.rules_.revision_ > request.have_)
-        link_->send(address, RulesText{door_.rules_.revision_, rulesText_});
+    const Time heard = fleet_.spread_.lastSource_;
+    if (heard - rulesConfirmedAt_ < rulesConfirmPeriod)
+        return;
+    rulesConfirmedAt_ = heard;
+    decide(RulesConfirmed{}, now);
 }
 
 void TargetProcess::decide(DoorInput input, Time now)
@@ -517,27 +517,14 @@
     return report;
 }
 
-std::set<std::string> TargetProcess::heartbeatTargets(Time now)
-{
-    std::erase_if(speakers_,
-                  [&](const auto &entry) { return now - entry.second > unlistedMemory; });
-    std::set<std::string> addresses;
-    for (const auto &[vm, peer] : fleet_.peers_) {
-        if (peer.listed_.role_ == Role::Entry && !peer.listed_.address_.empty())
-            addresses.insert(peer.listed_.address_);
-    }
-    for (const auto &[address, heard] : speakers_)
-        addresses.insert(address);
-    return addresses;
-}
-
 void TargetProcess::sendHeartbeats(Time now)
 {
     announce_ = false;
     nextHeartbeat_ = now + settings_.link_.heartbeatPeriod_;
     const Heartbeat report = heartbeat(now);
-    for (const std::string &address : heartbeatTargets(now))
-        link_->send(address, report);
+    TargetFleetActions actions;
+    tellLoad(fleet_, report, now, actions);
+    performFleet(std::move(actions), now);
     board_.setReady(report.engineUp_ && !report.leaving_ && report.rulesRevision_.value_ > 0);
     board_.setStatus(doorStatusJson(door_, settings_.vm_, now));
 }
@@ -548,11 +535,9 @@
     const Heartbeat report = heartbeat(now);
     if (report.strikes_.empty())
         return;
-    for (const auto &[vm, peer] : fleet_.peers_) {
-        const bool sameGroup = peer.listed_.group_ == settings_.target_.group_;
-        if (peer.listed_.role_ == Role::Target && sameGroup && !peer.listed_.address_.empty())
-            link_->send(peer.listed_.address_, report);
-    }
+    TargetFleetActions actions;
+    tellStrikes(fleet_, report, actions);
+    performFleet(std::move(actions), now);
 }
 
 } // namespace
--- a/Tests/Fleet/fleettest.cpp
+++ b/Tests/Fleet/fleettest.cpp
@@ -225,7 +225,8 @@
     }
     vms.push_back(listedVm("delft-entry", Role::Entry, "delft"));
     vms.push_back(listedVm("delft-target", Role::Target, "delft"));
-    const Fleet fleet = fleetOf(vms);
+    Fleet fleet = fleetOf(vms);
+    fleet.policy_.fullMeshUpTo_ = vms.size();
     const std::vector<std::string> addresses = heartbeatAddresses(fleet);
     const auto beginWith = [&](const std::string &start) {
         return std::count_if(addresses.begin(), addresses.end(),
--- a/Tests/Fleet/wiretest.cpp
+++ b/Tests/Fleet/wiretest.cpp
@@ -67,3 +67,27 @@
     BOOST_TEST(group.spares_[0].freeSlots_ == 6U);
     BOOST_TEST(group.spares_[0].address_ == "tcp://127.0.0.1:1");
 }
+
+BOOST_AUTO_TEST_CASE(newsOfVmsAndWhatSummariesAddKeepTheirFieldsOverTheWire)
+{
+    VmNews news;
+    news.vms_ = {
+        {{"vm-1"}, {"west"}, {"delft"}, Role::Target, "tcp://a:1", {"advice"}, true, true}};
+    news.tellsDrained_ = true;
+    news.drained_ = {{"vm-1"}, {"vm-2"}};
+    const VmNews arrived = overTheWire(news);
+    BOOST_REQUIRE(arrived.vms_.size() == 1U);
+    const ListedVm &vm = arrived.vms_[0];
+    BOOST_TEST(vm.vm_.text_ + vm.region_.text_ + vm.dataCentre_.text_ == "vm-1westdelft");
+    BOOST_TEST(vm.address_ + vm.group_.text_ == "tcp://a:1advice");
+    BOOST_TEST((vm.role_ == Role::Target && vm.leaving_ && vm.drained_));
+    BOOST_TEST(arrived.tellsDrained_);
+    BOOST_TEST((arrived.drained_ == news.drained_));
+    DataCentreSummary summary;
+    summary.strikes_ = {{{"print"}, 2}};
+    summary.freeTokens_ = {{{"shop"}, 70}};
+    const DataCentreSummary told = overTheWire(summary);
+    BOOST_REQUIRE((told.strikes_.size() == 1U && told.freeTokens_.size() == 1U));
+    BOOST_TEST(told.strikes_[0].count_ == 2U);
+    BOOST_TEST(told.freeTokens_[0].tokens_ == 70);
+}
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -14,7 +14,9 @@
 namespace eelgrasscove {
 
 /// Version of the message set that this build writes; readers take any version up to it and above.
-constexpr std::uint32_t messageVersion = 1;
+constexpr std::uint32_t messageVersion = 2;
+/// The first version whose entries take load reports, and whose processes take news of VMs.
+constexpr std::uint32_t loadReportVersion = 2;
 
 /// Whether a request was run, as told to callers and between processes.
 enum class RunState {
@@ -382,13 +384,43 @@
     DataCentreName dataCentre_;
     Revision rulesRevision_;
     std::vector<GroupSummary> groups_;
+    /// The most recent strikes known there, a bounded number of them.
+    std::vector<Strike> strikes_;
+    /// What the sender itself has free, as in its heartbeats, of fewer accounts.
+    std::vector<AccountFreeTokens> freeTokens_;
+};
+
+/// One VM as the platform lists it. The list lags behind the truth.
+struct ListedVm
+{
+    VmName vm_;
+    RegionName region_;
+    DataCentreName dataCentre_;
+    Role role_ = Role::Entry;
+    /// Where the system's process on the VM receives messages, for example "tcp://127.0.0.1:7401".
+    std::string address_;
+    /// Empty for entry VMs.
+    TargetGroup group_;
+    bool leaving_ = false;
+    /// Operators have drained it, which counts as leaving. Only seen by who reads the marks.
+    bool drained_ = false;
+};
+
+/// Process -> processes of its data centre: what it has just read of the platform.
+struct VmNews
+{
+    /// VMs that are newly listed, or newly listed as leaving.
+    std::vector<ListedVm> vms_;
+    /// Whether drained_ below is told; it is then the whole set of drained VMs.
+    bool tellsDrained_ = false;
+    std::vector<VmName> drained_;
 };
 
 using Message = std::variant<Offer, OfferAccepted, OfferRefused, AnswerHead, AnswerChunk, AnswerEnd,
                              AttemptFailed, AttemptQuery, AttemptCancel, AnswerReceived, Heartbeat,
                              RulesRequest, RulesText, RulesDelta, RulesPartRequest, RulesPart,
                              LoanRequest, LoanGrant, LoanReport, LoanClosed, LoadReport,
-                             FullReportRequest, DataCentreSummary>;
+                             FullReportRequest, DataCentreSummary, VmNews>;
 
 /// A message with its sender.
 struct Envelope
--- a/include/eelgrasscove/platform.h
+++ b/include/eelgrasscove/platform.h
@@ -12,20 +12,6 @@
 
 namespace eelgrasscove {
 
-/// One VM as the platform lists it. The list lags behind the truth.
-struct ListedVm
-{
-    VmName vm_;
-    RegionName region_;
-    DataCentreName dataCentre_;
-    Role role_ = Role::Entry;
-    /// Where the system's process on the VM receives messages, for example "tcp://127.0.0.1:7401".
-    std::string address_;
-    /// Empty for entry VMs.
-    TargetGroup group_;
-    bool leaving_ = false;
-};
-
 /// One reading of the platform's list.
 struct VmList
 {
