--- a/Tests/FleetMix/mixnodes.cpp
+++ b/Tests/FleetMix/mixnodes.cpp
@@ -88,9 +88,6 @@
         node.entry_.loans_.policy_.longestAttempt_ = longestAttempt;
         // Few data centres of few processes: every entry has a link to each target.
         node.entry_.fleet_.policy_.heartbeatsAcross_ = nodeCount;
-        EntryActions actions;
-        startEntry(node.entry_, now_, actions);
-        perform(node, actions);
     } else {
         node.door_ = makeDoor(policyOf(node), node.incarnation_,
                               FencingNumber{node.incarnation_.value_}, now_);
