Keep a lost run's tokens reserved until it must have ended

Cause: an entry that gave an attempt up, because its target process couldn't be reached, had been replaced, or hadn't answered in time, counted its whole reservation as run at that moment, and the tokens became free again at the account's rate. The engine went on unseen, so that its tokens came on top of a burst refilled in their place. Change: such an attempt is marked lost. It keeps its reservation until the target tells the end of its run, or 30 s past its deadline, the margin that the ledgers already count with. Nobody waits for it, so a stopping entry doesn't either.

--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Time an attempt may still run after its entry has given it up.
-constexpr Duration attemptMargin = std::chrono::seconds(30);
 /// Accounts whose free tokens a heartbeat names.
 constexpr std::size_t freeTokenAccounts = 8;
 
@@ -164,9 +162,9 @@
     entry.ledger_.self_ = vm.vm_;
     entry.ledger_.incarnation_ = incarnation;
     entry.ledger_.policy_.keyPrefix_ = "shares/";
-    entry.ledger_.policy_.longestAttempt_ = policy.requestTimeout_ + attemptMargin;
+    entry.ledger_.policy_.longestAttempt_ = policy.requestTimeout_ + policy.attemptMargin_;
     entry.loans_.self_ = vm.vm_;
-    entry.loans_.policy_.longestAttempt_ = policy.requestTimeout_ + attemptMargin;
+    entry.loans_.policy_.longestAttempt_ = policy.requestTimeout_ + policy.attemptMargin_;
     entry.claims_.vm_ = vm.vm_;
     entry.spread_.self_ = vm.vm_;
     entry.spread_.dataCentre_ = vm.dataCentre_;
@@ -202,7 +200,10 @@
 
 bool idle(const Entry &entry)
 {
-    return entry.requests_.empty() && entry.attempts_.empty() && entry.claims_.claims_.empty();
+    // A lost attempt has nobody who waits for it, only its tokens.
+    const bool attemptsOver = std::all_of(entry.attempts_.begin(), entry.attempts_.end(),
+                                          [](const auto &known) { return known.second.lost_; });
+    return entry.requests_.empty() && attemptsOver && entry.claims_.claims_.empty();
 }
 
 std::string entryStatusJson(const Entry &entry)
--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -27,6 +27,8 @@
 struct EntryPolicy
 {
     Duration requestTimeout_ = std::chrono::seconds(120);
+    /// Time an attempt may still run after its entry has given it up.
+    Duration attemptMargin_ = std::chrono::seconds(30);
     /// Longest time a request waits for its account's tokens before it is refused.
     Duration allowanceHold_ = std::chrono::seconds(2);
     /// Longest time a request waits until some target process accepts it.
@@ -106,6 +108,9 @@
     Time deadline_;
     /// The request goes on elsewhere, or has ended; only the account is still to be settled.
     bool abandoned_ = false;
+    /// Its target process is gone, or out of reach: its run may go on unseen. Its tokens stay
+    /// reserved until it must have ended, or until the target tells that it has.
+    bool lost_ = false;
 };
 
 /// What this entry sent to a target since the target's last heartbeat.
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -154,13 +154,34 @@
                 now, actions);
 }
 
+/// Whether the run is still to end, whatever has become of the request.
+enum class RunEnd {
+    Over,
+    Unseen,
+};
+
+/// Where a failure is told by another process than the one that ran it, or while the engine has yet
+/// to stop it, the run may go on.
+RunEnd endTold(const AttemptFailed &failed)
+{
+    const bool unseen = failed.reason_ == Reason::WrongIncarnation
+        || failed.reason_ == Reason::TargetError || failed.reason_ == Reason::LinkLost;
+    return unseen ? RunEnd::Unseen : RunEnd::Over;
+}
+
 /// The try may have run. Only an idempotent request of which nothing was passed on is run again.
-void takeUnknown(Entry &entry, const EntryAttempt &attempt, Time now, EntryActions &actions)
+void takeUnknown(Entry &entry, EntryAttempt &attempt, RunEnd runEnd, Time now,
+                 EntryActions &actions)
 {
     PendingRequest *request = requestOf(entry, attempt);
     const VmName vm = attempt.vm_;
-    // What it ran isn't known: the whole reservation counts as run.
-    closeAttempt(entry, attempt, attempt.reservedTokens_, now);
+    if (runEnd == RunEnd::Unseen) {
+        attempt.abandoned_ = true;
+        attempt.lost_ = true;
+    } else {
+        // What it ran isn't known: the whole reservation counts as run.
+        closeAttempt(entry, attempt, attempt.reservedTokens_, now);
+    }
     if (request == nullptr)
         return;
     const bool passedOn = request->headReceived_ && request->call_.completion_.stream_;
@@ -257,7 +278,7 @@
     closeAttempt(entry, attempt, end.tokensRun_, now);
 }
 
-void takeFailed(Entry &entry, const EntryAttempt &attempt, const AttemptFailed &failed, Time now,
+void takeFailed(Entry &entry, EntryAttempt &attempt, const AttemptFailed &failed, Time now,
                 EntryActions &actions)
 {
     if (failed.runState_ == RunState::NotRun)
@@ -265,7 +286,7 @@
     else if (attempt.abandoned_ && failed.reason_ == Reason::Cancelled)
         closeAttempt(entry, attempt, failed.tokensRun_, now);
     else
-        takeUnknown(entry, attempt, now, actions);
+        takeUnknown(entry, attempt, endTold(failed), now, actions);
 }
 
 /// The attempt a message speaks of; empty for messages of other kinds.
@@ -318,17 +339,16 @@
         request != nullptr && request->headReceived_ && request->call_.completion_.stream_;
     if (request == nullptr || !request->route_.idempotent_ || passedOn || request->callerGone_)
         return;
-    const EntryAttempt left = attempt;
-    actions.emplace_back(SendMessage{left.address_, AttemptCancel{left.id_}});
-    takeUnknown(entry, left, now, actions);
+    actions.emplace_back(SendMessage{attempt.address_, AttemptCancel{attempt.id_}});
+    takeUnknown(entry, attempt, RunEnd::Unseen, now, actions);
 }
 
-void giveUp(Entry &entry, const EntryAttempt &attempt, Time now, EntryActions &actions)
+void giveUp(Entry &entry, EntryAttempt &attempt, Time now, EntryActions &actions)
 {
     actions.emplace_back(SendMessage{attempt.address_, AttemptCancel{attempt.id_}});
     const PendingRequest *request = requestOf(entry, attempt);
-    const EntryAttempt overdue = attempt;
-    closeAttempt(entry, overdue, overdue.reservedTokens_, now);
+    attempt.abandoned_ = true;
+    attempt.lost_ = true;
     if (request == nullptr)
         return;
     failRequest(
@@ -337,8 +357,19 @@
         now, actions);
 }
 
+/// Nobody waits for it: once its run must have ended, its whole reservation counts as run.
+void watchLost(Entry &entry, const EntryAttempt &attempt, Time now)
+{
+    if (now >= attempt.deadline_ + entry.policy_.attemptMargin_)
+        closeAttempt(entry, attempt, attempt.reservedTokens_, now);
+}
+
 void watchAttempt(Entry &entry, EntryAttempt &attempt, Time now, EntryActions &actions)
 {
+    if (attempt.lost_) {
+        watchLost(entry, attempt, now);
+        return;
+    }
     if (now >= attempt.deadline_) {
         giveUp(entry, attempt, now, actions);
         return;
