--- a/Tests/FleetMix/fleetmix.cpp
+++ b/Tests/FleetMix/fleetmix.cpp
@@ -18,8 +18,9 @@
 constexpr Duration longestFailure = 1200ms;
 constexpr Duration busyTick = 50ms;
 constexpr Duration quietTick = 125ms;
-constexpr Duration calmTick = 250ms;
+constexpr Duration calmTick = 500ms;
 /// All shares are settled again, and all answers forgotten.
+constexpr std::size_t stallKind = 16;
 constexpr Duration resting = 13s;
 constexpr Duration draining = 7s;
 
@@ -128,10 +129,10 @@
 void World::failOnce()
 {
     ++result_.counts_.failures_;
-    Node &node = nodes_.at(below(successorNode));
+    Node &node = nodes_.at(narrow_ ? entryNodes + below(2) : below(successorNode));
     Node &other = nodes_.at(below(successorNode));
     const Duration time = upTo(longestFailure);
-    const std::size_t kind = below(18);
+    const std::size_t kind = narrow_ ? stallKind : below(18);
     note(fmt::format("failure {} of {} for {} ms", kind, node.vm_.text_, time / 1ms));
     const auto restart = [this, &node] {
         if (node.listed_)
@@ -212,7 +213,7 @@
         }
         break;
     case 15:
-    case 16:
+    case stallKind:
         // Its runs go on while nobody can reach it.
         node.engine_.stalledUntil_ = now_ + time;
         if (chance(0.7))
@@ -262,7 +263,7 @@
         if (node.shown_.value_ != newest)
             violate(Property::ComesToRest,
                     fmt::format("{} holds revision {} of {}", name, node.shown_.value_, newest));
-        if (node.isEntry_ && !idle(node.entry_))
+        if (node.isEntry_ && !(idle(node.entry_) && node.entry_.attempts_.empty()))
             violate(Property::ComesToRest,
                     fmt::format("{} has {} requests, {} attempts, {} claims in hand", name,
                                 node.entry_.requests_.size(), node.entry_.attempts_.size(),
@@ -302,7 +303,8 @@
     listLag_ = chance(0.5) ? upTo(2s) : Duration(0);
     // Callers may come together after quiet times, and failures may strike them then.
     const Duration gap = 300ms + upTo(900ms);
-    const bool clumps = chance(0.5);
+    narrow_ = chance(0.15);
+    const bool clumps = narrow_ || chance(0.5);
     const auto sometime = [&](Duration spread) {
         return clumps ? gap * static_cast<int>(below(4)) + upTo(spread) : upTo(busy);
     };
--- a/Tests/FleetMix/fleetmixtest.cpp
+++ b/Tests/FleetMix/fleetmixtest.cpp
@@ -83,7 +83,7 @@
     BOOST_TEST(sum.toldNotRun_ > last);
     BOOST_TEST(sum.toldUnknown_ > last / 10);
     BOOST_TEST(sum.resends_ > last / 2);
-    BOOST_TEST(sum.unloads_ > last);
+    BOOST_TEST(sum.unloads_ > last / 2);
 }
 
 BOOST_AUTO_TEST_CASE(everyPropertyCanFail)
--- a/Tests/FleetMix/mixcallers.cpp
+++ b/Tests/FleetMix/mixcallers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/core.h>
+#include <utility>
 
 namespace eelgrasscove::mix {
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr std::size_t keyCount = 3;
+constexpr Duration listPeriod = 500ms;
 constexpr std::uint32_t mostSends = 4;
 /// Beyond its deadline a request may take so long until its caller is told.
 constexpr Duration lateBy = 1s;
@@ -139,6 +141,8 @@
             return;
         const std::size_t newest = truths_.size() - 1;
         const std::size_t shown = staleReads_ ? 1 + below(newest) : newest;
+        if (std::exchange(node.read_, Revision{shown}) == Revision{shown})
+            return;
         givePlatform(node, StoredRules{{shown}, truths_[shown].text_});
     });
 }
@@ -147,8 +151,10 @@
 {
     if (node.watching_)
         readRules(node);
-    if (reaches(node))
-        givePlatform(node, laggingList());
+    if (!reaches(node) || now_ < node.listDueAt_)
+        return;
+    node.listDueAt_ = now_ + listPeriod;
+    givePlatform(node, laggingList());
 }
 
 void World::snapshotList()
@@ -185,15 +191,16 @@
 {
     Job job;
     job.id_ = jobs_.size();
-    job.key_ = chance(0.5) ? 0 : below(keyCount);
-    const RouteChoice &route = routeChoices.at(below(chance(0.3) ? routeChoices.size() : 4));
+    job.key_ = narrow_ || chance(0.5) ? 0 : below(keyCount);
+    const std::size_t routes = chance(0.3) ? routeChoices.size() : 4;
+    const RouteChoice &route = routeChoices.at(below(narrow_ ? 2 : routes));
     job.route_ = route.name_;
     job.service_ = route.service_;
     job.idempotent_ = route.idempotent_;
     job.stream_ = !job.service_ && chance(0.4);
     job.maxTokens_ = 3 + static_cast<std::int64_t>(below(16));
-    job.tokens_ =
-        chance(0.6) ? job.maxTokens_ : 1 + static_cast<std::int64_t>(below(job.maxTokens_));
+    job.tokens_ = narrow_ || chance(0.6) ? job.maxTokens_
+                                         : 1 + static_cast<std::int64_t>(below(job.maxTokens_));
     job.killer_ = !job.service_ && chance(0.01);
     if (!job.idempotent_ && chance(0.7))
         job.idempotencyKey_ = fmt::format("key-{}", job.id_);
--- a/Tests/FleetMix/mixengine.cpp
+++ b/Tests/FleetMix/mixengine.cpp
@@ -41,10 +41,8 @@
     const bool ends = std::holds_alternative<RunEnded>(event);
     if (ends && sabotaged(Property::GracefulStop) && node.stopAt_)
         return;
-    after(engineHop, [this, &node, door, event = std::move(event)] {
-        if (node.incarnation_ == door)
-            at(node, Duration(0), [this, &node, event] { decide(node, event); });
-    });
+    if (node.incarnation_ == door)
+        at(node, engineHop, [this, &node, event = std::move(event)] { decide(node, event); });
 }
 
 /// What a start must hold to, by what the fakes handed out.
--- a/Tests/FleetMix/mixnodes.cpp
+++ b/Tests/FleetMix/mixnodes.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Duration heartbeatPeriod = 250ms;
-constexpr Duration calmHeartbeatPeriod = 750ms;
+constexpr Duration calmHeartbeatPeriod = 1s;
 constexpr Duration speakerMemory = 5s;
 constexpr Duration answerMemory = 3s;
 /// What a leaving process has beside the longest request.
@@ -23,6 +23,7 @@
 {
     EntryPolicy policy;
     policy.requestTimeout_ = requestTimeout;
+    policy.attemptMargin_ = attemptMargin;
     policy.allowanceHold_ = 500ms;
     policy.placementHold_ = 1s;
     policy.answerSilence_ = 300ms;
@@ -78,14 +79,14 @@
     node.given_ = {};
     node.shown_ = {};
     node.watching_ = true;
+    node.read_ = {};
+    node.listDueAt_ = now_;
     node.reachable_.reset();
     note(fmt::format("{} starts as {}", node.vm_.text_, node.incarnation_.value_));
     const VmSettings vm{
         node.isEntry_ ? Role::Entry : Role::Target, node.vm_, {"r"}, node.dataCentre_};
     if (node.isEntry_) {
         node.entry_ = makeEntry(vm, node.incarnation_, entryPolicy(), now_);
-        node.entry_.ledger_.policy_.longestAttempt_ = longestAttempt;
-        node.entry_.loans_.policy_.longestAttempt_ = longestAttempt;
         // Few data centres of few processes: every entry has a link to each target.
         node.entry_.fleet_.policy_.heartbeatsAcross_ = nodeCount;
         EntryActions actions;
@@ -185,9 +186,9 @@
         strikesOfTarget(node);
         return;
     }
-    EntryActions actions;
-    sendHeartbeats(node.entry_, now_, actions);
-    perform(node, actions);
+    actions_.clear();
+    sendHeartbeats(node.entry_, now_, actions_);
+    perform(node, actions_);
 }
 
 void World::stopGracefully(Node &node)
@@ -243,14 +244,14 @@
 {
     if (sabotaged(Property::RevisionsRise) && std::holds_alternative<StoredRules>(input))
         node.entry_.spread_.revision_ = {};
-    EntryActions actions;
-    step(node.entry_, std::move(input), now_, actions);
+    actions_.clear();
+    step(node.entry_, std::move(input), now_, actions_);
     if (sabotaged(Property::TokenWindow)) {
         for (auto &[name, account] : node.entry_.allowance_.accounts_)
             account.freeMicroTokens_ = account.share_.burstTokens_ * 1'000'000;
     }
     showRevision(node, node.entry_.rules_.revision_);
-    perform(node, actions);
+    perform(node, actions_);
 }
 
 void World::perform(Node &node, EntryActions &actions)
