--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Time an attempt may still run after its entry has given it up.
-constexpr Duration attemptMargin = std::chrono::seconds(30);
 /// Time between the spreading's ticks in a large fleet, where a view of the members costs more.
 constexpr Duration largeSpreadTick = std::chrono::milliseconds(250);
 
@@ -159,9 +157,9 @@
     entry.ledger_.self_ = vm.vm_;
     entry.ledger_.incarnation_ = incarnation;
     entry.ledger_.policy_.keyPrefix_ = "shares/";
-    entry.ledger_.policy_.longestAttempt_ = policy.requestTimeout_ + attemptMargin;
+    entry.ledger_.policy_.longestAttempt_ = policy.requestTimeout_ + policy.attemptMargin_;
     entry.loans_.self_ = vm.vm_;
-    entry.loans_.policy_.longestAttempt_ = policy.requestTimeout_ + attemptMargin;
+    entry.loans_.policy_.longestAttempt_ = policy.requestTimeout_ + policy.attemptMargin_;
     entry.claims_.vm_ = vm.vm_;
     entry.spread_.self_ = vm.vm_;
     entry.spread_.dataCentre_ = vm.dataCentre_;
@@ -179,7 +177,10 @@
 
 bool idle(const Entry &entry)
 {
-    return entry.requests_.empty() && entry.attempts_.empty() && entry.claims_.claims_.empty();
+    // A lost attempt has nobody who waits for it, only its tokens.
+    const bool attemptsOver = std::all_of(entry.attempts_.begin(), entry.attempts_.end(),
+                                          [](const auto &known) { return known.second.lost_; });
+    return entry.requests_.empty() && attemptsOver && entry.claims_.claims_.empty();
 }
 
 std::string entryStatusJson(const Entry &entry)
