Join what waits for one peer in one message of the link

Cause: of the entry's 30 switches for a small call, 18.5 were in nng's task threads: nng hands each message through two or three of them on either end. A call with four tokens takes about nine messages.

The sender takes all that waits in its ring, up to 32 messages, and sends what goes to one peer as one batch, each envelope as before with its length. Order and the giving back of what can't be sent stay as they are; an Offer still needs the link up. Only a peer that has spoken with message version 2 gets batches, until its link goes down: older processes read one envelope a message.

--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -1,18 +1,22 @@
 #include "Link/linkservice.h"
 
+#include "Link/messagebatch.h"
 #include "Link/messagecodec.h"
 #include "Observe/log.h"
 #include "Vm/boundedring.h"
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace eelgrasscove {
@@ -20,6 +24,12 @@
 namespace {
 
 constexpr std::size_t sendRingMessages = 16384;
+/// What the sender takes from its ring at a time, and so joins at most.
+constexpr std::size_t batchMessages = 32;
+/// A batch of this length takes no further message.
+constexpr std::size_t batchBytes = std::size_t(64) * 1024;
+/// Processes from this message version on read batches.
+constexpr std::uint32_t firstBatchVersion = 2;
 constexpr std::size_t largestMessageBytes = 64 * 1024 * 1024;
 constexpr nng_duration shortestReconnectMillis = 50;
 constexpr nng_duration longestReconnectMillis = 1000;
@@ -36,6 +46,14 @@
     std::optional<Message> message_;
 };
 
+/// Messages to one peer that go as one message of the link.
+struct Batch
+{
+    std::string bytes_;
+    /// Kept to be given back where the link doesn't take them.
+    std::vector<Message> messages_;
+};
+
 /// The sending end of the link to one peer.
 struct PeerLink
 {
@@ -72,7 +90,10 @@
     nng_socket inbox_ = NNG_SOCKET_INITIALIZER;
     nng_aio *receiving_ = nullptr;
     /// Received, and not yet taken by the receiver. Only the inbox's callback touches it.
-    std::optional<LinkEvent> held_;
+    std::deque<LinkEvent> held_;
+    std::mutex mutex_;
+    /// Addresses of processes that have shown that they read batches. Guarded by the mutex.
+    std::set<std::string> batchReaders_;
     BoundedRing<Outgoing> outgoing_{sendRingMessages};
     std::atomic<bool> stopping_ = false;
     std::thread sender_;
@@ -85,11 +106,19 @@
     static void inboxReady(void *service);
     void takeReceived();
     void holdMessage(nng_msg *message);
+    void holdEnvelope(std::string_view bytes);
+    void noteVersion(const Envelope &envelope);
+    bool readsBatches(const std::string &address);
+    void forgetReader(const std::string &address);
     bool deliverHeld();
     bool takeWaiting();
     void deliverSurely(LinkEvent event);
     void sendAll();
-    void sendOne(Outgoing outgoing);
+    std::vector<Outgoing> takeOutgoing();
+    void sendTaken(std::vector<Outgoing> taken);
+    void sendTo(const std::string &address, std::vector<Message> messages);
+    void add(Message message, Batch &batch) const;
+    void sendBatch(PeerLink &peer, Batch batch);
     PeerLink *peerAt(const std::string &address);
     bool open(PeerLink &peer);
     void reportChanges();
@@ -120,13 +149,43 @@
 {
     const std::string_view bytes(static_cast<const char *>(nng_msg_body(message)),
                                  nng_msg_len(message));
-    Result<Envelope, CodecError> decoded = decodeEnvelope(bytes);
+    for (const std::string_view envelope : splitEnvelopes(bytes))
+        holdEnvelope(envelope);
     nng_msg_free(message);
-    if (ok(decoded))
-        held_ = std::move(valueOf(decoded));
-    else
+}
+
+void LinkService::Impl::holdEnvelope(std::string_view bytes)
+{
+    Result<Envelope, CodecError> decoded = decodeEnvelope(bytes);
+    if (!ok(decoded)) {
         logEvent(LogLevel::Warning, "link_message_unreadable",
                  {{"error", errorOf(decoded).message_}});
+        return;
+    }
+    noteVersion(valueOf(decoded));
+    held_.emplace_back(std::move(valueOf(decoded)));
+}
+
+void LinkService::Impl::noteVersion(const Envelope &envelope)
+{
+    const std::lock_guard guard(mutex_);
+    if (envelope.version_ >= firstBatchVersion)
+        batchReaders_.insert(envelope.replyAddress_);
+    else
+        batchReaders_.erase(envelope.replyAddress_);
+}
+
+bool LinkService::Impl::readsBatches(const std::string &address)
+{
+    const std::lock_guard guard(mutex_);
+    return batchReaders_.contains(address);
+}
+
+/// Whoever comes next at this address may be older.
+void LinkService::Impl::forgetReader(const std::string &address)
+{
+    const std::lock_guard guard(mutex_);
+    batchReaders_.erase(address);
 }
 
 void LinkService::Impl::inboxReady(void *service)
@@ -139,7 +198,7 @@
     const int code = nng_aio_result(receiving_);
     if (code == NNG_ECLOSED || code == NNG_ECANCELED)
         return;
-    if (code == 0 && !held_)
+    if (code == 0 && held_.empty())
         holdMessage(nng_aio_get_msg(receiving_));
     if (!deliverHeld() || !takeWaiting()) {
         nng_sleep_aio(retryWaitMillis, receiving_);
@@ -164,10 +223,12 @@
 /// False where the receiver is full, and still to be waited for.
 bool LinkService::Impl::deliverHeld()
 {
-    // A refusal leaves the event untouched.
-    if (held_ && !deliver_(std::move(*held_)) && !stopping_)
-        return false;
-    held_.reset();
+    while (!held_.empty()) {
+        // A refusal leaves the event untouched.
+        if (!deliver_(std::move(held_.front())) && !stopping_)
+            return false;
+        held_.pop_front();
+    }
     return true;
 }
 
@@ -200,22 +261,67 @@
     return peers_.emplace(address, std::move(peer)).first->second.get();
 }
 
-void LinkService::Impl::sendOne(Outgoing outgoing)
+void LinkService::Impl::add(Message message, Batch &batch) const
+{
+    Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_, settings_.advertise_,
+                      std::move(message)};
+    addEnvelope(batch.bytes_, encodeEnvelope(envelope));
+    batch.messages_.push_back(std::move(envelope.message_));
+}
+
+void LinkService::Impl::sendBatch(PeerLink &peer, Batch batch)
 {
-    PeerLink *peer = peerAt(outgoing.address_);
-    if (!outgoing.message_)
+    if (batch.messages_.empty())
         return;
-    const bool needsLink = std::holds_alternative<Offer>(*outgoing.message_);
-    if (peer == nullptr || (needsLink && !peer->up_)) {
-        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
+    const int code =
+        nng_send(peer.socket_, batch.bytes_.data(), batch.bytes_.size(), NNG_FLAG_NONBLOCK);
+    if (code == 0)
         return;
+    for (Message &message : batch.messages_)
+        deliverSurely(SendFailed{peer.address_, std::move(message)});
+}
+
+void LinkService::Impl::sendTo(const std::string &address, std::vector<Message> messages)
+{
+    PeerLink *peer = peerAt(address);
+    const std::size_t bound = readsBatches(address) ? batchBytes : 0;
+    Batch batch;
+    for (Message &message : messages) {
+        const bool needsLink = std::holds_alternative<Offer>(message);
+        if (peer == nullptr || (needsLink && !peer->up_)) {
+            deliverSurely(SendFailed{address, std::move(message)});
+            continue;
+        }
+        add(std::move(message), batch);
+        if (batch.bytes_.size() >= bound)
+            sendBatch(*peer, std::exchange(batch, {}));
     }
-    const Envelope envelope{messageVersion, identity_.vm_, identity_.incarnation_,
-                            settings_.advertise_, *outgoing.message_};
-    std::string bytes = encodeEnvelope(envelope);
-    const int code = nng_send(peer->socket_, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
-    if (code != 0)
-        deliverSurely(SendFailed{outgoing.address_, std::move(*outgoing.message_)});
+    if (peer != nullptr)
+        sendBatch(*peer, std::move(batch));
+}
+
+void LinkService::Impl::sendTaken(std::vector<Outgoing> taken)
+{
+    std::map<std::string, std::vector<Message>> byPeer;
+    for (Outgoing &outgoing : taken) {
+        std::vector<Message> &messages = byPeer[outgoing.address_];
+        if (outgoing.message_)
+            messages.push_back(std::move(*outgoing.message_));
+    }
+    for (auto &[address, messages] : byPeer)
+        sendTo(address, std::move(messages));
+}
+
+/// What waits to be sent, in order; empty after the wait.
+std::vector<Outgoing> LinkService::Impl::takeOutgoing()
+{
+    std::vector<Outgoing> taken;
+    std::optional<Outgoing> next = outgoing_.pop(sendWait);
+    while (next) {
+        taken.push_back(std::move(*next));
+        next = taken.size() < batchMessages ? outgoing_.pop(Duration(0)) : std::nullopt;
+    }
+    return taken;
 }
 
 void LinkService::Impl::reportChanges()
@@ -226,6 +332,8 @@
             continue;
         peer->reportedUp_ = up;
         peer->downSince_ = monotonicNow();
+        if (!up)
+            forgetReader(address);
         deliverSurely(LinkChanged{address, up});
     }
 }
@@ -245,11 +353,10 @@
 {
     Time lastForget = monotonicNow();
     while (true) {
-        std::optional<Outgoing> outgoing = outgoing_.pop(sendWait);
-        if (outgoing)
-            sendOne(std::move(*outgoing));
-        else if (outgoing_.closed())
+        std::vector<Outgoing> taken = takeOutgoing();
+        if (taken.empty() && outgoing_.closed())
             return;
+        sendTaken(std::move(taken));
         reportChanges();
         const Time now = monotonicNow();
         if (now - lastForget > std::chrono::seconds(1)) {
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -14,7 +14,8 @@
 namespace eelgrasscove {
 
 /// Version of the message set that this build writes; readers take any version up to it and above.
-constexpr std::uint32_t messageVersion = 1;
+/// From 2 on a process reads several envelopes in one message of the link (Link/messagebatch.h).
+constexpr std::uint32_t messageVersion = 2;
 
 /// Whether a request was run, as told to callers and between processes.
 enum class RunState {
