Hand a run's events on together where the answer is there already

Cause: head, bytes and end of a short answer were handed to the deciding thread one by one, with a turn of the event loop in between; each could become a message of its own.

What has been read is held while more can be read without a wait, four events at most. A stream's head and tokens go on at once, as before.

--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -42,6 +42,8 @@
 constexpr Duration unloadTimeout = std::chrono::seconds(10);
 constexpr Duration deliverRetry = std::chrono::milliseconds(1);
 constexpr std::size_t idleLimit = 64;
+/// Events that a run may hold back.
+constexpr std::size_t gatheredLimit = 4;
 
 using Request = http::request<http::string_body>;
 
@@ -57,6 +59,8 @@
     /// The answer is whole and the connection can carry another run.
     bool reusable_ = false;
     bool cancelled_ = false;
+    /// Events of what has been read, while there is more to read without a wait.
+    std::vector<EngineEvent> gathered_;
 };
 
 /// A connection that a whole answer left open.
@@ -154,6 +158,16 @@
         }
     }
 
+    /// Hands on what a run has gathered: close together, so that they can go on as one message.
+    asio::awaitable<void> handGathered(RunPtr run)
+    {
+        for (EngineEvent &gathered : run->gathered_) {
+            EngineEvent event = std::move(gathered);
+            co_await hand(std::move(event));
+        }
+        run->gathered_.clear();
+    }
+
     /// One request with a short reply, on a connection of its own.
     asio::awaitable<Reply> call(Request made, Duration timeout)
     {
@@ -359,11 +373,20 @@
         return run.reused_ && status == http::status::request_timeout;
     }
 
+    /// Whether the next read finds nothing yet, or enough has gathered.
+    static bool wouldWait(Run &run, const beast::flat_buffer &buffer)
+    {
+        error_code error;
+        const bool more = buffer.size() > 0 || run.stream_->socket().available(error) > 0;
+        return !more || run.gathered_.size() >= gatheredLimit;
+    }
+
     /// Passes the answer on as it comes. False where it broke off.
     asio::awaitable<bool> passAnswer(const AttemptId &attempt, const RunPtr &run, http::verb method,
                                      AnswerMeter &meter)
     {
         beast::flat_buffer buffer;
+        buffer.reserve(readBytes);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(boost::none);
         parser.skip(method == http::verb::head);
@@ -374,10 +397,11 @@
         const auto type = parser.get()[http::field::content_type];
         meter.form_ =
             settings_.engine_ ? answerForm({type.data(), type.size()}) : AnswerForm::Opaque;
-        EngineEvent head = RunHead{attempt, parser.get().result_int(), std::string(type)};
-        co_await hand(std::move(head));
+        run->gathered_.emplace_back(RunHead{attempt, parser.get().result_int(), std::string(type)});
         std::array<char, readBytes> bytes;
         while (!parser.is_done()) {
+            if (wouldWait(*run, buffer))
+                co_await handGathered(run);
             parser.get().body().data = bytes.data();
             parser.get().body().size = bytes.size();
             co_await http::async_read_some(*run->stream_, buffer, parser, into(error));
@@ -388,8 +412,8 @@
                 continue;
             const std::string_view read(bytes.data(), count);
             meterBytes(meter, read);
-            EngineEvent part = RunBytes{attempt, std::string(read), generatedTokens(meter)};
-            co_await hand(std::move(part));
+            run->gathered_.emplace_back(
+                RunBytes{attempt, std::string(read), generatedTokens(meter)});
         }
         run->reusable_ = parser.keep_alive() && buffer.size() == 0 && !run->cancelled_;
         co_return true;
@@ -428,6 +452,7 @@
         // Cancelled meanwhile or not: from here on nobody closes it but the pool.
         if (run->reusable_ && !run->cancelled_)
             keepIdle(std::move(run->stream_));
+        co_await handGathered(run);
         co_await hand(std::move(end));
     }
 
