Take messages by a thread of our own again

Cause: in a trial, one target process of about a hundred that were started and stopped since messages are taken in nng's callback did not end: it hung in nng_close of the inbox, where nng's reaper waits for a task of a pipe that no thread runs. Such a hang was not seen before.

So the cause is not proved, and a stop that may not end is worse than what the callback saved (an idle process 10 to 15 ms of processor time a second, two to four switches a call).

The batches stay: the receiver splits them.

--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -6,7 +6,6 @@
 #include "Vm/boundedring.h"
 
 #include <atomic>
-#include <deque>
 #include <map>
 #include <mutex>
 #include <nng/nng.h>
@@ -31,11 +30,11 @@
 /// Processes from this message version on read batches.
 constexpr std::uint32_t firstBatchVersion = 2;
 constexpr std::size_t largestMessageBytes = 64 * 1024 * 1024;
+constexpr nng_duration receiveWaitMillis = 50;
 constexpr nng_duration shortestReconnectMillis = 50;
 constexpr nng_duration longestReconnectMillis = 1000;
 constexpr Duration sendWait = std::chrono::milliseconds(20);
 constexpr Duration retryWait = std::chrono::milliseconds(1);
-constexpr nng_duration retryWaitMillis = 1;
 constexpr Duration forgetDownLinkAfter = std::chrono::minutes(10);
 constexpr Duration flushTime = std::chrono::milliseconds(200);
 
@@ -88,30 +87,22 @@
     LinkIdentity identity_;
     Deliver deliver_;
     nng_socket inbox_ = NNG_SOCKET_INITIALIZER;
-    nng_aio *receiving_ = nullptr;
-    /// Received, and not yet taken by the receiver. Only the inbox's callback touches it.
-    std::deque<LinkEvent> held_;
     std::mutex mutex_;
     /// Addresses of processes that have shown that they read batches. Guarded by the mutex.
     std::set<std::string> batchReaders_;
     BoundedRing<Outgoing> outgoing_{sendRingMessages};
     std::atomic<bool> stopping_ = false;
+    std::thread receiver_;
     std::thread sender_;
     /// Only the sender's thread touches it.
     std::map<std::string, std::unique_ptr<PeerLink>> peers_;
 
     Result<Done, LinkError> listen();
-    /// Called by nng when a message has come, and after the pause before a refused one is offered
-    /// again.
-    static void inboxReady(void *service);
-    void takeReceived();
-    void holdMessage(nng_msg *message);
-    void holdEnvelope(std::string_view bytes);
+    void receiveAll();
+    void receiveOne(std::string_view bytes);
     void noteVersion(const Envelope &envelope);
     bool readsBatches(const std::string &address);
     void forgetReader(const std::string &address);
-    bool deliverHeld();
-    bool takeWaiting();
     void deliverSurely(LinkEvent event);
     void sendAll();
     std::vector<Outgoing> takeOutgoing();
@@ -131,6 +122,7 @@
     int code = nng_pull0_open(&inbox_);
     if (code != 0)
         return linkError("can't open the inbox", code);
+    nng_socket_set_ms(inbox_, NNG_OPT_RECVTIMEO, receiveWaitMillis);
     nng_socket_set_size(inbox_, NNG_OPT_RECVMAXSZ, largestMessageBytes);
     code = nng_listen(inbox_, settings_.listen_.c_str(), nullptr, 0);
     if (code != 0)
@@ -145,16 +137,7 @@
         std::this_thread::sleep_for(retryWait);
 }
 
-void LinkService::Impl::holdMessage(nng_msg *message)
-{
-    const std::string_view bytes(static_cast<const char *>(nng_msg_body(message)),
-                                 nng_msg_len(message));
-    for (const std::string_view envelope : splitEnvelopes(bytes))
-        holdEnvelope(envelope);
-    nng_msg_free(message);
-}
-
-void LinkService::Impl::holdEnvelope(std::string_view bytes)
+void LinkService::Impl::receiveOne(std::string_view bytes)
 {
     Result<Envelope, CodecError> decoded = decodeEnvelope(bytes);
     if (!ok(decoded)) {
@@ -163,7 +146,24 @@
         return;
     }
     noteVersion(valueOf(decoded));
-    held_.emplace_back(std::move(valueOf(decoded)));
+    deliverSurely(std::move(valueOf(decoded)));
+}
+
+void LinkService::Impl::receiveAll()
+{
+    while (!stopping_) {
+        nng_msg *message = nullptr;
+        const int code = nng_recvmsg(inbox_, &message, 0);
+        if (code == NNG_ECLOSED)
+            return;
+        if (code != 0)
+            continue;
+        const std::string_view bytes(static_cast<const char *>(nng_msg_body(message)),
+                                     nng_msg_len(message));
+        for (const std::string_view envelope : splitEnvelopes(bytes))
+            receiveOne(envelope);
+        nng_msg_free(message);
+    }
 }
 
 void LinkService::Impl::noteVersion(const Envelope &envelope)
@@ -188,50 +188,6 @@
     batchReaders_.erase(address);
 }
 
-void LinkService::Impl::inboxReady(void *service)
-{
-    static_cast<Impl *>(service)->takeReceived();
-}
-
-void LinkService::Impl::takeReceived()
-{
-    const int code = nng_aio_result(receiving_);
-    if (code == NNG_ECLOSED || code == NNG_ECANCELED)
-        return;
-    if (code == 0 && held_.empty())
-        holdMessage(nng_aio_get_msg(receiving_));
-    if (!deliverHeld() || !takeWaiting()) {
-        nng_sleep_aio(retryWaitMillis, receiving_);
-        return;
-    }
-    if (!stopping_)
-        nng_recv_aio(inbox_, receiving_);
-}
-
-/// What has come meanwhile costs no further call from nng. False where the receiver is full.
-bool LinkService::Impl::takeWaiting()
-{
-    nng_msg *message = nullptr;
-    while (!stopping_ && nng_recvmsg(inbox_, &message, NNG_FLAG_NONBLOCK) == 0) {
-        holdMessage(message);
-        if (!deliverHeld())
-            return false;
-    }
-    return true;
-}
-
-/// False where the receiver is full, and still to be waited for.
-bool LinkService::Impl::deliverHeld()
-{
-    while (!held_.empty()) {
-        // A refusal leaves the event untouched.
-        if (!deliver_(std::move(held_.front())) && !stopping_)
-            return false;
-        held_.pop_front();
-    }
-    return true;
-}
-
 bool LinkService::Impl::open(PeerLink &peer)
 {
     if (nng_push0_open(&peer.socket_) != 0)
@@ -393,10 +349,7 @@
     Result<Done, LinkError> listening = impl_->listen();
     if (!ok(listening))
         return listening;
-    const int code = nng_aio_alloc(&impl_->receiving_, Impl::inboxReady, impl_.get());
-    if (code != 0)
-        return linkError("can't receive", code);
-    nng_recv_aio(impl_->inbox_, impl_->receiving_);
+    impl_->receiver_ = std::thread([this] { impl_->receiveAll(); });
     impl_->sender_ = std::thread([this] { impl_->sendAll(); });
     return Done{};
 }
@@ -405,15 +358,14 @@
 {
     if (!impl_->sender_.joinable())
         return;
-    // From here on nobody may take deliveries: neither the sender nor the inbox may wait for it.
+    // From here on nobody may take deliveries: neither thread may wait for it.
     impl_->stopping_ = true;
     impl_->outgoing_.close();
     impl_->sender_.join();
     // nng closes a socket with what it still holds unsent; give it the time to write.
     std::this_thread::sleep_for(flushTime);
-    nng_aio_stop(impl_->receiving_);
-    nng_aio_free(impl_->receiving_);
     nng_close(impl_->inbox_);
+    impl_->receiver_.join();
     impl_->closePeers();
 }
 
