--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -14,6 +14,7 @@
 namespace eelgrasscove {
 
 /// Version of the message set that this build writes; readers take any version up to it and above.
+/// From 2 on a process reads several envelopes in one message of the link (Link/messagebatch.h).
 constexpr std::uint32_t messageVersion = 2;
 /// The first version whose entries take load reports, and whose processes take news of VMs.
 constexpr std::uint32_t loadReportVersion = 2;
