--- a/Tests/Capacity/main.cpp
+++ b/Tests/Capacity/main.cpp
@@ -14,7 +14,7 @@
 Usage:
   capacity SECTION [--processes N] [--adapters N] [--seeds N]
 
-Sections: spread, faults, start, messages, fleet, rules, budget.
+Sections: spread, faults, start, messages, fleet, rules, shares, budget.
 
 Options:
   --processes N  Most processes in virtual time [default: 1720].
@@ -35,6 +35,7 @@
     {"messages", eelgrasscove::capacity::measureMessages},
     {"fleet", eelgrasscove::capacity::measureFleet},
     {"rules", eelgrasscove::capacity::measureRules},
+    {"shares", eelgrasscove::capacity::measureShares},
     {"budget", eelgrasscove::capacity::printBudget},
 };
 
--- a/Tests/Capacity/sections.h
+++ b/Tests/Capacity/sections.h
@@ -32,6 +32,9 @@
 /// Memory, parsing and lookup of the rules of many adapters.
 void measureRules(const SectionOptions &options);
 
+/// Calls and bytes of the shares of an account, of bookings and of loans.
+void measureShares(const SectionOptions &options);
+
 /// Every role's cost at the size to design for, against its budget.
 void printBudget(const SectionOptions &options);
 
--- a/Tests/CapacityCheck/capacitymodel.cpp
+++ b/Tests/CapacityCheck/capacitymodel.cpp
@@ -289,6 +289,28 @@
                     "a weight store that allows more loads; until then waking adapters wait"});
 }
 
+void addShareRows(std::vector<BudgetRow> &rows, const SystemSize &size, const Slopes &slopes,
+                  const Budget &budget)
+{
+    const auto accounts = static_cast<double>(size.accounts_);
+    const auto entries = static_cast<double>(size.entries_);
+    const double joins = size.replacedPerDay_ * entries / processes(size) / secondsPerDay;
+    const std::string remedy = "shares held by data centres, whose entries borrow of them";
+    rows.push_back({"platform",
+                    "calls a second over a minute in which all entries split all accounts",
+                    accounts * slopes.splitCalls_ * entries * entries / 60,
+                    budget.platformReadsPerSecond_, "1/s", "ledger.cpp", remedy});
+    rows.push_back({"platform", "calls a second over the day for shares of replaced entries",
+                    joins * accounts * slopes.joinCalls_ * entries * entries,
+                    budget.platformReadsPerSecond_, "1/s", "ledger.cpp", remedy});
+    rows.push_back({"platform", "writes a second over the day for shares of replaced entries",
+                    joins * accounts * slopes.shareWrites_ * entries,
+                    budget.platformWritesPerSecond_, "1/s", "ledger.cpp", ""});
+    rows.push_back({"platform", "writes a second for claims, where 5% of the requests book",
+                    size.bookingsPerSecond_ * slopes.bookingWrites_,
+                    budget.platformWritesPerSecond_, "1/s", "claims.cpp", ""});
+}
+
 } // namespace
 
 SystemSize doubled(const SystemSize &size)
@@ -299,6 +321,7 @@
     twice.adapters_ *= 2;
     twice.changesPerDay_ *= 2;
     twice.replacedPerDay_ *= 2;
+    twice.bookingsPerSecond_ *= 2;
     return twice;
 }
 
@@ -358,6 +381,7 @@
                     "centre's targets among its entries by group"});
     addMemoryRows(rows, size, slopes, footprint, budget);
     addPlatformRows(rows, size, slopes, budget);
+    addShareRows(rows, size, slopes, budget);
     return rows;
 }
 
@@ -455,6 +479,10 @@
     slopes.compactBytesPerRule_ = static_cast<double>(compactBytes(compact)) / routes;
     slopes.parsedBytesPerRule_ = 460;
     slopes.peerBytes_ = 700;
+    slopes.splitCalls_ = 0.6;
+    slopes.joinCalls_ = 0.6;
+    slopes.shareWrites_ = 1.1;
+    slopes.bookingWrites_ = 2;
     slopes.decodeReport_ = 40;
     slopes.encodeReport_ = 30;
     slopes.takeReport_ = 6;
--- a/Tests/CapacityCheck/capacitymodel.h
+++ b/Tests/CapacityCheck/capacitymodel.h
@@ -22,6 +22,8 @@
     /// Share of the adapters that wake or fall idle within an hour.
     double wakingShare_ = 0.57;
     double replacedPerDay_ = 200;
+    /// Calls with an Idempotency-Key: taken as 5% of the requests at the peak.
+    double bookingsPerSecond_ = 55;
 };
 
 SystemSize doubled(const SystemSize &size);
@@ -52,6 +54,12 @@
     double parsedBytesPerRule_ = 0;
     double compactBytesPerRule_ = 0;
     double peerBytes_ = 0;
+    /// Calls of the key-value service to split an account anew, and for one entry that joins, for
+    /// each entry squared; writes among them for each entry.
+    double splitCalls_ = 0;
+    double joinCalls_ = 0;
+    double shareWrites_ = 0;
+    double bookingWrites_ = 0;
     /// Microseconds of a core.
     double decodeReport_ = 0;
     double encodeReport_ = 0;
--- a/Utilities/capacity.sh
+++ b/Utilities/capacity.sh
@@ -4,8 +4,8 @@
 # Usage: Utilities/capacity.sh [--sections "LIST"] [--processes N] [--adapters N] [--seeds N]
 #                              [--real "SIZES"] [--seconds N] [--port N]
 #
-#   --sections   Which tables: budget messages fleet rules spread faults start processes
-#                [default: all]. Unnamed ones keep what the page has.
+#   --sections   Which tables: budget messages fleet rules shares spread faults start
+#                processes [default: all]. Unnamed ones keep what the page has.
 #   --processes  Most processes in virtual time [default: 1720].
 #   --adapters   Most adapters; rules are measured up to twice as many [default: 47000].
 #   --seeds      Seeds for each row in virtual time [default: 5].
@@ -17,7 +17,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-sections="budget messages fleet rules spread faults start processes"
+sections="budget messages fleet rules shares spread faults start processes"
 processes=1720
 adapters=47000
 seeds=5
