Choose a target from a table kept by reports

The issue asks for a choice at worst logarithmic in targets.

Ruled out: rendezvous over a hierarchy of groups (parts as unequal as the groups, or, weighted by their members, a lost target moves others' adapters too); the first targets kept for each adapter (linear for an adapter seen first).

Now each entry keeps a table for each group of targets (RoutingTable), changed by reports, the list and links. Targets stand on a ring by multi-probe consistent hashing, with a tree of the least waits over it; the holders of each adapter stand on rings of their own. The choice allocates nothing. What is chosen is as before by its definition (soonest copy, home within a load of the least wait, another copy where it saves more than its load); only the hash that ranks targets is another. RoutingTest: 2,000 seeds of targets that come, report and go, against a choice that looks at all; parts are even at 3, 12 and 100 targets.

The benchmark runs on the table too.

RoutingTest: two cases now tell the table what was sent instead of writing it into a view; they state the same.

--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "Caller/entryparts.h"
 #include "Caller/entryrequests.h"
+#include "Caller/entryrouting.h"
 #include "Observe/log.h"
 
 #include <algorithm>
@@ -51,7 +52,7 @@
     const Incarnation before =
         known == entry.fleet_.peers_.end() ? Incarnation() : known->second.incarnation_;
     takeHeartbeat(entry.fleet_, envelope, heartbeat, now);
-    entry.sentSinceReport_.erase(envelope.from_);
+    updateRouting(entry, envelope.from_, now);
     noteStrikes(entry, heartbeat, now);
     takePeerAllowance(entry, envelope, heartbeat, before, now);
     performSpread(entry,
@@ -71,9 +72,10 @@
         takeAttemptMessage(entry, envelope, now, actions);
 }
 
-void takeInput(Entry &entry, LinkChanged &&change, Time /*now*/, EntryActions &actions)
+void takeInput(Entry &entry, LinkChanged &&change, Time now, EntryActions &actions)
 {
     takeLinkChange(entry.fleet_, change.address_, change.up_);
+    syncRouting(entry, now);
     if (change.up_)
         askAfterLinkUp(entry, change.address_, actions);
 }
@@ -86,6 +88,7 @@
 void takeInput(Entry &entry, VmList &&list, Time now, EntryActions &actions)
 {
     takeVmList(entry.fleet_, list, now);
+    syncRouting(entry, now);
     takeShareList(entry, list, now, actions);
 }
 
--- a/Source/Caller/entry.h
+++ b/Source/Caller/entry.h
@@ -108,12 +108,6 @@
     bool abandoned_ = false;
 };
 
-/// What this entry sent to a target since the target's last heartbeat.
-struct SentSinceReport
-{
-    std::vector<AdapterKey> adapters_;
-};
-
 /// A request's strikes as the target processes told them.
 struct KnownStrike
 {
@@ -137,7 +131,7 @@
     std::map<RequestId, PendingRequest> requests_;
     std::map<CallerHandle, RequestId> requestByHandle_;
     std::map<AttemptId, EntryAttempt> attempts_;
-    std::map<VmName, SentSinceReport> sentSinceReport_;
+    std::map<TargetGroup, RoutingTable> routing_;
     std::map<Fingerprint, KnownStrike> strikes_;
     std::uint64_t lastRequestNumber_ = 0;
     std::uint64_t lastAttemptNumber_ = 0;
--- a/Source/Caller/entryattempts.cpp
+++ b/Source/Caller/entryattempts.cpp
@@ -1,6 +1,7 @@
 #include "Caller/entryrequests.h"
 
 #include "Caller/entryparts.h"
+#include "Caller/entryrouting.h"
 
 #include <algorithm>
 #include <optional>
@@ -9,39 +10,6 @@
 
 namespace {
 
-TargetView viewOf(const Entry &entry, const Peer &peer, const AdapterKey &adapter)
-{
-    TargetView view;
-    view.vm_ = peer.listed_.vm_;
-    view.sameDataCentre_ = peer.listed_.dataCentre_ == entry.fleet_.dataCentre_;
-    view.sameRegion_ = peer.listed_.region_ == entry.fleet_.region_;
-    view.queued_ = peer.heartbeat_.queued_;
-    view.running_ = peer.heartbeat_.running_;
-    view.batchSlots_ = std::max(1U, peer.heartbeat_.batchSlots_);
-    view.adapterSlots_ = std::max(1U, peer.heartbeat_.adapterSlots_);
-    view.residents_ = peer.heartbeat_.residents_;
-    const auto sent = entry.sentSinceReport_.find(peer.listed_.vm_);
-    if (sent == entry.sentSinceReport_.end())
-        return view;
-    const std::vector<AdapterKey> &adapters = sent->second.adapters_;
-    view.sentSinceReport_ = static_cast<std::uint32_t>(adapters.size());
-    view.sentSameAdapter_ =
-        static_cast<std::uint32_t>(std::count(adapters.begin(), adapters.end(), adapter));
-    return view;
-}
-
-std::vector<TargetView> viewsFor(const Entry &entry, const PendingRequest &request, Time now)
-{
-    std::vector<TargetView> views;
-    for (const auto &[vm, peer] : entry.fleet_.peers_) {
-        const bool fits = peer.heartbeat_.role_ == Role::Target
-            && peer.heartbeat_.group_ == request.route_.targets_;
-        if (fits && acceptsWork(entry.fleet_, peer, now))
-            views.push_back(viewOf(entry, peer, request.route_.adapter_));
-    }
-    return views;
-}
-
 Offer offerFor(const PendingRequest &request, const EntryAttempt &attempt, Time now)
 {
     Offer offer;
@@ -357,9 +325,7 @@
 
 bool offerRequest(Entry &entry, PendingRequest &request, Time now, EntryActions &actions)
 {
-    const RouteNeeds needs{request.route_.adapter_, request.call_.priority_, request.tried_};
-    const std::optional<RoutingDecision> decision =
-        chooseTarget(viewsFor(entry, request, now), needs, entry.policy_.routing_);
+    const std::optional<RoutingDecision> decision = routeRequest(entry, request, now);
     if (!decision)
         return false;
     const Peer &peer = entry.fleet_.peers_.at(decision->vm_);
@@ -376,7 +342,7 @@
     moveReservation(entry, request, attempt.id_);
     request.attempt_ = attempt.id_;
     request.stage_ = Stage::Offered;
-    entry.sentSinceReport_[attempt.vm_].adapters_.push_back(request.route_.adapter_);
+    noteSent(entry.routing_.at(request.route_.targets_), attempt.vm_, request.route_.adapter_);
     actions.emplace_back(SendMessage{attempt.address_, offerFor(request, attempt, now)});
     entry.attempts_.emplace(attempt.id_, std::move(attempt));
     return true;
--- a/Source/DataCentre/routing.h
+++ b/Source/DataCentre/routing.h
@@ -1,17 +1,23 @@
 #pragma once
 
-/// Which target an attempt goes to.
+/// Which target an attempt goes to: a table of one group's targets, kept as they report, and the
+/// choice from it. The choice costs the logarithm of the number of targets, and allocates nothing
+/// but a long VM name's copy. Pure.
+
+#include "DataCentre/routingring.h"
 
 #include <eelgrasscove/messages.h>
 #include <eelgrasscove/time.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace eelgrasscove {
 
-/// What the choice knows of one target.
+/// What is known of one target.
 struct TargetView
 {
     VmName vm_;
@@ -22,10 +28,6 @@
     std::uint32_t batchSlots_ = 1;
     std::uint32_t adapterSlots_ = 1;
     std::vector<ResidentAdapter> residents_;
-    /// Attempts this entry has sent there since the load was reported.
-    std::uint32_t sentSinceReport_ = 0;
-    /// Those of them for the adapter wanted.
-    std::uint32_t sentSameAdapter_ = 0;
 };
 
 /// What the request needs of a target.
@@ -61,8 +63,56 @@
     Duration expectedWait_ = Duration(0);
 };
 
+/// Targets by their distance from this process.
+struct TargetRings
+{
+    RoutingRing dataCentre_;
+    /// Those of the data centre too: data centres of one region share their adapters, so that each
+    /// is loaded in few of them.
+    RoutingRing region_;
+    RoutingRing beyond_;
+};
+
+/// A target as the table holds it.
+struct RoutedTarget
+{
+    TargetView view_;
+    RingPlace place_;
+    /// Attempts this entry has sent there since the load was reported.
+    std::uint32_t sentSinceReport_ = 0;
+    /// Adapters of those that the target doesn't hold as far as is known.
+    std::vector<AdapterKey> loading_;
+};
+
+/// The targets of one group that take new work.
+struct RoutingTable
+{
+    RoutingPolicy policy_;
+    /// By the number that stands in places.
+    std::map<std::uint32_t, RoutedTarget> targets_;
+    std::map<VmName, std::uint32_t> numbers_;
+    std::uint32_t nextNumber_ = 0;
+    TargetRings all_;
+    /// The targets that hold an adapter or are loading it.
+    std::unordered_map<AdapterKey, TargetRings> holders_;
+};
+
+/// Takes in a target, or its latest report; what was sent before the report no longer counts.
+void setTarget(RoutingTable &table, const TargetView &view);
+
+void dropTarget(RoutingTable &table, const VmName &vm);
+
+/// Counts an attempt that was sent to the target.
+void noteSent(RoutingTable &table, const VmName &vm, const AdapterKey &adapter);
+
 /// The target for one attempt; empty where none is left.
+std::optional<RoutingDecision> chooseTarget(const RoutingTable &table, const RouteNeeds &needs);
+
+/// The choice among these targets alone.
 std::optional<RoutingDecision> chooseTarget(const std::vector<TargetView> &targets,
                                             const RouteNeeds &needs, const RoutingPolicy &policy);
 
+/// How far a target is from being an adapter's first choice; the least distance wins.
+std::uint64_t adapterDistance(const AdapterKey &adapter, const VmName &vm);
+
 } // namespace eelgrasscove
--- a/Tests/Bench/bench.cpp
+++ b/Tests/Bench/bench.cpp
@@ -20,21 +20,27 @@
 constexpr char usage[] = R"(The decisions in virtual time, measured.
 
 Usage:
-  bench [--seeds=N] [--policy=NAME] [--threads=N]
+  bench [--seeds=N] [--policy=NAME] [--threads=N] [--fault=NAME] [--exponent=X] [--variants]
   bench --help
 
 Options:
   --seeds=N  Seeds 1 to N for each policy [default: 10].
   --policy=NAME  Only this policy.
   --threads=N  Runs at a time [default: 4].
+  --fault=NAME  What fails: "engine restarts", "data centre lost" or "platform outage".
+  --exponent=X  Of the popularity's Zipf distribution [default: 1.1].
+  --variants  A row for each fault and several exponents, with the chosen policy.
 )";
 
 struct Options
 {
-    std::uint64_t seeds_ = 10;
-    std::uint64_t threads_ = 4;
+    std::uint64_t seeds_ = 0;
+    std::uint64_t threads_ = 0;
     /// All where it is empty.
     std::optional<BenchPolicy> policy_;
+    BenchFault fault_ = BenchFault::None;
+    double exponent_ = 0;
+    bool variants_ = false;
 };
 
 using Field = double Measures::*;
@@ -111,9 +117,9 @@
     std::fflush(stdout);
 }
 
-void printHead(const Workload &workload, std::uint64_t seeds)
+void printHead(const Workload &workload, std::uint64_t seeds, const char *rows)
 {
-    fmt::print("\n### {}, seeds 1 to {}\n\n| policy |", workload.name_, seeds);
+    fmt::print("\n### {}, seeds 1 to {}\n\n| {} |", workload.name_, seeds, rows);
     for (const Column &column : columns)
         fmt::print(" {} |", column.title_);
     fmt::print("\n|---|");
@@ -141,7 +147,7 @@
 
 void printWorkload(const Workload &workload, const Options &options)
 {
-    printHead(workload, options.seeds_);
+    printHead(workload, options.seeds_, "policy");
     std::vector<Measures> runs;
     for (const auto &policy : benchPolicyNames) {
         if (options.policy_ && *options.policy_ != policy.value_)
@@ -152,6 +158,47 @@
     printBounds(runs);
 }
 
+/// The perfect fleets' stalls, for a workload whose popularity is another.
+void printStallBounds(std::string_view name, const std::vector<Measures> &runs)
+{
+    const auto clairvoyant = [](const Measures &run) { return run.clairvoyant_.stalledPercent_; };
+    const auto informed = [](const Measures &run) { return run.informed_.stalledPercent_; };
+    fmt::print("{}: stalled % clairvoyant {}, informed online {}\n", name,
+               cell(runs, clairvoyant, 1), cell(runs, informed, 1));
+}
+
+void printVariants(const Workload &workload, const Options &options)
+{
+    printHead(workload, options.seeds_, "variant");
+    for (const auto &fault : benchFaultNames) {
+        Workload variant = workload;
+        variant.fault_ = fault.value_;
+        printRow(fault.name_, measureSeeds(variant, BenchPolicy::Chosen, options));
+    }
+    std::vector<std::string> names;
+    std::vector<std::vector<Measures>> runs;
+    for (const double exponent : {0.8, 1.1, 1.4}) {
+        Workload variant = workload;
+        variant.zipfExponent_ = exponent;
+        names.push_back(fmt::format("exponent {}", exponent));
+        runs.push_back(measureSeeds(variant, BenchPolicy::Chosen, options));
+        printRow(names.back(), runs.back());
+    }
+    fmt::print("\n");
+    for (std::size_t variant = 0; variant < runs.size(); ++variant)
+        printStallBounds(names[variant], runs[variant]);
+}
+
+void printAll(Workload workload, const Options &options)
+{
+    workload.fault_ = options.fault_;
+    workload.zipfExponent_ = options.exponent_;
+    if (options.variants_)
+        printVariants(workload, options);
+    else
+        printWorkload(workload, options);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -167,7 +214,17 @@
             return 2;
         }
     }
-    printWorkload(associationWorkload(), options);
-    printWorkload(cooperativeWorkload(), options);
+    if (arguments.at("--fault").isString()) {
+        const auto fault = valueNamed(benchFaultNames, arguments.at("--fault").asString());
+        if (!fault) {
+            fmt::print(stderr, "no fault of this name\n");
+            return 2;
+        }
+        options.fault_ = *fault;
+    }
+    options.exponent_ = std::stod(arguments.at("--exponent").asString());
+    options.variants_ = arguments.at("--variants").asBool();
+    printAll(associationWorkload(), options);
+    printAll(cooperativeWorkload(), options);
     return 0;
 }
--- a/Tests/Bench/benchengine.cpp
+++ b/Tests/Bench/benchengine.cpp
@@ -56,4 +56,16 @@
     engine.running_.erase(attempt);
 }
 
+std::vector<AttemptId> restart(BenchEngine &engine, Time now)
+{
+    countTime(engine, now);
+    std::vector<AttemptId> broken;
+    for (const auto &[attempt, run] : engine.running_)
+        broken.push_back(attempt);
+    engine.running_.clear();
+    engine.adapters_.clear();
+    ++engine.incarnation_;
+    return broken;
+}
+
 } // namespace eelgrasscove
--- a/Tests/Bench/benchengine.h
+++ b/Tests/Bench/benchengine.h
@@ -52,4 +52,7 @@
 void startRun(BenchEngine &engine, const StartRun &start, Time now);
 void endRun(BenchEngine &engine, const AttemptId &attempt, Time now);
 
+/// Forgets adapters and runs; gives the runs that broke off.
+std::vector<AttemptId> restart(BenchEngine &engine, Time now);
+
 } // namespace eelgrasscove
--- a/Tests/Bench/benchsimulation.cpp
+++ b/Tests/Bench/benchsimulation.cpp
@@ -29,7 +29,14 @@
 constexpr double boundedLoadFactor = 1.25;
 constexpr Incarnation doorIncarnation = {1000};
 constexpr Incarnation entryIncarnation = {1};
-constexpr std::int64_t microTokensPerToken = 1'000'000;
+/// One engine of the fleet restarts so often.
+constexpr Duration restartPeriod = 30s;
+/// When a data centre is lost and when an outage begins and ends, in parts of the length.
+constexpr double lossAt = 0.6;
+constexpr double outageFrom = 0.3;
+constexpr double outageUntil = 0.8;
+/// As in FleetPolicy: a target that is silent for so long gets no new work.
+constexpr Duration silentAfter = 2s;
 
 struct Event
 {
@@ -46,12 +53,6 @@
     }
 };
 
-/// What an entry has sent to one target since its last report.
-struct SentSinceReport
-{
-    std::vector<AdapterKey> adapters_;
-};
-
 struct BenchEntry
 {
     VmName vm_;
@@ -60,7 +61,13 @@
     LoanBook book_;
     WaitingRoom waiting_;
     std::vector<Heartbeat> reports_;
-    std::vector<SentSinceReport> sent_;
+    /// Attempts sent to each target since its report.
+    std::vector<std::uint32_t> sent_;
+    RoutingTable routing_;
+    /// When each target's report came.
+    std::vector<Time> heardAt_;
+    Time startedAt_ = benchStart;
+    bool lost_ = false;
     std::size_t nextTarget_ = 0;
 };
 
@@ -70,6 +77,7 @@
     std::uint32_t dataCentre_ = 0;
     Door door_;
     BenchEngine engine_;
+    bool lost_ = false;
 };
 
 struct Bench
@@ -145,11 +153,9 @@
 
 // Routing.
 
-TargetView viewOf(const Bench &bench, const BenchEntry &entry, std::size_t index,
-                  const AdapterKey &adapter)
+TargetView viewOf(const Bench &bench, const BenchEntry &entry, std::size_t index)
 {
     const Heartbeat &report = entry.reports_[index];
-    const std::vector<AdapterKey> &sent = entry.sent_[index].adapters_;
     TargetView view;
     view.vm_ = bench.targets_[index].vm_;
     view.sameDataCentre_ = bench.targets_[index].dataCentre_ == entry.dataCentre_;
@@ -158,91 +164,112 @@
     view.batchSlots_ = bench.workload_.batchSlots_;
     view.adapterSlots_ = bench.workload_.adapterSlots_;
     view.residents_ = report.residents_;
-    view.sentSinceReport_ = static_cast<std::uint32_t>(sent.size());
-    view.sentSameAdapter_ =
-        static_cast<std::uint32_t>(std::count(sent.begin(), sent.end(), adapter));
     return view;
 }
 
-std::int64_t loadOf(const TargetView &view)
+/// What the baselines know of a target.
+struct TargetLoad
+{
+    VmName vm_;
+    std::int64_t load_ = 0;
+};
+
+std::vector<TargetLoad> loadsFor(const Bench &bench, const BenchEntry &entry,
+                                 const std::vector<VmName> &tried)
 {
-    return std::int64_t{view.queued_} + view.running_ + view.sentSinceReport_;
+    std::vector<TargetLoad> loads;
+    for (std::size_t target = 0; target < bench.targets_.size(); ++target) {
+        const VmName &vm = bench.targets_[target].vm_;
+        const bool silent = bench.now_ - entry.heardAt_[target] > silentAfter;
+        if (silent || std::find(tried.begin(), tried.end(), vm) != tried.end())
+            continue;
+        const Heartbeat &report = entry.reports_[target];
+        const std::int64_t load =
+            std::int64_t{report.queued_} + report.running_ + entry.sent_[target];
+        loads.push_back({vm, load});
+    }
+    return loads;
 }
 
-const TargetView *leastLoaded(const std::vector<TargetView> &views)
+const TargetLoad *leastLoaded(const std::vector<TargetLoad> &loads)
 {
-    const auto found = std::min_element(views.begin(), views.end(),
-                                        [](const TargetView &left, const TargetView &right) {
-                                            return loadOf(left) < loadOf(right);
-                                        });
+    const auto found = std::min_element(
+        loads.begin(), loads.end(),
+        [](const TargetLoad &left, const TargetLoad &right) { return left.load_ < right.load_; });
     return &*found;
 }
 
-std::vector<const TargetView *> byHash(const std::vector<TargetView> &views,
+std::vector<const TargetLoad *> byHash(const std::vector<TargetLoad> &loads,
                                        const AdapterKey &adapter)
 {
     const std::string subject = engineModelName(adapter);
-    std::vector<const TargetView *> ranked;
-    ranked.reserve(views.size());
-    for (const TargetView &view : views)
-        ranked.push_back(&view);
-    std::sort(ranked.begin(), ranked.end(), [&](const TargetView *left, const TargetView *right) {
+    std::vector<const TargetLoad *> ranked;
+    ranked.reserve(loads.size());
+    for (const TargetLoad &load : loads)
+        ranked.push_back(&load);
+    std::sort(ranked.begin(), ranked.end(), [&](const TargetLoad *left, const TargetLoad *right) {
         return rendezvousWeight(subject, left->vm_) > rendezvousWeight(subject, right->vm_);
     });
     return ranked;
 }
 
-const TargetView *boundedHash(const std::vector<TargetView> &views, const AdapterKey &adapter)
+const TargetLoad *boundedHash(const std::vector<TargetLoad> &loads, const AdapterKey &adapter)
 {
     std::int64_t total = 1;
-    for (const TargetView &view : views)
-        total += loadOf(view);
-    const double mean = static_cast<double>(total) / static_cast<double>(views.size());
-    for (const TargetView *view : byHash(views, adapter)) {
-        if (static_cast<double>(loadOf(*view)) + 1 <= std::max(1.0, mean * boundedLoadFactor))
-            return view;
+    for (const TargetLoad &load : loads)
+        total += load.load_;
+    const double mean = static_cast<double>(total) / static_cast<double>(loads.size());
+    for (const TargetLoad *load : byHash(loads, adapter)) {
+        if (static_cast<double>(load->load_) + 1 <= std::max(1.0, mean * boundedLoadFactor))
+            return load;
     }
-    return leastLoaded(views);
+    return leastLoaded(loads);
 }
 
-VmName baselineTarget(const Bench &bench, BenchEntry &entry, const std::vector<TargetView> &views,
+VmName baselineTarget(const Bench &bench, BenchEntry &entry, const std::vector<TargetLoad> &loads,
                       const AdapterKey &adapter)
 {
     switch (bench.policy_) {
     case BenchPolicy::RoundRobin:
-        return views[entry.nextTarget_++ % views.size()].vm_;
+        return loads[entry.nextTarget_++ % loads.size()].vm_;
     case BenchPolicy::PlainHash:
-        return byHash(views, adapter).front()->vm_;
+        return byHash(loads, adapter).front()->vm_;
     case BenchPolicy::BoundedHash:
-        return boundedHash(views, adapter)->vm_;
+        return boundedHash(loads, adapter)->vm_;
     default:
-        return leastLoaded(views)->vm_;
+        return leastLoaded(loads)->vm_;
     }
 }
 
+VmName ownTarget(Bench &bench, BenchEntry &entry, std::size_t index, const AdapterKey &adapter)
+{
+    for (std::size_t target = 0; target < bench.targets_.size(); ++target) {
+        if (bench.now_ - entry.heardAt_[target] > silentAfter)
+            dropTarget(entry.routing_, bench.targets_[target].vm_);
+    }
+    RouteNeeds needs;
+    needs.adapter_ = adapter;
+    needs.priority_ = bench.run_.requests_[index].priority_;
+    needs.tried_ = bench.tried_[index];
+    const auto decision = chooseTarget(entry.routing_, needs);
+    if (!decision)
+        return {};
+    noteSent(entry.routing_, decision->vm_, adapter);
+    return decision->vm_;
+}
+
 std::optional<std::size_t> route(Bench &bench, BenchEntry &entry, std::size_t index)
 {
     const AdapterKey adapter = adapterKey(bench.run_.requests_[index].adapter_);
-    std::vector<TargetView> views;
-    views.reserve(bench.targets_.size());
-    const std::vector<VmName> &tried = bench.tried_[index];
-    for (std::size_t target = 0; target < bench.targets_.size(); ++target)
-        views.push_back(viewOf(bench, entry, target, adapter));
-    std::erase_if(views, [&tried](const TargetView &view) {
-        return std::find(tried.begin(), tried.end(), view.vm_) != tried.end();
-    });
-    if (views.empty())
-        return std::nullopt;
-    VmName chosen;
     const bool own =
         bench.policy_ == BenchPolicy::Chosen || bench.policy_ == BenchPolicy::StaticSplit;
+    VmName chosen;
     if (own) {
-        RouteNeeds needs;
-        needs.adapter_ = adapter;
-        needs.priority_ = bench.run_.requests_[index].priority_;
-        chosen = chooseTarget(views, needs, RoutingPolicy())->vm_;
+        chosen = ownTarget(bench, entry, index, adapter);
     } else {
-        chosen = baselineTarget(bench, entry, views, adapter);
+        const std::vector<TargetLoad> loads = loadsFor(bench, entry, bench.tried_[index]);
+        if (!loads.empty())
+            chosen = baselineTarget(bench, entry, loads, adapter);
     }
     for (std::size_t target = 0; target < bench.targets_.size(); ++target) {
         if (bench.targets_[target].vm_ == chosen)
@@ -260,18 +287,34 @@
     const bool load = order.kind_ == OrderKind::Load;
     const Time end = load ? orderLoad(bench.store_, bench.now_) : bench.now_ + linkTime;
     bench.run_.loads_ += load ? 1 : 0;
-    at(bench, end, [&bench, index, order, load]() {
+    const std::uint32_t incarnation = bench.targets_[index].engine_.incarnation_;
+    at(bench, end, [&bench, index, order, load, incarnation]() {
         BenchEngine &engine = bench.targets_[index].engine_;
-        std::erase(engine.adapters_, order.adapter_);
-        if (load) {
-            engine.adapters_.push_back(order.adapter_);
-            --bench.store_.inFlight_;
+        const bool broken = engine.incarnation_ != incarnation;
+        bench.store_.inFlight_ -= load ? 1 : 0;
+        if (!broken) {
+            std::erase(engine.adapters_, order.adapter_);
+            if (load)
+                engine.adapters_.push_back(order.adapter_);
         }
-        give(bench, index,
-             OrderEnded{order.order_, order.kind_, order.adapter_, OrderOutcome::Done});
+        const OrderOutcome outcome = broken ? OrderOutcome::Unknown : OrderOutcome::Done;
+        give(bench, index, OrderEnded{order.order_, order.kind_, order.adapter_, outcome});
     });
 }
 
+bool isRunning(const Bench &bench, std::size_t target, const AttemptId &attempt)
+{
+    const BenchTarget &runner = bench.targets_[target];
+    return !runner.lost_ && runner.engine_.running_.contains(attempt);
+}
+
+/// Nothing more comes of a run that a restart has broken off.
+void giveOfRun(Bench &bench, std::size_t target, const AttemptId &attempt, EngineEvent event)
+{
+    if (isRunning(bench, target, attempt))
+        give(bench, target, std::move(event));
+}
+
 void performRun(Bench &bench, std::size_t target, const StartRun &start)
 {
     startRun(bench.targets_[target].engine_, start, bench.now_);
@@ -284,16 +327,18 @@
     outcome.loadedAt_ = bench.now_;
     const AttemptId attempt = start.attempt_;
     at(bench, first, [&bench, target, attempt]() {
-        give(bench, target, EngineEvent(RunHead{attempt, 200, "text/event-stream"}));
+        giveOfRun(bench, target, attempt, RunHead{attempt, 200, "text/event-stream"});
     });
     for (Time time = first; time < end; time += reportedRunPeriod) {
         const std::int64_t generated = 1 + (time - first) / benchStep;
         at(bench, time, [&bench, target, attempt, generated]() {
-            give(bench, target, EngineEvent(RunBytes{attempt, "x", generated}));
+            giveOfRun(bench, target, attempt, RunBytes{attempt, "x", generated});
         });
     }
     const std::int64_t tokens = request.outputTokens_;
     at(bench, end, [&bench, target, attempt, tokens]() {
+        if (!isRunning(bench, target, attempt))
+            return;
         endRun(bench.targets_[target].engine_, attempt, bench.now_);
         give(bench, target, EngineEvent(RunEnded{attempt, tokens}));
     });
@@ -323,6 +368,27 @@
                   reservationOf(index), tokens, bench.now_);
 }
 
+/// Whether the process that the request came to is still there.
+bool callerIsServed(const Bench &bench, std::size_t index)
+{
+    const BenchRequest &request = bench.run_.requests_[index];
+    const BenchEntry &entry = bench.entries_[request.entry_];
+    return !entry.lost_ && request.at_ >= entry.startedAt_;
+}
+
+/// All requests here may run again, but not once a caller has part of an answer.
+void tryAgain(Bench &bench, std::size_t index, Time brokeAt)
+{
+    const RequestOutcome &outcome = bench.run_.outcomes_[index];
+    const bool passedOn = outcome.firstTokenAt_ != Time() && outcome.firstTokenAt_ <= brokeAt;
+    if (!passedOn) {
+        offer(bench, index);
+        return;
+    }
+    const BenchRequest &request = bench.run_.requests_[index];
+    finish(bench, bench.entries_[request.entry_], index, worstCase(request));
+}
+
 /// What a target says, at the entry that the request came through.
 void hear(Bench &bench, std::size_t target, const Message &message)
 {
@@ -335,22 +401,29 @@
     }
     if (const auto *end = std::get_if<AnswerEnd>(&message)) {
         const std::size_t index = requestOf(end->attempt_);
+        if (!callerIsServed(bench, index))
+            return;
         BenchEntry &entry = bench.entries_[bench.run_.requests_[index].entry_];
         bench.run_.outcomes_[index].finished_ = true;
         finish(bench, entry, index, end->tokensRun_);
         give(bench, target, MessageReceived{entry.vm_.text_, AnswerReceived{end->attempt_}});
     }
-    if (const auto *refused = std::get_if<OfferRefused>(&message))
-        offer(bench, requestOf(refused->attempt_));
+    if (const auto *refused = std::get_if<OfferRefused>(&message)) {
+        const std::size_t index = requestOf(refused->attempt_);
+        if (callerIsServed(bench, index))
+            offer(bench, index);
+    }
     if (const auto *failed = std::get_if<AttemptFailed>(&message)) {
         const std::size_t index = requestOf(failed->attempt_);
-        BenchEntry &entry = bench.entries_[bench.run_.requests_[index].entry_];
-        finish(bench, entry, index, failed->tokensRun_);
+        if (callerIsServed(bench, index))
+            tryAgain(bench, index, bench.now_);
     }
 }
 
 void give(Bench &bench, std::size_t target, DoorInput input)
 {
+    if (bench.targets_[target].lost_)
+        return;
     const DoorActions actions = step(bench.targets_[target].door_, std::move(input), bench.now_);
     for (const DoorAction &action : actions) {
         if (const auto *command = std::get_if<EngineCommand>(&action))
@@ -402,7 +475,7 @@
     }
     const std::size_t target = *chosen;
     const Offer message = offerFor(bench, index);
-    entry.sent_[target].adapters_.push_back(message.adapter_);
+    ++entry.sent_[target];
     bench.tried_[index].push_back(bench.targets_[target].vm_);
     const std::string address = entry.vm_.text_;
     at(bench, bench.now_ + linkTime, [&bench, target, index, address, message]() {
@@ -443,7 +516,7 @@
     for (const LoanMessage &message : messages) {
         at(bench, bench.now_ + linkTime, [&bench, sender, message]() {
             for (BenchEntry &entry : bench.entries_) {
-                if (entry.vm_ == message.to_)
+                if (entry.vm_ == message.to_ && !entry.lost_)
                     hearLoanMessage(bench, entry, sender, message.message_);
             }
         });
@@ -493,7 +566,10 @@
 
 void arrive(Bench &bench, std::size_t index)
 {
-    const BenchRequest &request = bench.run_.requests_[index];
+    BenchRequest &request = bench.run_.requests_[index];
+    // The platform's balancer passes over an entry that is gone.
+    if (bench.entries_[request.entry_].lost_)
+        request.entry_ = (request.entry_ + 1) % bench.workload_.entries_;
     BenchEntry &entry = bench.entries_[request.entry_];
     const AccountName account = accountName(request.account_);
     comparePerfect(bench, index);
@@ -532,6 +608,8 @@
 void retryPeriodically(Bench &bench)
 {
     for (BenchEntry &entry : bench.entries_) {
+        if (entry.lost_)
+            continue;
         serveWaiting(bench, entry);
         sendLoanMessages(bench, entry, advanceLoans(entry.allowance_, entry.book_, bench.now_));
     }
@@ -550,7 +628,7 @@
     for (BenchEntry &from : bench.entries_) {
         const auto hints = freeTokenHints(from.allowance_, hintedAccounts, bench.now_);
         for (BenchEntry &to : bench.entries_) {
-            if (to.vm_ == from.vm_)
+            if (to.vm_ == from.vm_ || from.lost_)
                 continue;
             for (const AccountFreeTokens &hint : hints)
                 takePeerFree(to.book_, from.vm_, hint, bench.now_);
@@ -561,11 +639,15 @@
 void heartbeat(Bench &bench)
 {
     for (std::size_t target = 0; target < bench.targets_.size(); ++target) {
+        if (bench.targets_[target].lost_)
+            continue;
         const Heartbeat report = loadReport(bench.targets_[target].door_, bench.now_);
         at(bench, bench.now_ + linkTime, [&bench, target, report]() {
             for (BenchEntry &entry : bench.entries_) {
                 entry.reports_[target] = report;
-                entry.sent_[target].adapters_.clear();
+                entry.heardAt_[target] = bench.now_;
+                entry.sent_[target] = 0;
+                setTarget(entry.routing_, viewOf(bench, entry, target));
             }
         });
     }
@@ -573,6 +655,102 @@
     at(bench, bench.now_ + heartbeatPeriod, [&bench]() { heartbeat(bench); });
 }
 
+// Faults.
+
+void restartEngine(Bench &bench, std::size_t target)
+{
+    const std::vector<AttemptId> broken = restart(bench.targets_[target].engine_, bench.now_);
+    for (const AttemptId &attempt : broken)
+        give(bench, target, EngineEvent(RunFailed{attempt, true}));
+    const std::size_t next = (target + 1) % bench.targets_.size();
+    at(bench, bench.now_ + restartPeriod, [&bench, next]() { restartEngine(bench, next); });
+}
+
+/// The entries notice that the targets are silent, and offer their requests elsewhere.
+void leaveLostTargets(Bench &bench, Time lostAt)
+{
+    for (std::size_t index = 0; index < bench.tried_.size(); ++index) {
+        if (bench.tried_[index].empty() || bench.run_.outcomes_[index].finished_)
+            continue;
+        const VmName &last = bench.tried_[index].back();
+        const auto lost = [&last](const BenchTarget &target) {
+            return target.lost_ && target.vm_ == last;
+        };
+        const bool gone = std::any_of(bench.targets_.begin(), bench.targets_.end(), lost);
+        if (gone && callerIsServed(bench, index))
+            tryAgain(bench, index, lostAt);
+    }
+}
+
+void endBorrower(Bench &bench, const VmName &borrower)
+{
+    for (BenchEntry &entry : bench.entries_)
+        takeBorrowerEnded(entry.book_, borrower, entryIncarnation, bench.now_);
+}
+
+void loseDataCentre(Bench &bench)
+{
+    for (BenchTarget &target : bench.targets_)
+        target.lost_ = target.dataCentre_ == 0;
+    bench.entries_.front().lost_ = true;
+    endBorrower(bench, bench.entries_.front().vm_);
+    const Time lostAt = bench.now_;
+    at(bench, lostAt + silentAfter + heartbeatPeriod,
+       [&bench, lostAt]() { leaveLostTargets(bench, lostAt); });
+}
+
+/// Another VM takes the entry's place; its shares are lost while the ledger can't be written.
+void replaceEntry(Bench &bench)
+{
+    BenchEntry &entry = bench.entries_.front();
+    endBorrower(bench, entry.vm_);
+    entry.vm_ = {entry.vm_.text_ + "-replaced"};
+    entry.allowance_ = {};
+    entry.book_ = {};
+    entry.book_.self_ = entry.vm_;
+    entry.waiting_ = {};
+    entry.startedAt_ = bench.now_;
+    for (std::uint32_t account = 0; account < benchAccounts; ++account)
+        setShare(entry.allowance_, accountName(account), AllowanceShare(), bench.now_);
+}
+
+AllowanceShare equalShare(const Bench &bench, std::uint32_t account)
+{
+    const auto parts = static_cast<std::int64_t>(bench.workload_.entries_);
+    return {bench.rates_[account] / parts, contractBurst(bench, account) / parts};
+}
+
+void giveShares(Bench &bench, BenchEntry &entry, bool full)
+{
+    for (std::uint32_t account = 0; account < benchAccounts; ++account) {
+        const AllowanceShare share = equalShare(bench, account);
+        setShare(entry.allowance_, accountName(account), share, bench.now_, full);
+    }
+}
+
+void planFault(Bench &bench)
+{
+    const auto partOfLength = [&bench](double part) {
+        const double micros = static_cast<double>(bench.workload_.length_.count()) * part;
+        return benchStart + Duration(static_cast<std::int64_t>(micros));
+    };
+    switch (bench.workload_.fault_) {
+    case BenchFault::None:
+        return;
+    case BenchFault::EngineRestarts:
+        at(bench, benchStart + restartPeriod, [&bench]() { restartEngine(bench, 0); });
+        return;
+    case BenchFault::DataCentreLost:
+        at(bench, partOfLength(lossAt), [&bench]() { loseDataCentre(bench); });
+        return;
+    case BenchFault::PlatformOutage:
+        at(bench, partOfLength(outageFrom), [&bench]() { replaceEntry(bench); });
+        at(bench, partOfLength(outageUntil),
+           [&bench]() { giveShares(bench, bench.entries_.front(), false); });
+        return;
+    }
+}
+
 /// Open routes, one for each adapter: keys are not what is measured.
 Rules makeRules(const Workload &workload)
 {
@@ -613,7 +791,6 @@
 void makeEntries(Bench &bench)
 {
     const Workload &workload = bench.workload_;
-    const auto parts = static_cast<std::int64_t>(workload.entries_);
     for (std::uint32_t number = 0; number < workload.entries_; ++number) {
         BenchEntry entry;
         entry.vm_ = {"entry-" + std::to_string(number)};
@@ -621,11 +798,10 @@
         entry.dataCentre_ = number % workload.dataCentres_;
         entry.reports_.resize(workload.runners_);
         entry.sent_.resize(workload.runners_);
-        for (std::uint32_t account = 0; account < benchAccounts; ++account) {
-            const AllowanceShare share = {bench.rates_[account] / parts,
-                                          contractBurst(bench, account) / parts};
-            setShare(entry.allowance_, accountName(account), share, bench.now_, true);
-        }
+        entry.heardAt_.resize(workload.runners_, bench.now_);
+        for (std::size_t target = 0; target < workload.runners_; ++target)
+            setTarget(entry.routing_, viewOf(bench, entry, target));
+        giveShares(bench, entry, true);
         bench.entries_.push_back(std::move(entry));
     }
     for (std::uint32_t account = 0; account < benchAccounts; ++account) {
@@ -656,11 +832,12 @@
     bench.run_.outcomes_.resize(bench.run_.requests_.size());
     bench.tried_.resize(bench.run_.requests_.size());
     bench.rates_ = contractRates(workload, bench.run_.requests_);
-    makeEntries(bench);
     makeTargets(bench);
+    makeEntries(bench);
     heartbeat(bench);
     tickDoors(bench);
     retryPeriodically(bench);
+    planFault(bench);
     for (std::size_t index = 0; index < bench.run_.requests_.size(); ++index)
         at(bench, bench.run_.requests_[index].at_, [&bench, index]() { arrive(bench, index); });
     const Time end = benchStart + workload.length_ + drainTime;
--- a/Tests/Bench/workload.h
+++ b/Tests/Bench/workload.h
@@ -4,6 +4,7 @@
 /// accounts, one of them above its rate for a while, callers that keep to their entry.
 
 #include <eelgrasscove/messages.h>
+#include <eelgrasscove/nametable.h>
 #include <eelgrasscove/time.h>
 
 #include <cstdint>
@@ -14,9 +15,28 @@
 
 constexpr Time benchStart = Time(std::chrono::hours(1));
 
+/// What fails during a run.
+enum class BenchFault {
+    None,
+    /// One engine after the other restarts without its adapters and runs.
+    EngineRestarts,
+    /// The first data centre goes with its entry and its targets.
+    DataCentreLost,
+    /// Shares stay as they are, and an entry is replaced that so gets none until it is over.
+    PlatformOutage,
+};
+
+constexpr NameTable<BenchFault, 4> benchFaultNames = {{
+    {BenchFault::None, "none"},
+    {BenchFault::EngineRestarts, "engine restarts"},
+    {BenchFault::DataCentreLost, "data centre lost"},
+    {BenchFault::PlatformOutage, "platform outage"},
+}};
+
 struct Workload
 {
     std::string name_;
+    BenchFault fault_ = BenchFault::None;
     std::uint32_t dataCentres_ = 1;
     std::uint32_t runners_ = 1;
     std::uint32_t entries_ = 3;
--- a/Tests/Routing/routingtest.cpp
+++ b/Tests/Routing/routingtest.cpp
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <map>
+#include <random>
 #include <set>
 
 using namespace eelgrasscove;
@@ -32,6 +35,20 @@
     return views;
 }
 
+RoutingTable tableOf(const std::vector<TargetView> &views)
+{
+    RoutingTable table;
+    for (const TargetView &view : views)
+        setTarget(table, view);
+    return table;
+}
+
+void send(RoutingTable &table, const VmName &vm, const AdapterKey &adapter, int times)
+{
+    for (int sent = 0; sent < times; ++sent)
+        noteSent(table, vm, adapter);
+}
+
 RouteNeeds needsOakLegs()
 {
     RouteNeeds needs;
@@ -61,19 +78,18 @@
 
 BOOST_AUTO_TEST_CASE(ownAttemptsSinceTheReportCount)
 {
-    std::vector<TargetView> views = {target("a", true), target("b", true)};
-    views[0].sentSinceReport_ = 6;
-    BOOST_TEST(chooseTarget(views, needsOakLegs(), RoutingPolicy())->vm_.text_ == "b");
-    views[1].sentSinceReport_ = 9;
-    BOOST_TEST(chooseTarget(views, needsOakLegs(), RoutingPolicy())->vm_.text_ == "a");
+    RoutingTable table = tableOf({target("a", true), target("b", true)});
+    send(table, {"a"}, oakLegs, 6);
+    BOOST_TEST(chooseTarget(table, needsOakLegs())->vm_.text_ == "b");
+    send(table, {"b"}, oakLegs, 9);
+    BOOST_TEST(chooseTarget(table, needsOakLegs())->vm_.text_ == "a");
 }
 
 BOOST_AUTO_TEST_CASE(loadUnderWayIsJoinedRatherThanDoubled)
 {
-    std::vector<TargetView> views = targets(6);
-    views[4].sentSinceReport_ = 1;
-    views[4].sentSameAdapter_ = 1;
-    BOOST_TEST(chooseTarget(views, needsOakLegs(), RoutingPolicy())->vm_.text_ == "runner-4");
+    RoutingTable table = tableOf(targets(6));
+    send(table, {"runner-4"}, oakLegs, 1);
+    BOOST_TEST(chooseTarget(table, needsOakLegs())->vm_.text_ == "runner-4");
 }
 
 BOOST_AUTO_TEST_CASE(triedTargetsAreLeftOut)
@@ -119,3 +135,154 @@
     BOOST_TEST(decision->vm_.text_ == "runner-1");
     BOOST_TEST((decision->choice_ == RoutingChoice::Resident));
 }
+
+namespace {
+
+constexpr std::uint64_t propertySeeds = 2000;
+
+/// What the table is told, kept for a choice that looks at every target.
+struct Known
+{
+    TargetView view_;
+    std::uint32_t sent_ = 0;
+    std::set<AdapterKey> sentAdapters_;
+
+    Duration wait(const RoutingPolicy &policy) const
+    {
+        const std::int64_t ahead = std::int64_t{view_.queued_} + view_.running_ + sent_;
+        const std::int64_t slots = view_.batchSlots_;
+        return policy.serviceTime_ * std::max<std::int64_t>(0, ahead - slots + 1) / slots;
+    }
+
+    bool holds(const AdapterKey &adapter) const
+    {
+        const auto same = [&](const ResidentAdapter &held) { return held.adapter_ == adapter; };
+        return std::any_of(view_.residents_.begin(), view_.residents_.end(), same);
+    }
+
+    int distance() const { return view_.sameDataCentre_ ? 0 : view_.sameRegion_ ? 1 : 2; }
+};
+
+struct Weighed
+{
+    Duration wait_ = Duration(0);
+    int distance_ = 0;
+    std::uint64_t hash_ = 0;
+    VmName vm_;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    auto operator<=>(const Weighed &) const = default;
+};
+
+/// The choice by its definition.
+std::optional<VmName> chooseByDefinition(const std::map<VmName, Known> &targets,
+                                         const RouteNeeds &needs)
+{
+    const RoutingPolicy policy;
+    std::vector<Weighed> copies;
+    std::vector<Weighed> others;
+    for (const auto &[vm, known] : targets) {
+        if (std::find(needs.tried_.begin(), needs.tried_.end(), vm) != needs.tried_.end())
+            continue;
+        Weighed weighed = {known.wait(policy), known.distance(),
+                           adapterDistance(needs.adapter_, vm), vm};
+        const bool held = needs.adapter_.empty() || known.holds(needs.adapter_);
+        const bool loading = !held && known.sentAdapters_.contains(needs.adapter_);
+        if (loading)
+            weighed.wait_ = std::max(weighed.wait_, policy.loadTime_);
+        (held || loading ? copies : others).push_back(weighed);
+    }
+    const auto copy = std::min_element(copies.begin(), copies.end());
+    const auto least = std::min_element(others.begin(), others.end());
+    if (least == others.end())
+        return copy == copies.end() ? std::nullopt : std::optional(copy->vm_);
+    std::optional<Weighed> home;
+    for (const Weighed &other : others) {
+        const auto rank = [](const Weighed &one) {
+            return std::pair(one.distance_ > 1, one.hash_);
+        };
+        if (other.wait_ <= least->wait_ + policy.loadTime_ && (!home || rank(other) < rank(*home)))
+            home = other;
+    }
+    const bool worthAnother = copy == copies.end() || copy->wait_ > home->wait_ + policy.loadTime_;
+    return worthAnother ? home->vm_ : copy->vm_;
+}
+
+AdapterKey anyAdapter(std::mt19937_64 &random)
+{
+    const std::uint64_t number = random() % 6;
+    if (number == 0)
+        return {};
+    return {{"adapter-" + std::to_string(number)}, {"1"}};
+}
+
+TargetView anyReport(std::mt19937_64 &random)
+{
+    const std::uint64_t number = random() % 12;
+    TargetView view = target("runner-" + std::to_string(number));
+    view.sameDataCentre_ = number % 4 == 0;
+    view.sameRegion_ = number % 4 < 3;
+    view.running_ = random() % 8;
+    view.queued_ = random() % 4;
+    const std::set<AdapterKey> held = {anyAdapter(random), anyAdapter(random)};
+    for (const AdapterKey &adapter : held) {
+        if (!adapter.empty())
+            view.residents_.push_back({adapter, 0});
+    }
+    return view;
+}
+
+} // namespace
+
+/// However targets come, report and go, the table chooses as one that looks at all of them.
+BOOST_AUTO_TEST_CASE(tableChoosesByDefinition)
+{
+    for (std::uint64_t seed = 1; seed <= propertySeeds; ++seed) {
+        std::mt19937_64 random(seed);
+        RoutingTable table;
+        std::map<VmName, Known> known;
+        for (int change = 0; change < 40; ++change) {
+            const TargetView view = anyReport(random);
+            const std::uint64_t kind = random() % 4;
+            if (kind == 0) {
+                dropTarget(table, view.vm_);
+                known.erase(view.vm_);
+            } else {
+                setTarget(table, view);
+                known[view.vm_] = {view};
+            }
+            RouteNeeds needs;
+            needs.adapter_ = anyAdapter(random);
+            for (std::uint64_t tried = random() % 3; tried > 0; --tried)
+                needs.tried_.push_back(anyReport(random).vm_);
+            const auto decision = chooseTarget(table, needs);
+            const auto expected = chooseByDefinition(known, needs);
+            BOOST_REQUIRE_MESSAGE(decision.has_value() == expected.has_value(), "seed " << seed);
+            if (!decision)
+                continue;
+            BOOST_REQUIRE_MESSAGE(decision->vm_ == *expected,
+                                  "seed " << seed << ": " << decision->vm_.text_ << ", not "
+                                          << expected->text_);
+            noteSent(table, decision->vm_, needs.adapter_);
+            ++known[decision->vm_].sent_;
+            known[decision->vm_].sentAdapters_.insert(needs.adapter_);
+        }
+    }
+}
+
+/// Every target gets nearly the same number of adapters, at any size.
+BOOST_AUTO_TEST_CASE(adaptersAreSpreadEvenly)
+{
+    for (const int count : {3, 12, 100}) {
+        const RoutingTable table = tableOf(targets(count));
+        std::map<VmName, int> homes;
+        constexpr int perTarget = 400;
+        for (int number = 0; number < count * perTarget; ++number) {
+            RouteNeeds needs;
+            needs.adapter_ = {{"adapter-" + std::to_string(number)}, {"1"}};
+            ++homes[chooseTarget(table, needs)->vm_];
+        }
+        for (const auto &[vm, adapters] : homes)
+            BOOST_TEST(adapters < perTarget * 5 / 4, vm.text_ << " has " << adapters);
+    }
+}
