Keep an adapter's use count after its eviction

Each adapter has one home, so its door sees all of its uses.

Now a door counts uses apart from slots and forgets a count once it has fallen to 0.03.

--- a/Source/Target/door.cpp
+++ b/Source/Target/door.cpp
@@ -53,6 +53,7 @@
     expireAttempts(door.attempts_, step.now_);
     expireStrikes(door.strikes_, step.now_);
     expireFailures(door.residency_, door.policy_.loads_, step.now_);
+    expireUses(door.residency_, door.policy_.loads_, step.now_);
 }
 
 void takeLeave(DoorStep &step)
--- a/Source/Target/doorengine.cpp
+++ b/Source/Target/doorengine.cpp
@@ -130,7 +130,6 @@
     AdapterSlot &slot = residency.slots_[adapter];
     slot.stage_ = AdapterStage::Resident;
     slot.residentSince_ = now;
-    slot.lastUsed_ = now;
 }
 
 /// Starts over from what the engine holds; orders under way are forgotten.
--- a/Source/Target/doorschedule.cpp
+++ b/Source/Target/doorschedule.cpp
@@ -203,7 +203,7 @@
         return std::nullopt;
     if (!idle && step.now_ - slot.residentSince_ < door.policy_.visit_)
         return std::nullopt;
-    const double used = usefulness(slot, door.policy_.loads_, step.now_);
+    const double used = usefulness(door.residency_, adapter, door.policy_.loads_, step.now_);
     return used + (isWanted ? wantedPrice : 0) + (slot.running_ > 0 ? runningPrice : 0);
 }
 
--- a/Source/Target/residency.cpp
+++ b/Source/Target/residency.cpp
@@ -9,6 +9,8 @@
 
 /// Failures are forgotten so many give-up times after the last one.
 constexpr int failureMemory = 4;
+/// An adapter that counts for less is forgotten.
+constexpr double leastCount = 0.03;
 
 double seconds(Duration duration)
 {
@@ -21,6 +23,11 @@
     return found == residency.slots_.end() ? nullptr : &found->second;
 }
 
+double countOf(const AdapterUses &uses, const LoadPolicy &policy, Time now)
+{
+    return uses.frequency_ * std::exp2(-seconds(now - uses.lastUsed_) / seconds(policy.halfLife_));
+}
+
 } // namespace
 
 bool canRunOn(const Residency &residency, const AdapterKey &adapter)
@@ -37,8 +44,8 @@
 void useAdapter(Residency &residency, const AdapterKey &adapter, const LoadPolicy &policy, Time now)
 {
     AdapterSlot &slot = residency.slots_[adapter];
-    slot.frequency_ = usefulness(slot, policy, now) + 1;
-    slot.lastUsed_ = now;
+    AdapterUses &uses = residency.uses_[adapter];
+    uses = {now, usefulness(residency, adapter, policy, now) + 1};
     slot.awaited_ = false;
     ++slot.running_;
 }
@@ -73,7 +80,6 @@
     AdapterSlot &slot = residency.slots_[adapter];
     slot.stage_ = AdapterStage::Loading;
     slot.loadStartedAt_ = now;
-    slot.lastUsed_ = now;
     return slot;
 }
 
@@ -84,7 +90,6 @@
     slot.awaited_ = awaited;
     slot.unknown_ = false;
     slot.residentSince_ = now;
-    slot.lastUsed_ = now;
     residency.failures_.erase(adapter);
 }
 
@@ -126,9 +131,11 @@
     return static_cast<std::uint32_t>(count);
 }
 
-double usefulness(const AdapterSlot &slot, const LoadPolicy &policy, Time now)
+double usefulness(const Residency &residency, const AdapterKey &adapter, const LoadPolicy &policy,
+                  Time now)
 {
-    return slot.frequency_ * std::exp2(-seconds(now - slot.lastUsed_) / seconds(policy.halfLife_));
+    const auto found = residency.uses_.find(adapter);
+    return found == residency.uses_.end() ? 0 : countOf(found->second, policy, now);
 }
 
 void expireFailures(Residency &residency, const LoadPolicy &policy, Time now)
@@ -139,4 +146,12 @@
     std::erase_if(residency.failures_, past);
 }
 
+void expireUses(Residency &residency, const LoadPolicy &policy, Time now)
+{
+    const auto past = [&](const auto &entry) {
+        return countOf(entry.second, policy, now) < leastCount;
+    };
+    std::erase_if(residency.uses_, past);
+}
+
 } // namespace eelgrasscove
--- a/Source/Target/residency.h
+++ b/Source/Target/residency.h
@@ -38,6 +38,11 @@
     AttemptId loadedFor_;
     Time loadStartedAt_;
     Time residentSince_;
+};
+
+/// How often an adapter has been used, of late above all.
+struct AdapterUses
+{
     Time lastUsed_;
     /// Uses, halved with every half-life since lastUsed_.
     double frequency_ = 0;
@@ -58,6 +63,8 @@
     std::uint32_t capacity_ = 0;
     std::unordered_map<AdapterKey, AdapterSlot> slots_;
     std::unordered_map<AdapterKey, LoadFailures> failures_;
+    /// Also of adapters that were evicted, until they count for next to nothing.
+    std::unordered_map<AdapterKey, AdapterUses> uses_;
     /// Loads that may start now, refilled at the settings' rate.
     double loadTokens_ = 1;
     Time loadTokensAt_;
@@ -116,9 +123,13 @@
 std::uint32_t slotsKept(const Residency &residency);
 
 /// How much an adapter has been used, of late above all.
-double usefulness(const AdapterSlot &slot, const LoadPolicy &policy, Time now);
+double usefulness(const Residency &residency, const AdapterKey &adapter, const LoadPolicy &policy,
+                  Time now);
 
 /// Forgets failures that are long past.
 void expireFailures(Residency &residency, const LoadPolicy &policy, Time now);
 
+/// Forgets uses that are long past.
+void expireUses(Residency &residency, const LoadPolicy &policy, Time now);
+
 } // namespace eelgrasscove
--- a/Tests/Bench/cost.cpp
+++ b/Tests/Bench/cost.cpp
@@ -225,6 +225,7 @@
         for (const CostSize &size : costSizes) {
             const std::string name =
                 fmt::format("{}/{}x{}", named.name_, size.targets_, size.adapters_);
+            // NOLINTNEXTLINE(clang-analyzer-cplusplus.NewDeleteLeaks): the library keeps it
             benchmark::RegisterBenchmark(name.c_str(), [named, size](benchmark::State &state) {
                 const CostCase run = named.make_(size);
                 std::size_t call = 0;
