--- a/Source/Target/doorschedule.cpp
+++ b/Source/Target/doorschedule.cpp
@@ -162,26 +162,6 @@
         evict(step, adapter);
 }
 
-/// The queued item whose adapter most others wait for too, interactive work first; of equals, the
-/// first in the round.
-const QueueItem *mostWanted(const Door &door, const CanStart &needsLoad)
-{
-    const QueueItem *first = firstWaiting(door.queue_, door.loadCursor_, needsLoad);
-    if (first == nullptr)
-        return nullptr;
-    std::uint32_t most = demandFor(door.queue_, first->adapter_);
-    const auto wantedMore = [&](const QueueItem &item) {
-        return needsLoad(item) && item.priority_ == first->priority_
-            && demandFor(door.queue_, item.adapter_) > most;
-    };
-    const QueueItem *best = first;
-    while (const QueueItem *item = firstWaiting(door.queue_, door.loadCursor_, wantedMore)) {
-        best = item;
-        most = demandFor(door.queue_, item->adapter_);
-    }
-    return best;
-}
-
 /// The queued item that the next load is for; null where no load is wanted.
 const QueueItem *nextToLoadFor(const DoorStep &step)
 {
@@ -190,7 +170,7 @@
         return !item.adapter_.empty() && !holdsOrLoads(door.residency_, item.adapter_)
             && !backsOff(door.residency_, item.adapter_, step.now_);
     };
-    if (const QueueItem *item = mostWanted(door, needsLoad))
+    if (const QueueItem *item = firstWaiting(door.queue_, door.loadCursor_, needsLoad))
         return item;
     const auto suspect = std::find_if(door.suspects_.begin(), door.suspects_.end(), needsLoad);
     return suspect == door.suspects_.end() ? nullptr : &*suspect;
