--- a/Source/Caller/entry.cpp
+++ b/Source/Caller/entry.cpp
@@ -3,6 +3,7 @@
 #include "Caller/entryload.h"
 #include "Caller/entryparts.h"
 #include "Caller/entryrequests.h"
+#include "Caller/entryrouting.h"
 #include "Observe/log.h"
 
 #include <algorithm>
@@ -46,9 +47,10 @@
         takeAttemptMessage(entry, envelope, now, actions);
 }
 
-void takeInput(Entry &entry, LinkChanged &&change, Time /*now*/, EntryActions &actions)
+void takeInput(Entry &entry, LinkChanged &&change, Time now, EntryActions &actions)
 {
     takeLinkChange(entry.fleet_, change.address_, change.up_);
+    syncRouting(entry, now);
     if (change.up_)
         askAfterLinkUp(entry, change.address_, actions);
 }
@@ -61,6 +63,7 @@
 void takeInput(Entry &entry, VmList &&list, Time now, EntryActions &actions)
 {
     takeEntryVmList(entry, list, now, actions);
+    syncRouting(entry, now);
     takeShareList(entry, list, now, actions);
 }
 
--- a/Source/Caller/entryload.cpp
+++ b/Source/Caller/entryload.cpp
@@ -1,6 +1,7 @@
 #include "Caller/entryload.h"
 
 #include "Caller/entryparts.h"
+#include "Caller/entryrouting.h"
 #include "DataCentre/loadreport.h"
 #include "DataCentre/vmnews.h"
 
@@ -74,12 +75,22 @@
     if (taken == ReportTaken::NeedsFull)
         actions.emplace_back(SendMessage{envelope.replyAddress_, FullReportRequest()});
     if (taken == ReportTaken::Taken)
-        entry.sentSinceReport_.erase(envelope.from_);
+        updateRouting(entry, envelope.from_, now);
     performSpread(entry,
                   takePeerRevision(entry.spread_, envelope.from_, report.rulesRevision_, now), now,
                   actions);
 }
 
+/// The spares of the summary before may have ceased to be some.
+void takeSpares(Entry &entry, const DataCentreSummary &summary, Time now)
+{
+    for (const GroupSummary &group : summary.groups_) {
+        for (const SpareTarget &spare : group.spares_)
+            updateRouting(entry, spare.vm_, now);
+    }
+    syncRouting(entry, now);
+}
+
 void takeSummaryOf(Entry &entry, const Envelope &envelope, const DataCentreSummary &summary,
                    Time now, EntryActions &actions)
 {
@@ -87,6 +98,7 @@
     const Incarnation before =
         known == entry.fleet_.peers_.end() ? Incarnation() : known->second.incarnation_;
     takeSummary(entry.fleet_, envelope, summary, entry.policy_.load_, now);
+    takeSpares(entry, summary, now);
     noteStrikes(entry, summary.strikes_, now);
     Heartbeat heartbeat;
     heartbeat.freeTokens_ = summary.freeTokens_;
@@ -101,6 +113,7 @@
 {
     news.tellsDrained_ = news.tellsDrained_ && !entry.spread_.watching_;
     takeVmNews(entry.fleet_, envelope, news, now);
+    syncRouting(entry, now);
 }
 
 void tell(const Entry &entry, const std::optional<VmNews> &news, EntryActions &actions)
@@ -120,7 +133,7 @@
     const Incarnation before =
         known == entry.fleet_.peers_.end() ? Incarnation() : known->second.incarnation_;
     takeHeartbeat(entry.fleet_, envelope, heartbeat, now);
-    entry.sentSinceReport_.erase(envelope.from_);
+    updateRouting(entry, envelope.from_, now);
     noteStrikes(entry, heartbeat.strikes_, now);
     takePeerAllowance(entry, envelope, heartbeat, before, now);
     performSpread(entry,
