--- a/Tests/Bench/cost.cpp
+++ b/Tests/Bench/cost.cpp
@@ -219,23 +219,20 @@
     {"enqueue", enqueueCase}, {"transfer", transferCase},
 };
 
-void registerAll()
+/// Its arguments: the case and the size.
+void measureCase(benchmark::State &state)
 {
-    for (const NamedCase &named : costCases) {
-        for (const CostSize &size : costSizes) {
-            const std::string name =
-                fmt::format("{}/{}x{}", named.name_, size.targets_, size.adapters_);
-            // NOLINTNEXTLINE(clang-analyzer-cplusplus.NewDeleteLeaks): the library keeps it
-            benchmark::RegisterBenchmark(name.c_str(), [named, size](benchmark::State &state) {
-                const CostCase run = named.make_(size);
-                std::size_t call = 0;
-                for (auto _ : state) // NOLINT(readability-identifier-length): the library's way
-                    run(call++);
-            });
-        }
-    }
+    const NamedCase &named = costCases[state.range(0)];
+    const CostSize &size = costSizes[state.range(1)];
+    state.SetLabel(fmt::format("{} {}x{}", named.name_, size.targets_, size.adapters_));
+    const CostCase run = named.make_(size);
+    std::size_t call = 0;
+    while (state.KeepRunning())
+        run(call++);
 }
 
+BENCHMARK(measureCase)->ArgsProduct({{0, 1, 2, 3, 4}, {0, 1, 2, 3}});
+
 /// "count CASE SIZE CALLS": so many calls and nothing else.
 int count(const std::string &name, std::size_t size, std::size_t calls)
 {
@@ -259,7 +256,6 @@
     if (arguments.size() == 4 && arguments[0] == "count")
         return count(arguments[1], std::stoul(arguments[2]), std::stoul(arguments[3]));
     benchmark::Initialize(&argc, argv);
-    registerAll();
     benchmark::RunSpecifiedBenchmarks();
     return 0;
 }
