Give what may run once only a connection of its own

Cause: a run over a kept connection that its target closes in that moment ends as "outcome unknown". An engine's run can be made again; a booking can't, and its caller is left with it. Ruled out: sending again where a byte was written, which could book twice. Change: runs that aren't idempotent open a connection each, as all did before. Conclusion: the path's gain stays where it can't harm; bookings cost what they did.

--- a/Source/Target/doorschedule.cpp
+++ b/Source/Target/doorschedule.cpp
@@ -45,6 +45,7 @@
                           .contentType_ = offer.contentType_,
                           .body_ = std::move(offer.body_),
                           .stream_ = offer.stream_,
+                          .idempotent_ = offer.idempotent_,
                           .priority_ = offer.priority_,
                           .traceparent_ = offer.traceparent_});
     offer.body_.clear();
--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -351,9 +351,10 @@
     }
 
     /// Only a request of which the system took no byte is sent anew: the target can't have it.
-    asio::awaitable<Sent> send(const Request &made, RunPtr run)
+    asio::awaitable<Sent> send(const Request &made, RunPtr run, bool idempotent)
     {
-        run->stream_ = takeIdle();
+        if (idempotent)
+            run->stream_ = takeIdle();
         run->reused_ = run->stream_ != nullptr;
         if (run->reused_) {
             const Sent sent = co_await sendOnce(made, run);
@@ -430,7 +431,7 @@
         const std::optional<Request> made = runRequest(start);
         if (!made)
             co_return failure(attempt, false);
-        const Sent sent = co_await send(*made, run);
+        const Sent sent = co_await send(*made, run, start.idempotent_);
         if (sent != Sent::All)
             co_return failure(attempt, sent == Sent::Part);
         AnswerMeter meter;
--- a/Source/Target/engineevents.h
+++ b/Source/Target/engineevents.h
@@ -123,6 +123,9 @@
     std::string contentType_;
     std::string body_;
     bool stream_ = false;
+    /// One that isn't goes over a connection of its own: a target that closes a kept connection in
+    /// that moment would leave its outcome unknown.
+    bool idempotent_ = true;
     Priority priority_ = Priority::Interactive;
     std::string traceparent_;
 };
--- a/Tests/EngineClient/engineclienttest.cpp
+++ b/Tests/EngineClient/engineclienttest.cpp
@@ -59,12 +59,14 @@
         client_.start();
     }
 
-    void start(const std::string &attempt, const std::string &method = "POST")
+    void start(const std::string &attempt, const std::string &method = "POST",
+               bool idempotent = true)
     {
         StartRun run;
         run.attempt_ = {attempt};
         run.method_ = method;
         run.path_ = "/records";
+        run.idempotent_ = idempotent;
         run.body_ = method == "POST" ? "chair" : "";
         BOOST_REQUIRE(client_.submit(run));
     }
@@ -158,6 +160,17 @@
     BOOST_TEST(target.connections() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(aRunThatMayHappenOnceOnlyHasItsOwnConnection)
+{
+    LocalTarget target([](std::size_t) { return Exchange{whole}; });
+    Client client(target.port());
+    client.start("a");
+    BOOST_TEST(client.awaitEnd("a") == End::Whole);
+    client.start("b", "POST", false);
+    BOOST_TEST(client.awaitEnd("b") == End::Whole);
+    BOOST_TEST(target.connections() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(idleConnectionIsClosedInTime)
 {
     LocalTarget target([](std::size_t) { return Exchange{whole}; });
