End a process though nng doesn't come back from a close

Cause: in one of about 400 process stops of a whole test run, the target process s1 said that it was leaving and didn't end within 60 s (Scenarios-13-killer-request); its log stops before "target_stopped". Ruled out: requests in hand (s1 had none); the receiver by callback, which was out by then. Change: the receiver ends by itself before its socket is closed, so that no receive is under way then; sockets are closed by a thread that the stop waits for 2 s, and says "link_close_unfinished" if it isn't done. After: LinkTest, and the scenarios of graceful stops, cold start and cut links pass. Conclusion: a stop is bounded whatever nng does. If it still hangs, the cause is elsewhere.

--- a/Source/Link/linkservice.cpp
+++ b/Source/Link/linkservice.cpp
@@ -6,6 +6,7 @@
 #include "Vm/boundedring.h"
 
 #include <atomic>
+#include <future>
 #include <map>
 #include <mutex>
 #include <nng/nng.h>
@@ -37,6 +38,8 @@
 constexpr Duration retryWait = std::chrono::milliseconds(1);
 constexpr Duration forgetDownLinkAfter = std::chrono::minutes(10);
 constexpr Duration flushTime = std::chrono::milliseconds(200);
+/// nng 1.5.2 has been seen not to return from closing a socket; a process ends nevertheless.
+constexpr Duration closeTime = std::chrono::seconds(2);
 
 /// An empty message only opens the link.
 struct Outgoing
@@ -64,6 +67,14 @@
     Time downSince_;
 };
 
+/// What is being closed; it outlives the service where nng doesn't come back.
+struct ClosingSockets
+{
+    nng_socket inbox_ = NNG_SOCKET_INITIALIZER;
+    std::map<std::string, std::unique_ptr<PeerLink>> peers_;
+    std::promise<void> closed_;
+};
+
 LinkError linkError(std::string_view what, int code)
 {
     return LinkError{std::string(what) + ": " + nng_strerror(code)};
@@ -114,7 +125,7 @@
     bool open(PeerLink &peer);
     void reportChanges();
     void forgetLongDown(Time now);
-    void closePeers();
+    void closeSockets();
 };
 
 Result<Done, LinkError> LinkService::Impl::listen()
@@ -322,11 +333,19 @@
     }
 }
 
-void LinkService::Impl::closePeers()
+void LinkService::Impl::closeSockets()
 {
-    for (const auto &entry : peers_)
-        nng_close(entry.second->socket_);
+    auto closing = std::make_shared<ClosingSockets>(ClosingSockets{inbox_, std::move(peers_), {}});
     peers_.clear();
+    std::future<void> closed = closing->closed_.get_future();
+    std::thread([closing] {
+        nng_close(closing->inbox_);
+        for (const auto &entry : closing->peers_)
+            nng_close(entry.second->socket_);
+        closing->closed_.set_value();
+    }).detach();
+    if (closed.wait_for(closeTime) != std::future_status::ready)
+        logEvent(LogLevel::Warning, "link_close_unfinished");
 }
 
 LinkService::LinkService(LinkSettings settings, LinkIdentity identity, Deliver deliver)
@@ -364,9 +383,8 @@
     impl_->sender_.join();
     // nng closes a socket with what it still holds unsent; give it the time to write.
     std::this_thread::sleep_for(flushTime);
-    nng_close(impl_->inbox_);
     impl_->receiver_.join();
-    impl_->closePeers();
+    impl_->closeSockets();
 }
 
 void LinkService::connect(const std::string &address)
