Read the spreading's messages in one place

Cause: entries and target processes each had the same function that sorts the rule messages by kind, as target processes joined the tree. Change: takeSpreadMessage() in DataCentre/rulespread.h serves both. Behaviour is as it was. Ruled out: joining what each does with the actions; their actions are of different types.

--- a/Source/Caller/entryparts.cpp
+++ b/Source/Caller/entryparts.cpp
@@ -115,27 +115,10 @@
     }
 }
 
-/// What the spreading makes of a message; empty for messages of other kinds.
-static std::optional<SpreadActions> spreadMessage(Entry &entry, const Envelope &envelope, Time now)
-{
-    const VmName &from = envelope.from_;
-    const Message &message = envelope.message_;
-    if (const auto *request = std::get_if<RulesRequest>(&message))
-        return takeRulesRequest(entry.spread_, from, *request, now);
-    if (const auto *asked = std::get_if<RulesPartRequest>(&message))
-        return takeRulesPartRequest(entry.spread_, from, *asked, now);
-    if (const auto *text = std::get_if<RulesText>(&message))
-        return takeRulesText(entry.spread_, spreadView(entry, now), from, *text, now);
-    if (const auto *delta = std::get_if<RulesDelta>(&message))
-        return takeRulesDelta(entry.spread_, spreadView(entry, now), from, *delta, now);
-    if (const auto *part = std::get_if<RulesPart>(&message))
-        return takeRulesPart(entry.spread_, spreadView(entry, now), from, *part, now);
-    return std::nullopt;
-}
-
 bool takeRulesMessage(Entry &entry, const Envelope &envelope, Time now, EntryActions &actions)
 {
-    std::optional<SpreadActions> spread = spreadMessage(entry, envelope, now);
+    std::optional<SpreadActions> spread =
+        takeSpreadMessage(entry.spread_, entry.fleet_, envelope, now);
     if (spread)
         performSpread(entry, std::move(*spread), now, actions);
     return spread.has_value();
--- a/Source/DataCentre/rulespread.cpp
+++ b/Source/DataCentre/rulespread.cpp
@@ -558,6 +558,25 @@
     return adoptText(spread, view, NewsSource::Peer, part.revision_, *text);
 }
 
+std::optional<SpreadActions> takeSpreadMessage(RuleSpread &spread, const Fleet &fleet,
+                                               const Envelope &envelope, Time now)
+{
+    const VmName &from = envelope.from_;
+    const Message &message = envelope.message_;
+    const auto view = [&] { return spreadViewOf(fleet, fleet.selfRole_, now); };
+    if (const auto *request = std::get_if<RulesRequest>(&message))
+        return takeRulesRequest(spread, from, *request, now);
+    if (const auto *asked = std::get_if<RulesPartRequest>(&message))
+        return takeRulesPartRequest(spread, from, *asked, now);
+    if (const auto *text = std::get_if<RulesText>(&message))
+        return takeRulesText(spread, view(), from, *text, now);
+    if (const auto *delta = std::get_if<RulesDelta>(&message))
+        return takeRulesDelta(spread, view(), from, *delta, now);
+    if (const auto *part = std::get_if<RulesPart>(&message))
+        return takeRulesPart(spread, view(), from, *part, now);
+    return std::nullopt;
+}
+
 SpreadActions tickSpread(RuleSpread &spread, const SpreadView &view, Time now)
 {
     SpreadActions actions;
--- a/Source/DataCentre/rulespread.h
+++ b/Source/DataCentre/rulespread.h
@@ -204,6 +204,10 @@
 SpreadActions takeRulesPart(RuleSpread &spread, const SpreadView &view, const VmName &peer,
                             const RulesPart &part, Time now);
 
+/// Any of the messages above from a peer; empty for messages of other kinds.
+std::optional<SpreadActions> takeSpreadMessage(RuleSpread &spread, const Fleet &fleet,
+                                               const Envelope &envelope, Time now);
+
 /// Called a few times a second: gives up late requests, takes on or lays down the watcher's duty,
 /// and reads the platform where no peer could help.
 SpreadActions tickSpread(RuleSpread &spread, const SpreadView &view, Time now);
--- a/Source/Target/targetfleet.cpp
+++ b/Source/Target/targetfleet.cpp
@@ -67,24 +67,6 @@
     }
 }
 
-std::optional<SpreadActions> spreadMessage(TargetFleet &target, const Envelope &envelope, Time now)
-{
-    const VmName &from = envelope.from_;
-    const Message &message = envelope.message_;
-    RuleSpread &spread = target.spread_;
-    if (const auto *request = std::get_if<RulesRequest>(&message))
-        return takeRulesRequest(spread, from, *request, now);
-    if (const auto *asked = std::get_if<RulesPartRequest>(&message))
-        return takeRulesPartRequest(spread, from, *asked, now);
-    if (const auto *text = std::get_if<RulesText>(&message))
-        return takeRulesText(spread, viewOf(target, now), from, *text, now);
-    if (const auto *delta = std::get_if<RulesDelta>(&message))
-        return takeRulesDelta(spread, viewOf(target, now), from, *delta, now);
-    if (const auto *part = std::get_if<RulesPart>(&message))
-        return takeRulesPart(spread, viewOf(target, now), from, *part, now);
-    return std::nullopt;
-}
-
 void takePeerHeartbeat(TargetFleet &target, const Envelope &envelope, const Heartbeat &heartbeat,
                        Time now, TargetFleetActions &actions)
 {
@@ -146,7 +128,8 @@
         takeVmNews(target.fleet_, envelope, *news, now);
         return true;
     }
-    std::optional<SpreadActions> spread = spreadMessage(target, envelope, now);
+    std::optional<SpreadActions> spread =
+        takeSpreadMessage(target.spread_, target.fleet_, envelope, now);
     if (spread)
         performSpread(target, std::move(*spread), actions);
     return spread.has_value();
