Serve the users' platform with an edge and an agent beside each engine

Cause: the present daemon has a thread per duty, nng links and an etcd-shaped store, and none of the users' wire. The serving path is new: one libuv loop a process, entries that forward straight to targets, and an agent on each engine's own VM that alone gives it orders, so no election and no lease is needed.

Ruled out: a target process in the path of every byte (each byte paid twice); orders from an elected entry (an election through the store and a pause of the lease's length after a loss).

--- /dev/null
+++ b/Source/Edge/edgepeers.cpp
@@ -0,0 +1,183 @@
+#include "Edge/edge.h"
+#include "Observe/eventlog.h"
+
+#include <algorithm>
+
+namespace eelgrasscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A wish is sent again at most this often: the agent answers it with its new state at once.
+constexpr Duration wishAgain = 100ms;
+
+/// Wishes in one message, so that it fits a datagram on any link.
+constexpr std::size_t mostWishes = 64;
+
+} // namespace
+
+void Edge::onDatagram(std::string_view bytes, const Endpoint &from)
+{
+    std::optional<PeerMessage> message = decodePeerMessage(bytes);
+    if (!message) {
+        eventLog().note("datagram.ignored", "from", from.text(), "bytes", bytes.size());
+        return;
+    }
+    if (auto *engine = std::get_if<EngineState>(&*message))
+        takeEngineState(std::move(*engine), from);
+    else if (auto *entry = std::get_if<EntryState>(&*message))
+        takeEntryState(std::move(*entry));
+}
+
+void Edge::takeEngineState(EngineState &&state, const Endpoint &from)
+{
+    std::shared_ptr<EdgeTarget> target;
+    for (const auto &[id, each] : targets_) {
+        const TargetBelief &belief = each->belief_;
+        if (state.targetId_.empty() ? belief.endpoint_.host_ == from.host_ : id == state.targetId_)
+            target = each;
+    }
+    if (!target)
+        return;
+    TargetBelief &belief = target->belief_;
+    if (belief.agentHeard_ && state.number_ <= belief.stateNumber_)
+        return;
+    const Time now = bootNow();
+    const bool restarted = belief.agentHeard_ && state.startedAt_ != belief.startedAt_;
+    if (restarted || (belief.up_ && !state.up_))
+        target->crashedAt_ = now;
+    if (!belief.agentHeard_ || restarted || belief.up_ != state.up_
+        || belief.draining_ != state.draining_) {
+        eventLog().note("target.state", "target", belief.listed_.id_, "up", state.up_, "draining",
+                        state.draining_, "started", state.startedAt_, "number", state.number_);
+    }
+    belief.agentHeard_ = true;
+    belief.heardAt_ = now;
+    belief.stateNumber_ = state.number_;
+    belief.startedAt_ = state.startedAt_;
+    belief.up_ = state.up_;
+    belief.draining_ = state.draining_;
+    belief.usedTokens_ = state.usedTokens_;
+    belief.memoryTokens_ = state.memoryTokens_;
+    belief.loadsWaiting_ = state.loadsWaiting_;
+    noteLoad(belief, state.running_, state.waiting_, now);
+    if (state.hasLists_) {
+        belief.residency_ = state.residency_;
+        belief.adapters_.clear();
+        belief.incoming_.clear();
+        for (VersionedAdapter &held : state.adapters_)
+            belief.adapters_[std::move(held.adapter_)] = held.version_;
+        for (VersionedAdapter &coming : state.incoming_)
+            belief.incoming_[std::move(coming.adapter_)] = coming.version_;
+        belief.models_ = {state.models_.begin(), state.models_.end()};
+        placeWaiting(belief.listed_.service_, SIZE_MAX);
+    }
+}
+
+void Edge::wish(EdgeTarget &target, const std::string &adapter, Time now)
+{
+    if (adapter.empty())
+        return;
+    Time &wished = target.wishedAt_[adapter];
+    if (now - wished < wishAgain)
+        return;
+    wished = now;
+    sendWishes(target, now);
+}
+
+void Edge::sendWishes(EdgeTarget &target, Time now)
+{
+    const TargetBelief &belief = target.belief_;
+    if (!rules_)
+        return;
+    const ServedService *service = rules_->service(belief.listed_.service_);
+    if (service == nullptr || !service->engine_)
+        return;
+    EntryWishes wishes;
+    wishes.vm_ = settings_.vm_;
+    wishes.knownResidency_ = belief.residency_;
+    std::map<std::string, std::uint32_t> wanted;
+    for (const EdgeRequestPtr &request : waiting_[belief.listed_.service_]) {
+        if (request->awaitedTarget_ == belief.listed_.id_)
+            ++wanted[request->adapter_];
+    }
+    std::erase_if(target.copyWishes_, [&](const auto &copy) { return copy.second < now; });
+    std::erase_if(target.wishedAt_, [&](const auto &each) { return now - each.second > 1s; });
+    for (const auto &[adapter, until] : target.copyWishes_)
+        wanted.try_emplace(adapter, 1);
+    for (const auto &[adapter, at] : target.wishedAt_) {
+        if (at == now)
+            wanted.try_emplace(adapter, 1);
+    }
+    // Newer versions of what is held there.
+    for (const auto &[adapter, held] : belief.adapters_) {
+        const auto version = versions_.find(adapter);
+        if (version != versions_.end() && held < version->second)
+            wanted.try_emplace(adapter, 1);
+    }
+    for (const auto &[adapter, requests] : wanted) {
+        const auto version = versions_.find(adapter);
+        wishes.wishes_.push_back(
+            {adapter, version == versions_.end() ? 0 : version->second, requests});
+        if (wishes.wishes_.size() == mostWishes)
+            break;
+    }
+    wishes.inUse_.assign(target.usedAdapters_.begin(), target.usedAdapters_.end());
+    target.usedAdapters_.clear();
+    peersSocket_.send(encodePeerMessage(wishes), {belief.endpoint_.host_, peersAddress_.port_});
+}
+
+void Edge::sendEntryStates(Time now)
+{
+    EntryState state;
+    state.vm_ = settings_.vm_;
+    state.stampMicros_ = now.time_since_epoch().count();
+    state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
+    if (rules_ && operatorFeed_->confirmedAt())
+        state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
+    for (const auto &[account, tokens] : ownUsage(allowance_, now))
+        state.usage_.push_back({account, tokens});
+    for (const auto &[vm, heard] : heardPeers_)
+        state.echoes_.push_back({vm, heard.stampMicros_, (now - heard.at_).count()});
+    for (const auto &[hash, suspect] : suspects_.requests_) {
+        if (suspect.seen_ > 0)
+            state.suspects_.push_back({hash, suspect.seen_});
+    }
+    const std::string bytes = encodePeerMessage(state);
+    for (const auto &[vm, endpoint] : peers_)
+        peersSocket_.send(bytes, endpoint);
+}
+
+void Edge::takeEntryState(EntryState &&state)
+{
+    if (!peers_.contains(state.vm_))
+        return;
+    const Time now = bootNow();
+    HeardPeer &heard = heardPeers_[state.vm_];
+    if (state.stampMicros_ <= heard.stampMicros_)
+        return;
+    heard = {state.stampMicros_, now};
+    bool mutual = false;
+    for (const PeerEcho &echo : state.echoes_) {
+        if (echo.vm_ != settings_.vm_)
+            continue;
+        // The peer spoke after my stamp and its holding time, by my own clock; however late its
+        // message comes, it is taken for no fresher than that.
+        const Time spokeAfter = Time(Duration(echo.stampMicros_ + echo.heldMicros_));
+        mutual = now - spokeAfter <= allowance_.settings_.heardWithin_ * 2;
+        if (rules_ && state.rulesVersion_ == rules_->rules().version_
+            && state.rulesAgeMicros_ >= 0) {
+            const Time confirmed = spokeAfter - Duration(state.rulesAgeMicros_);
+            peerConfirmedAt_ = std::max(peerConfirmedAt_.value_or(confirmed), confirmed);
+        }
+    }
+    std::map<std::string, double> tokens;
+    for (const AccountUsage &usage : state.usage_)
+        tokens[usage.account_] = usage.windowTokens_;
+    hearUsage(allowance_, state.vm_, mutual, std::move(tokens), now);
+    for (const SuspectCount &suspect : state.suspects_)
+        hearCrashes(suspects_, suspect.request_, suspect.crashes_, now);
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Edge/edgerequests.cpp
@@ -0,0 +1,480 @@
+#include "Edge/edge.h"
+#include "Observe/eventlog.h"
+#include "Observe/metrics.h"
+#include "platform/wirenames.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace eelgrasscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A target that was asked to answer by the route's timeout answers about then itself.
+constexpr Duration answerSlack = 150ms;
+
+/// An adapter is loaded in about this time where its engine is not loading others; then each four
+/// that are asked for before it add as much.
+constexpr Duration adapterLoadTime = 300ms;
+constexpr std::uint32_t loadsAtOnce = 4;
+
+/// Part of its time that a request may wait for room: what is left has to suffice for its run.
+constexpr double waitingPart = 0.5;
+
+/// What a client is told to wait at least, and by how much more clients are spread.
+constexpr Duration leastRetryAfter = 200ms;
+constexpr double retryAfterSpread = 0.5;
+
+/// Span over which answers are counted to predict when there is room.
+constexpr Duration completionSpan = 2s;
+
+/// An older version of an adapter may be used until this part of the operator's bound.
+constexpr double olderVersionPart = 0.7;
+
+/// Requests placed in one pass after room has come.
+constexpr std::size_t placedInOnePass = 16;
+
+/// Bounds of the priority header towards targets.
+constexpr int leastPriority = 0;
+constexpr int mostPriority = 9;
+
+Duration timeLeftOf(const HttpHead &head, Duration otherwise)
+{
+    const std::string_view text = head.header(wire::timeLeftHeader);
+    std::int64_t millis = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), millis);
+    if (text.empty() || error != std::errc{} || millis < 0)
+        return otherwise;
+    return std::chrono::milliseconds(std::min<std::int64_t>(millis, 24 * 3600 * 1000));
+}
+
+double tokensOf(const HttpHead &head, double otherwise)
+{
+    const std::string_view text = head.header(wire::tokensHeader);
+    const std::size_t comma = text.find(',');
+    double prompt = 0;
+    double most = 0;
+    if (comma == std::string_view::npos)
+        return otherwise;
+    std::from_chars(text.data(), text.data() + comma, prompt);
+    std::from_chars(text.data() + comma + 1, text.data() + text.size(), most);
+    return prompt + most;
+}
+
+bool isSystemHeader(std::string_view name)
+{
+    return std::any_of(wire::systemHeaders.begin(), wire::systemHeaders.end(),
+                       [&](std::string_view each) { return equalIgnoringCase(each, name); });
+}
+
+/// Whether the request's Connection header names this one as the connection's own.
+bool namedByConnection(const HttpHead &head, std::string_view name)
+{
+    std::string_view list = head.header("Connection");
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        std::string_view each = list.substr(0, comma);
+        while (!each.empty() && each.front() == ' ')
+            each.remove_prefix(1);
+        while (!each.empty() && each.back() == ' ')
+            each.remove_suffix(1);
+        if (equalIgnoringCase(each, name))
+            return true;
+        list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+void Edge::onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest &&client)
+{
+    const Time now = bootNow();
+    const auto request = std::make_shared<EdgeRequest>();
+    request->session_ = session;
+    request->head_ = std::move(client.head_);
+    request->body_ = std::move(client.body_);
+    request->id_ = request->head_.header(wire::requestIdHeader);
+    request->arrivedAt_ = client.begunAt_;
+    request->draw_ = std::uniform_real_distribution<double>(0, 1)(random_);
+    session->work_ = request;
+    requests_.insert(request);
+    if (request->id_.empty()) {
+        refuse(*request, 400, "no request id", {});
+        return;
+    }
+    if (!resolve(*request, *session))
+        return;
+    const Duration left = timeLeftOf(request->head_, request->route_.timeout_);
+    request->clientDeadline_ = request->arrivedAt_ + left;
+    request->routeDeadline_ = request->arrivedAt_ + request->route_.timeout_;
+    request->hash_ = suspectHash(request->head_.target_, request->key_, request->body_);
+    if (isCrasher(suspects_, request->hash_)) {
+        refuse(*request, 503, "crashes targets", 30s);
+        return;
+    }
+    if (!checkAllowance(*request, *session, now))
+        return;
+    countRequest(retryBudget_, request->service_, now);
+    place(request);
+}
+
+bool Edge::resolve(EdgeRequest &request, ClientSession &)
+{
+    if (!rules_) {
+        refuse(request, 503, "no rules yet", leastRetryAfter);
+        return false;
+    }
+    const ServingRoute *route =
+        rules_->routeOf(request.head_.header("Host"), request.head_.target_);
+    if (route == nullptr) {
+        refuse(request, rulesAreFresh(bootNow()) ? 404 : 503, "no route", leastRetryAfter);
+        return false;
+    }
+    request.rulesVersion_ = rules_->rules().version_;
+    request.route_ = *route;
+    request.service_ = serviceFor(*route, request.draw_);
+    request.priority_ = route->priority_;
+    request.model_.clear();
+    request.adapter_.clear();
+    const std::string model(request.head_.header(wire::modelHeader));
+    const ServedService *service = rules_->service(request.service_);
+    if (service != nullptr && service->engine_ && !model.empty()) {
+        const std::size_t slash = model.find('/');
+        request.model_ = model.substr(0, slash);
+        if (slash != std::string::npos)
+            request.adapter_ = model;
+    }
+    return checkKey(request, *request.session_.lock(), bootNow());
+}
+
+bool Edge::checkKey(EdgeRequest &request, ClientSession &, Time now)
+{
+    if (request.route_.open_ || rules_->rules().accounts_.empty())
+        return true;
+    if (!rulesAreFresh(now)) {
+        refuse(request, 503, "rules not confirmed", leastRetryAfter);
+        return false;
+    }
+    const std::string_view authorization = request.head_.header(wire::authorizationHeader);
+    if (authorization.starts_with(wire::keyScheme))
+        request.key_ = authorization.substr(wire::keyScheme.size());
+    const ServingAccount *account = rules_->accountOfKey(request.key_);
+    if (account == nullptr) {
+        refuse(request, 401, "unknown key", {});
+        return false;
+    }
+    request.account_ = account->name_;
+    if (account->priority_)
+        request.priority_ = *account->priority_;
+    return true;
+}
+
+bool Edge::checkAllowance(EdgeRequest &request, ClientSession &, Time now)
+{
+    if (request.account_.empty())
+        return true;
+    const ServingAccount *account = rules_->accountOfKey(request.key_);
+    request.tokens_ = tokensOf(request.head_, account->plainTokens_);
+    const double allowed = allowedTokens(allowance_, *account, now);
+    if (request.tokens_ > allowed) {
+        // Tokens come free as they leave the window, at about the account's rate.
+        const double seconds =
+            (request.tokens_ - std::max(allowed, 0.0)) / std::max(account->tokensPerSecond_, 1.0);
+        refuse(request, 429, "allowance used",
+               leastRetryAfter + std::chrono::duration_cast<Duration>(seconds * 1s));
+        return false;
+    }
+    takeTokens(allowance_, request.account_, request.tokens_, now);
+    request.charged_ = true;
+    return true;
+}
+
+PlaceQuery Edge::placeQuery(const EdgeRequest &request) const
+{
+    PlaceQuery query;
+    query.dataCentre_ = settings_.dataCentre_;
+    query.model_ = request.model_;
+    query.adapter_ = request.adapter_;
+    query.tried_ = request.tried_;
+    query.entries_ = peers_.size() + 1;
+    const auto version = versions_.find(request.adapter_);
+    if (version != versions_.end()) {
+        const Duration age = bootNow() - versionHeardAt_.at(request.adapter_);
+        if (age > settings_.bounds_.version_ * olderVersionPart)
+            query.leastVersion_ = version->second;
+    }
+    return query;
+}
+
+std::vector<TargetBelief *> Edge::beliefsOf(const std::string &service)
+{
+    std::vector<TargetBelief *> beliefs;
+    const auto targets = targetsOfService_.find(service);
+    if (targets == targetsOfService_.end())
+        return beliefs;
+    for (const auto &target : targets->second)
+        beliefs.push_back(&target->belief_);
+    return beliefs;
+}
+
+std::shared_ptr<EdgeTarget> Edge::targetOf(const TargetBelief *belief)
+{
+    const auto found = targets_.find(belief->listed_.id_);
+    return found == targets_.end() ? nullptr : found->second;
+}
+
+void Edge::place(const EdgeRequestPtr &request)
+{
+    const auto session = request->session_.lock();
+    if (!session || request->stage_ == RequestStage::Ended)
+        return;
+    const Time now = bootNow();
+    // The rules may have changed, and the key may have been withdrawn, while the request waited.
+    const bool outdated = request->rulesVersion_ != rules_->rules().version_;
+    if (outdated ? !resolve(*request, *session) : !checkKey(*request, *session, now))
+        return;
+    const Place place = choosePlace(beliefsOf(request->service_), placeQuery(*request), now);
+    if (place.copyAt_ != nullptr) {
+        if (const auto copyAt = targetOf(place.copyAt_)) {
+            copyAt->copyWishes_[request->adapter_] = now + 500ms;
+            wish(*copyAt, request->adapter_, now);
+        }
+    }
+    if (place.kind_ == PlaceKind::Send) {
+        send(request, targetOf(place.target_));
+        return;
+    }
+    if (place.kind_ == PlaceKind::None) {
+        refuse(*request, 503, request->tried_.empty() ? "no target" : "no other target",
+               leastRetryAfter);
+        return;
+    }
+    await(request, place);
+}
+
+Duration Edge::expectedWait(const std::string &service, std::size_t ahead, Time now)
+{
+    WindowSum &completed =
+        completions_.try_emplace(service, WindowSum(completionSpan)).first->second;
+    const double perSecond =
+        std::max(completed.sum(now) / std::chrono::duration<double>(completionSpan).count(), 1.0);
+    return std::chrono::duration_cast<Duration>(static_cast<double>(ahead) / perSecond * 1s);
+}
+
+void Edge::await(const EdgeRequestPtr &request, const Place &place)
+{
+    const Time now = bootNow();
+    std::list<EdgeRequestPtr> &queue = waiting_[request->service_];
+    const bool fresh = std::find(queue.begin(), queue.end(), request) == queue.end();
+    const Time deadline = std::min(request->clientDeadline_, request->routeDeadline_);
+    Duration wait{};
+    if (place.kind_ == PlaceKind::AwaitAdapter) {
+        wait = adapterLoadTime * (1 + place.target_->loadsWaiting_ / loadsAtOnce);
+        if (const auto target = targetOf(place.target_)) {
+            request->awaitedTarget_ = place.target_->listed_.id_;
+            wish(*target, request->adapter_, now);
+        }
+    } else {
+        const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &other) {
+            return other->priority_ <= request->priority_;
+        });
+        wait = expectedWait(request->service_, static_cast<std::size_t>(ahead), now);
+    }
+    if (!fresh)
+        return;
+    if (now + wait > request->arrivedAt_ + (deadline - request->arrivedAt_) * waitingPart) {
+        refuse(*request, 503, nameOf(placeKindNames, place.kind_), wait);
+        return;
+    }
+    // In order of urgency, and of arrival within it.
+    const auto before = std::find_if(queue.begin(), queue.end(), [&](const auto &other) {
+        return other->priority_ > request->priority_;
+    });
+    queue.insert(before, request);
+    eventLog().note("request.waits", "id", request->id_, "for", nameOf(placeKindNames, place.kind_),
+                    "target", place.target_->listed_.id_, "adapter", request->adapter_, "ahead",
+                    queue.size() - 1, "expected_ms", wait.count() / 1000);
+}
+
+void Edge::unwait(const EdgeRequest &request)
+{
+    const auto queue = waiting_.find(request.service_);
+    if (queue != waiting_.end())
+        queue->second.remove_if([&](const auto &other) { return other.get() == &request; });
+}
+
+void Edge::send(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target)
+{
+    const Time now = bootNow();
+    if (request->sends_ > 0 && !takeRepeat(retryBudget_, request->service_, now)) {
+        refuse(*request, request->runs_ > 0 ? 502 : 503, "retry budget used", leastRetryAfter);
+        return;
+    }
+    unwait(*request);
+    TargetBelief &belief = target->belief_;
+    request->target_ = target;
+    request->stage_ = RequestStage::Sent;
+    request->sentAt_ = now;
+    request->tried_.insert(belief.listed_.id_);
+    request->headCame_ = false;
+    request->answerBody_.clear();
+    ++request->sends_;
+    ++belief.outstanding_;
+    if (!request->adapter_.empty())
+        target->usedAdapters_.insert(request->adapter_);
+    countMetric("eelgrasscove_sends_total");
+    request->connection_ = target->pool_.send(
+        requestText(*request, belief, now), request->id_,
+        {[this, request](HttpHead &&head) { onAnswerHead(request, std::move(head)); },
+         [this, request](std::string_view bytes) { onAnswerBody(request, bytes); },
+         [this, request](ExchangeEnd end, std::string_view reason) {
+             onExchangeEnd(request, end, reason);
+         }});
+}
+
+std::string Edge::requestText(const EdgeRequest &request, const TargetBelief &target,
+                              Time now) const
+{
+    const Time deadline = std::min(request.clientDeadline_, request.routeDeadline_);
+    const auto left = std::max<std::int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count(), 1);
+    std::string text = request.head_.method_ + " " + request.head_.target_ + " HTTP/1.1\r\n";
+    bool idWritten = false;
+    for (const HttpHeader &header : request.head_.headers_) {
+        const bool ours = header.name_.size() > wire::headerPrefix.size()
+            && equalIgnoringCase(header.name_.substr(0, wire::headerPrefix.size()),
+                                 wire::headerPrefix);
+        if (isConnectionHeader(header.name_) || isSystemHeader(header.name_)
+            || equalIgnoringCase(header.name_, "Expect")
+            || (!ours && namedByConnection(request.head_, header.name_)))
+            continue;
+        if (equalIgnoringCase(header.name_, wire::requestIdHeader)) {
+            if (idWritten)
+                continue;
+            idWritten = true;
+        }
+        appendHeader(text, header.name_, header.value_);
+    }
+    appendHeader(text, wire::timeLeftHeader, std::to_string(left));
+    appendHeader(text, wire::expectTargetHeader, target.listed_.id_);
+    if (!request.account_.empty())
+        appendHeader(text, wire::accountHeader, request.account_);
+    if (!request.model_.empty()) {
+        appendHeader(text, wire::priorityHeader,
+                     std::to_string(std::clamp(request.priority_, leastPriority, mostPriority)));
+    }
+    const auto held = target.adapters_.find(request.adapter_);
+    if (!request.adapter_.empty() && held != target.adapters_.end()
+        && versions_.contains(request.adapter_)) {
+        // Guards against a replacement, or a late order, between this belief and the run.
+        appendHeader(text, wire::expectVersionHeader, std::to_string(held->second));
+    }
+    if (!request.body_.empty() || request.head_.method_ != "GET")
+        appendHeader(text, "Content-Length", std::to_string(request.body_.size()));
+    text += "\r\n";
+    text += request.body_;
+    return text;
+}
+
+void Edge::placeWaiting(const std::string &service, std::size_t most)
+{
+    const auto queue = waiting_.find(service);
+    if (queue == waiting_.end() || queue->second.empty() || placing_)
+        return;
+    placing_ = true;
+    std::vector<EdgeRequestPtr> next;
+    for (const EdgeRequestPtr &request : queue->second) {
+        next.push_back(request);
+        if (next.size() == most)
+            break;
+    }
+    for (const EdgeRequestPtr &request : next) {
+        if (request->stage_ == RequestStage::Waiting)
+            place(request);
+    }
+    placing_ = false;
+}
+
+void Edge::checkRequests(Time now)
+{
+    for (const auto &[service, queue] : waiting_)
+        placeWaiting(service, placedInOnePass * 4);
+    const auto requests = requests_;
+    for (const EdgeRequestPtr &request : requests) {
+        const Time deadline = std::min(request->clientDeadline_, request->routeDeadline_);
+        if (request->stage_ == RequestStage::Waiting) {
+            const Duration allowed = deadline - request->arrivedAt_;
+            if (now > request->arrivedAt_ + allowed * waitingPart)
+                refuse(*request, request->runs_ > 0 ? 504 : 503, "waited too long",
+                       leastRetryAfter);
+        } else if (now > deadline + answerSlack) {
+            const auto session = request->session_.lock();
+            const bool streaming = request->stage_ == RequestStage::Streaming;
+            noteFailure(request->target_->belief_, streaming ? 0.0 : 0.3, now);
+            if (streaming && session) {
+                end(*request, 0, "timeout in stream");
+                session->abort();
+            } else {
+                refuse(*request, 504, "timeout", {});
+            }
+        }
+    }
+    countCrashes(now);
+}
+
+void Edge::refuse(EdgeRequest &request, unsigned status, std::string_view reason,
+                  Duration retryAfter)
+{
+    const auto session = request.session_.lock();
+    const bool notRun = status == 503 || status == 429;
+    if (notRun && request.charged_) {
+        takeTokens(allowance_, request.account_, -request.tokens_, bootNow());
+        request.charged_ = false;
+    }
+    end(request, status, reason);
+    if (!session)
+        return;
+    std::string headers;
+    if (!request.id_.empty())
+        appendHeader(headers, wire::requestIdHeader, request.id_);
+    if (notRun) {
+        // Spread, so that clients that were refused together don't return together.
+        const double spread =
+            std::uniform_real_distribution<double>(1, 1 + retryAfterSpread)(random_);
+        const double seconds =
+            spread * std::chrono::duration<double>(std::max(retryAfter, leastRetryAfter)).count();
+        appendHeader(headers, wire::retryAfterHeader, fmt::format("{:.3f}", seconds));
+    }
+    session->answer(status, headers, "");
+}
+
+void Edge::end(EdgeRequest &request, unsigned status, std::string_view outcome)
+{
+    const EdgeRequestPtr keep = request.shared_from_this();
+    if (requests_.erase(keep) == 0)
+        return;
+    const Time now = bootNow();
+    leaveTarget(request);
+    unwait(request);
+    request.stage_ = RequestStage::Ended;
+    const Duration total = now - request.arrivedAt_;
+    const std::string_view target =
+        request.target_ ? std::string_view(request.target_->belief_.listed_.id_) : "";
+    const Duration first =
+        request.firstEventPassed_ ? request.firstEventAt_ - request.arrivedAt_ : total;
+    eventLog().note("request.ended", "id", request.id_, "route", request.route_.name_, "account",
+                    request.account_, "adapter", request.adapter_, "status", status, "outcome",
+                    outcome, "target", target, "sends", request.sends_, "runs", request.runs_,
+                    "first_ms", first.count() / 1000, "total_ms", total.count() / 1000, "rules",
+                    request.rulesVersion_, "rules_age_ms",
+                    (now - rulesConfirmedAt()).count() / 1000);
+    countMetric("eelgrasscove_requests_total", fmt::format("status=\"{}\"", status));
+    observeDuration("eelgrasscove_request_seconds", "", total);
+    if (request.firstEventPassed_)
+        observeDuration("eelgrasscove_first_event_seconds", "", first);
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Edge/placement.cpp
@@ -0,0 +1,160 @@
+#include "Edge/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <xxhash.h>
+
+namespace eelgrasscove {
+
+namespace {
+
+/// Requests that may wait at a target beyond its slots, as a part of the slots: enough that a slot
+/// that falls free is taken at once, few enough that the wait stays below the work of one request.
+constexpr double waitingPart = 0.25;
+
+/// Load, as a part of the slots, that a target in another data centre must be below one at home.
+constexpr double distanceCost = 0.12;
+
+/// Load that one recent failure counts as.
+constexpr double distrustCost = 0.5;
+
+/// A frequent adapter gets another copy when its best target has more than this load, and a target
+/// without it has less than the part given of that load.
+constexpr double copyAbove = 0.45;
+constexpr double copyBelowPart = 0.6;
+
+/// Load that one adapter load waiting at a target counts as.
+constexpr double pendingLoadCost = 0.15;
+
+/// Used memory beyond which a target counts as full: what runs there would soon be preempted.
+constexpr double memoryFull = 0.92;
+
+double loadPart(const TargetBelief &target, const PlaceQuery &query, Time now)
+{
+    double load = estimatedLoad(target, query.entries_, now) / target.listed_.slots_;
+    if (target.memoryTokens_ > 0) {
+        const double memory =
+            static_cast<double>(target.usedTokens_) / static_cast<double>(target.memoryTokens_);
+        load = std::max(load, memory / memoryFull);
+    }
+    return load;
+}
+
+double costOf(const TargetBelief &target, const PlaceQuery &query, Time now)
+{
+    double cost = loadPart(target, query, now) + distrustCost * distrustOf(target, now);
+    if (target.listed_.dataCentre_ != query.dataCentre_)
+        cost += distanceCost;
+    return cost;
+}
+
+bool hasAdapter(const TargetBelief &target, const PlaceQuery &query)
+{
+    const auto held = target.adapters_.find(query.adapter_);
+    return held != target.adapters_.end() && held->second >= query.leastVersion_;
+}
+
+bool awaitsAdapter(const TargetBelief &target, const PlaceQuery &query)
+{
+    const auto coming = target.incoming_.find(query.adapter_);
+    return coming != target.incoming_.end()
+        && (coming->second == 0 || coming->second >= query.leastVersion_);
+}
+
+/// The order in which targets are home to an adapter; all entries compute the same.
+double homeRank(const TargetBelief &target, const std::string &adapter)
+{
+    const std::string &id = target.listed_.id_;
+    const XXH64_hash_t hash =
+        XXH3_64bits_withSeed(id.data(), id.size(), XXH3_64bits(adapter.data(), adapter.size()));
+    return static_cast<double>(hash)
+        / static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
+}
+
+/// Weight of the home rank beside a target's load where an adapter is to be loaded.
+constexpr double homeWeight = 1.0;
+
+TargetBelief *bestToLoad(const std::vector<TargetBelief *> &targets, const PlaceQuery &query,
+                         Time now)
+{
+    TargetBelief *best = nullptr;
+    double least = std::numeric_limits<double>::infinity();
+    for (TargetBelief *target : targets) {
+        if (!target->agentHeard_ || hasAdapter(*target, query) || awaitsAdapter(*target, query))
+            continue;
+        const double pending = target->loadsWaiting_;
+        const double cost = costOf(*target, query, now) + pendingLoadCost * pending
+            + homeWeight * homeRank(*target, query.adapter_);
+        if (cost < least) {
+            least = cost;
+            best = target;
+        }
+    }
+    return best;
+}
+
+struct Candidates
+{
+    std::vector<TargetBelief *> usable_;
+    std::vector<TargetBelief *> able_;
+    TargetBelief *awaited_ = nullptr;
+};
+
+Candidates candidatesOf(const std::vector<TargetBelief *> &targets, const PlaceQuery &query,
+                        Time now)
+{
+    Candidates candidates;
+    for (TargetBelief *target : targets) {
+        if (!isUsable(*target, now) || query.tried_.contains(target->listed_.id_))
+            continue;
+        if (!query.model_.empty() && !target->models_.contains(query.model_))
+            continue;
+        candidates.usable_.push_back(target);
+        if (query.adapter_.empty() || hasAdapter(*target, query))
+            candidates.able_.push_back(target);
+        else if (awaitsAdapter(*target, query))
+            candidates.awaited_ = target;
+    }
+    return candidates;
+}
+
+} // namespace
+
+double roomOf(const TargetBelief &target)
+{
+    return target.listed_.slots_ * (1 + waitingPart);
+}
+
+Place choosePlace(const std::vector<TargetBelief *> &targets, const PlaceQuery &query, Time now)
+{
+    const Candidates candidates = candidatesOf(targets, query, now);
+    if (candidates.usable_.empty())
+        return {};
+    Place place;
+    double least = std::numeric_limits<double>::infinity();
+    for (TargetBelief *target : candidates.able_) {
+        const double cost = costOf(*target, query, now);
+        if (cost < least) {
+            least = cost;
+            place.target_ = target;
+        }
+    }
+    if (place.target_ != nullptr) {
+        place.load_ = loadPart(*place.target_, query, now);
+        const bool room =
+            estimatedLoad(*place.target_, query.entries_, now) < roomOf(*place.target_);
+        place.kind_ = room ? PlaceKind::Send : PlaceKind::AwaitRoom;
+        if (query.adapter_.empty() || place.load_ <= copyAbove || candidates.awaited_ != nullptr)
+            return place;
+        TargetBelief *copy = bestToLoad(candidates.usable_, query, now);
+        if (copy != nullptr && loadPart(*copy, query, now) < copyBelowPart * place.load_)
+            place.copyAt_ = copy;
+        return place;
+    }
+    place.target_ = candidates.awaited_ != nullptr ? candidates.awaited_
+                                                   : bestToLoad(candidates.usable_, query, now);
+    place.kind_ = place.target_ != nullptr ? PlaceKind::AwaitAdapter : PlaceKind::None;
+    return place;
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Edge/targetbelief.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// What an entry believes of a target, and from whom: the list of targets, the agent beside it, its
+/// own answers.
+
+#include "Net/tcpstream.h"
+
+#include <eelgrasscove/serving.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace eelgrasscove {
+
+struct TargetBelief
+{
+    ListedTarget listed_;
+    Endpoint endpoint_;
+    /// The list lost the target's entry at this time; it may come back after an outage of the
+    /// store.
+    std::optional<Time> missingSince_;
+
+    // Told by the agent, where there is one.
+    bool agentHeard_ = false;
+    Time heardAt_;
+    std::uint64_t stateNumber_ = 0;
+    std::uint64_t startedAt_ = 0;
+    bool up_ = true;
+    bool draining_ = false;
+    std::uint64_t usedTokens_ = 0;
+    std::uint64_t memoryTokens_ = 0;
+    std::uint32_t loadsWaiting_ = 0;
+    std::uint64_t residency_ = 0;
+
+    // Told by the agent, or by the list and the target's answers where there is none.
+    std::map<std::string, std::uint64_t> adapters_;
+    std::map<std::string, std::uint64_t> incoming_;
+    std::set<std::string> models_;
+
+    // Told by the agent or by the load in the target's answers.
+    std::uint32_t running_ = 0;
+    std::uint32_t waiting_ = 0;
+    Time loadAt_;
+
+    // Of this entry.
+    std::uint32_t outstanding_ = 0;
+    std::uint32_t outstandingAtLoad_ = 0;
+    /// Rises with each failure and fades; 1 is about one failure just now.
+    double distrust_ = 0;
+    Time distrustAt_;
+    /// No send before this time, but for trials.
+    Time avoidUntil_;
+};
+
+/// Whether new requests may be sent to the target at all.
+bool isUsable(const TargetBelief &target, Time now);
+
+/// Requests running and waiting there, from the last load told and what this entry has sent since.
+double estimatedLoad(const TargetBelief &target, std::size_t entries, Time now);
+
+/// The faded distrust.
+double distrustOf(const TargetBelief &target, Time now);
+
+/// Takes note of a failure that speaks against the target, or of an answer.
+void noteFailure(TargetBelief &target, double weight, Time now);
+void noteSuccess(TargetBelief &target, Time now);
+
+/// Takes a load told by the target or its agent.
+void noteLoad(TargetBelief &target, std::uint32_t running, std::uint32_t waiting, Time now);
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Net/httpreader.cpp
@@ -0,0 +1,181 @@
+#include "Net/httpreader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace eelgrasscove {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> connectionHeaders = {
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding",   "content-length",
+    "te",         "trailer",    "upgrade",          "proxy-authorization",
+};
+
+} // namespace
+
+bool equalIgnoringCase(std::string_view left, std::string_view right)
+{
+    const auto same = [](char one, char other) {
+        return std::tolower(static_cast<unsigned char>(one))
+            == std::tolower(static_cast<unsigned char>(other));
+    };
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), same);
+}
+
+bool isConnectionHeader(std::string_view name)
+{
+    return std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
+                       [&](std::string_view each) { return equalIgnoringCase(each, name); });
+}
+
+std::string_view HttpHead::header(std::string_view name) const
+{
+    for (const HttpHeader &header : headers_) {
+        if (equalIgnoringCase(header.name_, name))
+            return header.value_;
+    }
+    return {};
+}
+
+bool HttpHead::hasHeader(std::string_view name) const
+{
+    return std::any_of(headers_.begin(), headers_.end(), [&](const HttpHeader &header) {
+        return equalIgnoringCase(header.name_, name);
+    });
+}
+
+HttpReader::HttpReader(HttpKind kind, std::size_t mostHeadBytes, HttpCallbacks callbacks)
+    : kind_(kind), mostHeadBytes_(mostHeadBytes), callbacks_(std::move(callbacks))
+{
+    reset();
+}
+
+void HttpReader::reset()
+{
+    http_parser_init(&parser_, kind_ == HttpKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    head_ = {};
+    headBytes_ = 0;
+    state_ = HttpReadState::Open;
+    lastWasValue_ = false;
+    begun_ = false;
+    headRead_ = false;
+    headTooLong_ = false;
+}
+
+bool HttpReader::countHead(std::size_t length)
+{
+    headBytes_ += length;
+    headTooLong_ = headBytes_ > mostHeadBytes_;
+    return !headTooLong_;
+}
+
+void HttpReader::takeHeaderByte(const char *at, std::size_t length, bool ofValue)
+{
+    if (!ofValue && (lastWasValue_ || head_.headers_.empty()))
+        head_.headers_.emplace_back();
+    std::string &text = ofValue ? head_.headers_.back().value_ : head_.headers_.back().name_;
+    text.append(at, length);
+    lastWasValue_ = ofValue;
+}
+
+http_parser_settings HttpReader::makeSettings()
+{
+    http_parser_settings settings{};
+    http_parser_settings_init(&settings);
+    settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
+        auto *reader = static_cast<HttpReader *>(parser->data);
+        reader->head_.target_.append(at, length);
+        return reader->countHead(length) ? 0 : 1;
+    };
+    settings.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+        auto *reader = static_cast<HttpReader *>(parser->data);
+        reader->takeHeaderByte(at, length, false);
+        return reader->countHead(length) ? 0 : 1;
+    };
+    settings.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+        auto *reader = static_cast<HttpReader *>(parser->data);
+        // Fields after the body are not part of the message's head.
+        if (reader->headRead_)
+            return 0;
+        reader->takeHeaderByte(at, length, true);
+        return reader->countHead(length) ? 0 : 1;
+    };
+    settings.on_headers_complete = [](http_parser *parser) {
+        auto *reader = static_cast<HttpReader *>(parser->data);
+        reader->headRead_ = true;
+        HttpHead head = std::move(reader->head_);
+        reader->head_ = {};
+        head.status_ = parser->status_code;
+        if (reader->kind_ == HttpKind::Request)
+            head.method_ = http_method_str(static_cast<http_method>(parser->method));
+        head.keepAlive_ = http_should_keep_alive(parser) != 0;
+        reader->callbacks_.head_(std::move(head));
+        return 0;
+    };
+    settings.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+        auto *reader = static_cast<HttpReader *>(parser->data);
+        reader->callbacks_.body_({at, length});
+        return 0;
+    };
+    settings.on_message_complete = [](http_parser *parser) {
+        auto *reader = static_cast<HttpReader *>(parser->data);
+        reader->state_ = HttpReadState::Complete;
+        http_parser_pause(parser, 1);
+        return 0;
+    };
+    return settings;
+}
+
+std::size_t HttpReader::feed(std::string_view bytes)
+{
+    static const http_parser_settings settings = makeSettings();
+    if (state_ != HttpReadState::Open || bytes.empty())
+        return 0;
+    begun_ = true;
+    const std::size_t taken = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    if (state_ == HttpReadState::Complete) {
+        callbacks_.complete_();
+        return taken;
+    }
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)
+        state_ = HttpReadState::Malformed;
+    return taken;
+}
+
+void HttpReader::finish()
+{
+    static const http_parser_settings settings = makeSettings();
+    if (state_ != HttpReadState::Open || !headRead_)
+        return;
+    http_parser_execute(&parser_, &settings, nullptr, 0);
+    if (state_ == HttpReadState::Complete)
+        callbacks_.complete_();
+    else
+        state_ = HttpReadState::Malformed;
+}
+
+void appendHeader(std::string &text, std::string_view name, std::string_view value)
+{
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+}
+
+std::string_view statusPhrase(unsigned status)
+{
+    switch (status) {
+#define EELGRASSCOVE_PHRASE(number, name, phrase)                                                  \
+    case number:                                                                                   \
+        return #phrase;
+        HTTP_STATUS_MAP(EELGRASSCOVE_PHRASE)
+#undef EELGRASSCOVE_PHRASE
+    default:
+        return "Unknown";
+    }
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Store/storefeed.cpp
@@ -0,0 +1,147 @@
+#include "Store/storefeed.h"
+
+#include "Observe/eventlog.h"
+#include "Observe/metrics.h"
+
+#include <algorithm>
+
+namespace eelgrasscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A list answers within a few ms; a slow store took up to 100 times as long on its users' bench.
+constexpr Duration listTimeout = 1500ms;
+/// What a watch may take beyond its wait before the connection counts as silent.
+constexpr Duration watchSlack = 1000ms;
+/// First and longest pause after a failed call.
+constexpr Duration firstRetry = 100ms;
+constexpr Duration longestRetry = 800ms;
+
+} // namespace
+
+StoreFeed::StoreFeed(EventLoop &loop, const Endpoint &store, StoreFeedSettings settings,
+                     StoreFeedCallbacks callbacks)
+    : loop_(loop), caller_(loop, store), settings_(std::move(settings)),
+      callbacks_(std::move(callbacks))
+{ }
+
+void StoreFeed::start()
+{
+    listing_.clear();
+    firstPage_ = true;
+    listBegan_ = bootNow();
+    list("");
+}
+
+void StoreFeed::list(const std::string &afterKey)
+{
+    wire::StoreCall call = wire::rangeCall(settings_.keyPrefix_, afterKey, false);
+    countMetric("eelgrasscove_store_calls_total", "call=\"range\"");
+    caller_.call(std::move(call.method_), std::move(call.target_), "", listTimeout,
+                 [this](std::optional<HttpAnswer> answer) { takeList(std::move(answer)); });
+}
+
+void StoreFeed::takeList(std::optional<HttpAnswer> answer)
+{
+    if (!answer || answer->status_ != 200) {
+        retryLater([this] { start(); }, "list");
+        return;
+    }
+    std::optional<wire::StoreItems> page = wire::decodeItems(answer->body_);
+    if (!page) {
+        retryLater([this] { start(); }, "list unreadable");
+        return;
+    }
+    if (firstPage_)
+        listRevision_ = page->revision_;
+    firstPage_ = false;
+    for (wire::StoreItem &item : page->items_)
+        listing_.push_back(std::move(item));
+    if (page->more_ && !listing_.empty()) {
+        list(listing_.back().key_);
+        return;
+    }
+    // Pages are no snapshot: the watch goes on from the first, and repeats what later ones had.
+    revision_ = listRevision_;
+    succeed();
+    confirm(listBegan_);
+    eventLog().note("store.listed", "prefix", settings_.keyPrefix_, "keys", listing_.size(),
+                    "revision", revision_);
+    callbacks_.listed_(listing_);
+    listing_.clear();
+    watch();
+}
+
+void StoreFeed::watch()
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.wait_);
+    wire::StoreCall call = wire::watchCall(settings_.keyPrefix_, revision_, wait.count());
+    callSent_ = bootNow();
+    countMetric("eelgrasscove_store_calls_total", "call=\"watch\"");
+    caller_.call(std::move(call.method_), std::move(call.target_), "", settings_.wait_ + watchSlack,
+                 [this](std::optional<HttpAnswer> answer) { takeWatch(std::move(answer)); });
+}
+
+void StoreFeed::takeWatch(std::optional<HttpAnswer> answer)
+{
+    if (!answer || (answer->status_ != 200 && answer->status_ != 410)) {
+        retryLater([this] { watch(); }, answer ? std::to_string(answer->status_) : "no answer");
+        return;
+    }
+    if (answer->status_ == 410) {
+        eventLog().note("store.history_lost", "prefix", settings_.keyPrefix_, "revision",
+                        revision_);
+        start();
+        return;
+    }
+    const std::optional<wire::StoreItems> news = wire::decodeItems(answer->body_);
+    if (!news) {
+        retryLater([this] { watch(); }, "watch unreadable");
+        return;
+    }
+    succeed();
+    // An empty answer that was held for the whole wait says that nothing had changed by its end.
+    const Time waitEnd = callSent_ + settings_.wait_;
+    confirm(news->items_.empty() && bootNow() >= waitEnd ? waitEnd : callSent_);
+    revision_ = std::max(revision_, news->revision_);
+    for (const wire::StoreItem &item : news->items_)
+        callbacks_.changed_(item);
+    if (news->items_.empty() || settings_.gather_ == Duration::zero())
+        watch();
+    else
+        loop_.timers().once(settings_.gather_, [this] { watch(); });
+}
+
+void StoreFeed::confirm(Time at)
+{
+    confirmedAt_ = std::max(confirmedAt_.value_or(at), at);
+}
+
+void StoreFeed::succeed()
+{
+    failures_ = 0;
+    if (reachable_)
+        return;
+    reachable_ = true;
+    reachableSince_ = bootNow();
+    eventLog().note("store.regained", "prefix", settings_.keyPrefix_);
+    callbacks_.reachable_(true);
+}
+
+void StoreFeed::retryLater(std::function<void()> again, std::string_view reason)
+{
+    ++failures_;
+    if (reachable_ || failures_ == 1)
+        eventLog().note("store.lost", "prefix", settings_.keyPrefix_, "reason", reason);
+    countMetric("eelgrasscove_store_failures_total");
+    const bool lost = reachable_;
+    reachable_ = false;
+    if (lost)
+        callbacks_.reachable_(false);
+    const Duration pause = std::min(firstRetry * (1 << std::min(failures_ - 1, 3U)), longestRetry);
+    loop_.timers().once(pause, std::move(again));
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Vm/servingsettings.cpp
@@ -0,0 +1,102 @@
+#include "Vm/servingsettings.h"
+
+#include "Vm/inifile.h"
+#include "Vm/settingstable.h"
+
+#include <array>
+#include <fmt/core.h>
+#include <fstream>
+#include <iterator>
+
+namespace eelgrasscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Row = SettingRow<ServingSettings>;
+
+bool always(const ServingSettings &)
+{
+    return true;
+}
+
+ValueResult readText(const std::string &value, std::string &text)
+{
+    text = value;
+    return std::nullopt;
+}
+
+const std::array<Row, 19> rows = {{
+    {"vm", "name", [](auto &value, auto &out) { return readIdentifier(value, out.vm_); }, always},
+    {"vm", "data_centre",
+     [](auto &value, auto &out) { return readIdentifier(value, out.dataCentre_); }, always},
+    {"vm", "ip", [](auto &value, auto &out) { return readText(value, out.ip_); }, always},
+    {"listen", "callers",
+     [](auto &value, auto &out) { return readEndpoint(value, out.callersListen_); }},
+    {"listen", "readiness",
+     [](auto &value, auto &out) { return readEndpoint(value, out.readinessListen_); }},
+    {"listen", "peers",
+     [](auto &value, auto &out) { return readEndpoint(value, out.peersListen_); }, always},
+    {"listen", "metrics",
+     [](auto &value, auto &out) { return readEndpoint(value, out.metricsListen_); }},
+    {"platform", "store", [](auto &value, auto &out) { return readEndpoint(value, out.store_); },
+     always},
+    {"engine", "address", [](auto &value, auto &out) { return readEndpoint(value, out.engine_); }},
+    {"engine", "service",
+     [](auto &value, auto &out) { return readText(value, out.engineService_); }},
+    {"bounds", "revoke",
+     [](auto &value, auto &out) { return readDuration(value, 100ms, 1h, out.bounds_.revoke_); }},
+    {"bounds", "drain",
+     [](auto &value, auto &out) { return readDuration(value, 10ms, 1h, out.bounds_.drain_); }},
+    {"bounds", "grace",
+     [](auto &value, auto &out) { return readDuration(value, 100ms, 1h, out.bounds_.grace_); }},
+    {"bounds", "adapter_version",
+     [](auto &value, auto &out) { return readDuration(value, 100ms, 1h, out.bounds_.version_); }},
+    {"bounds", "retry_share",
+     [](auto &value, auto &out) { return readDecimal(value, 0, 10, out.bounds_.retryShare_); }},
+    {"bounds", "retry_window",
+     [](auto &value, auto &out) { return readDuration(value, 1s, 1h, out.bounds_.retryWindow_); }},
+    {"bounds", "retry_slack",
+     [](auto &value, auto &out) { return readDecimal(value, 0, 1e6, out.bounds_.retrySlack_); }},
+    {"bounds", "allowance_window",
+     [](auto &value, auto &out) {
+         return readDuration(value, 100ms, 1h, out.bounds_.allowanceWindow_);
+     }},
+    {"bounds", "pass_on",
+     [](auto &value, auto &out) { return readDuration(value, 1ms, 1min, out.bounds_.passOn_); }},
+}};
+
+} // namespace
+
+Result<ServingSettings, std::vector<SettingsError>> parseServingSettings(const std::string &text,
+                                                                         const std::string &file)
+{
+    ServingSettings settings;
+    std::vector<SettingsError> faults = readSettings(text, file, rows, settings);
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+Result<ServingSettings, std::vector<SettingsError>> readServingSettings(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        return std::vector<SettingsError>{
+            {file, 0, "can't be read", "name a settings file that this user may read"}};
+    }
+    const std::string text((std::istreambuf_iterator<char>(stream)), {});
+    return parseServingSettings(text, file);
+}
+
+std::string settingsFaultsText(const std::vector<SettingsError> &faults)
+{
+    std::string text;
+    for (const SettingsError &fault : faults) {
+        text +=
+            fmt::format("{}:{}: {}; {}\n", fault.file_, fault.line_, fault.message_, fault.remedy_);
+    }
+    return text;
+}
+
+} // namespace eelgrasscove
