--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -243,6 +243,8 @@
         "order.answered", "kind", order.kind_ == wire::OrderKind::Load ? "load" : "unload", "model",
         order.model_, "adapter", order.adapter_, "version", order.version_, "expected_orders",
         order.expectedOrders_, "fence", order.fence_, "status", answer ? answer->status_ : 0);
+    if (answer && answer->status_ == 202)
+        noteAccepted(plan_, order, bootNow());
     // The next order depends on what this one did.
     loop_.timers().cancel(pollTimer_);
     poll();
--- a/Source/Agent/residencyplan.cpp
+++ b/Source/Agent/residencyplan.cpp
@@ -12,7 +12,10 @@
 constexpr Duration wishLife = 700ms;
 
 /// An adapter used this recently is likely to have a request on its way, so it keeps its place.
-constexpr Duration keepAfterUse = 300ms;
+constexpr Duration keepAfterUse = 600ms;
+
+/// An accepted unload waits for runs, which end within this time or have been given up.
+constexpr Duration unloadLife = 4s;
 
 /// Uses are remembered for as long as they may decide between two adapters.
 constexpr Duration useLife = 120s;
@@ -54,7 +57,7 @@
 {
     const wire::HeldAdapter *least = nullptr;
     for (const wire::HeldAdapter &held : report.adapters_) {
-        if (plan.wishes_.contains(held.adapter_)
+        if (plan.wishes_.contains(held.adapter_) || plan.unloading_.contains(held.adapter_)
             || now - lastUseOf(plan, held.adapter_) < keepAfterUse)
             continue;
         if (least == nullptr || lastUseOf(plan, held.adapter_) < lastUseOf(plan, least->adapter_))
@@ -97,6 +100,12 @@
     plan.lastUsed_[adapter] = now;
 }
 
+void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order, Time now)
+{
+    if (order.kind_ == wire::OrderKind::Unload && !order.adapter_.empty())
+        plan.unloading_[order.model_ + "/" + order.adapter_] = now;
+}
+
 void expirePlan(ResidencyPlan &plan, const wire::EngineReport &report, Time now)
 {
     std::erase_if(plan.wishes_, [&](const auto &wish) {
@@ -106,6 +115,9 @@
             plan.lastUsed_[wish.first] = now;
         return fulfilled || now - wish.second.lastAt_ > wishLife;
     });
+    std::erase_if(plan.unloading_, [&](const auto &unload) {
+        return !holds(report.adapters_, unload.first, 0) || now - unload.second > unloadLife;
+    });
     std::erase_if(plan.lastUsed_, [&](const auto &use) { return now - use.second > useLife; });
 }
 
@@ -136,6 +148,9 @@
     const bool replaces = holds(report.adapters_, next->first, 0);
     const std::size_t taken = report.adapters_.size() + report.incoming_.size();
     if (!replaces && taken >= adapterPlaces(limits, report.models_)) {
+        // Each waiting unload makes place for one of the adapters wished for.
+        if (plan.unloading_.size() >= plan.wishes_.size())
+            return std::nullopt;
         const std::optional<std::string> drop = leastUsed(plan, report, now);
         if (!drop)
             return std::nullopt;
--- a/Source/Agent/residencyplan.h
+++ b/Source/Agent/residencyplan.h
@@ -30,6 +30,8 @@
     /// By "MODEL/NAME".
     std::map<std::string, WishedAdapter> wishes_;
     std::map<std::string, Time> lastUsed_;
+    /// Adapters whose unload was accepted and waits for their runs, since when.
+    std::map<std::string, Time> unloading_;
 };
 
 /// Places for adapters beside the models held, by the engine's slots and its memory for weights.
@@ -39,6 +41,9 @@
               std::uint32_t requests, Time now);
 void noteUse(ResidencyPlan &plan, const std::string &adapter, Time now);
 
+/// Takes note of an order that the engine accepted.
+void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order, Time now);
+
 /// Forgets wishes that no entry repeats or that are fulfilled, and uses long past.
 void expirePlan(ResidencyPlan &plan, const wire::EngineReport &report, Time now);
 
--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -12,6 +12,9 @@
 /// Unsent bytes of a stream beyond which a client that doesn't read is given up.
 constexpr std::size_t mostUnsentBytes = 4 * 1024 * 1024;
 
+/// One round of the loop after a standstill, in which all that had arrived is read.
+constexpr Duration afterStandstill = std::chrono::milliseconds(5);
+
 } // namespace
 
 ClientSession::ClientSession(EventLoop &loop, std::shared_ptr<TcpStream> stream,
@@ -39,8 +42,9 @@
             held_ += bytes;
         return;
     }
+    const std::optional<Time> asleepSince = loop_.asleepSince();
     if (!reader_.begun())
-        request_.begunAt_ = bootNow();
+        request_.begunAt_ = asleepSince.value_or(bootNow());
     const std::size_t taken = reader_.feed(bytes);
     if (closed_)
         return;
@@ -51,10 +55,21 @@
     } else if (reader_.state() == HttpReadState::Complete) {
         held_ += bytes.substr(taken);
         inWork_ = true;
-        callbacks_.request_(keep, std::move(request_));
+        if (asleepSince) {
+            // The client may have left meanwhile, which shows in the next round of the loop.
+            loop_.timers().once(afterStandstill, [keep] { keep->handOver(); });
+        } else {
+            handOver();
+        }
     }
 }
 
+void ClientSession::handOver()
+{
+    if (!closed_)
+        callbacks_.request_(shared_from_this(), std::move(request_));
+}
+
 void ClientSession::onHead(HttpHead &&head)
 {
     clientKeepsAlive_ = head.keepAlive_;
--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -70,6 +70,7 @@
     void onData(std::string_view bytes);
     void onEnd();
     void readHeld();
+    void handOver();
     void onHead(HttpHead &&head);
     void onBody(std::string_view bytes);
     void refuse(unsigned status);
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -55,9 +55,7 @@
 {
     parseEndpoint(settings_.peersListen_, peersAddress_);
     allowance_.startedAt_ = bootNow();
-    allowance_.settings_.window_ = settings_.bounds_.allowanceWindow_;
-    retryBudget_.settings_ = {settings_.bounds_.retryShare_, settings_.bounds_.retrySlack_,
-                              settings_.bounds_.retryWindow_};
+    applyBounds();
     sessionCallbacks_ = {
         [this](const std::shared_ptr<ClientSession> &session, ClientRequest &&request) {
             onRequest(session, std::move(request));
@@ -66,6 +64,16 @@
         [this](ClientSession &session) { sessions_.erase(session.shared_from_this()); }};
 }
 
+void Edge::applyBounds()
+{
+    const ServingBounds &bounds = settings_.bounds_;
+    allowance_.settings_.window_ = bounds.allowanceWindow_;
+    // A peer that is cut off honours keys until the first bound, and its tokens count for the
+    // second.
+    allowance_.settings_.keepLeft_ = bounds.revoke_ + bounds.allowanceWindow_;
+    retryBudget_.settings_ = {bounds.retryShare_, bounds.retrySlack_, bounds.retryWindow_};
+}
+
 bool Edge::start()
 {
     loop_.onSignals([this] { onTerminate(); }, [this] { onHangUp(); });
@@ -73,6 +81,7 @@
         return false;
     startFeeds();
     startTimers();
+    loop_.watchStandstills();
     eventLog().note("process.started", "role", "edge", "data_centre", settings_.dataCentre_,
                     "callers", settings_.callersListen_);
     return true;
@@ -176,6 +185,7 @@
             target->pool_.closeExpired(now);
         expireSuspects(suspects_, now);
         dropMissingTargets(now);
+        setPeers(allowance_, peerNames(), now);
     });
 }
 
@@ -208,13 +218,14 @@
     const Duration since = bootNow() - leavingSince_;
     const bool done = since >= stillRouted && requests_.empty();
     if (since >= stillRouted) {
+        // What comes now would not be finished; a refused connection is tried elsewhere at once.
+        callers_.close();
         const auto sessions = sessions_;
         for (const auto &session : sessions)
             session->closeIfIdle();
     }
     if (!done && since < settings_.bounds_.grace_ - stopReserve)
         return;
-    callers_.close();
     leavingSince_ = bootNow() + 1h;
     eventLog().note("process.stopped", "requests", requests_.size());
     registration_->end([this] {
@@ -236,9 +247,7 @@
         return;
     }
     settings_.bounds_ = valueOf(read).bounds_;
-    allowance_.settings_.window_ = settings_.bounds_.allowanceWindow_;
-    retryBudget_.settings_ = {settings_.bounds_.retryShare_, settings_.bounds_.retrySlack_,
-                              settings_.bounds_.retryWindow_};
+    applyBounds();
     eventLog().note("settings.reloaded", "file", settingsFile_);
 }
 
@@ -346,6 +355,7 @@
         eventLog().note("target.leaving", "target", id, "revision", item.revision_);
     belief.listed_ = listed;
     belief.missingSince_.reset();
+    markReplaced(belief);
     if (belief.agentHeard_)
         return;
     belief.models_.clear();
@@ -360,6 +370,20 @@
     }
 }
 
+void Edge::markReplaced(const TargetBelief &newer)
+{
+    for (const auto &[id, target] : targets_) {
+        TargetBelief &belief = target->belief_;
+        if (&belief == &newer || belief.endpoint_ != newer.endpoint_ || belief.replaced_
+            || belief.listed_.startedAt_ >= newer.listed_.startedAt_)
+            continue;
+        belief.replaced_ = true;
+        target->crashedAt_ = bootNow();
+        eventLog().note("target.replaced", "target", id, "by", newer.listed_.id_, "address",
+                        newer.listed_.address_);
+    }
+}
+
 void Edge::takeTargetList(const std::vector<wire::StoreItem> &items)
 {
     std::set<std::string> present;
@@ -414,11 +438,17 @@
         eventLog().note("peer.ignored", "peer", vm, "reason", "its address can't be read");
 }
 
-void Edge::setPeerList()
+std::set<std::string> Edge::peerNames() const
 {
     std::set<std::string> vms;
     for (const auto &[vm, endpoint] : peers_)
         vms.insert(vm);
+    return vms;
+}
+
+void Edge::setPeerList()
+{
+    const std::set<std::string> vms = peerNames();
     std::erase_if(heardPeers_, [&](const auto &peer) { return !vms.contains(peer.first); });
     setPeers(allowance_, vms, bootNow());
     retryBudget_.entries_ = vms.size() + 1;
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -38,6 +38,8 @@
     std::map<std::string, Time> copyWishes_;
     /// Adapters sent to since the last message to its agent, and when each was last wished for.
     std::set<std::string> usedAdapters_;
+    /// Requests of this entry that run there, by adapter.
+    std::map<std::string, std::uint32_t> runningAdapters_;
     std::map<std::string, Time> wishedAt_;
 };
 
@@ -109,6 +111,7 @@
 
 private:
     // edge.cpp: start, stop, beliefs from the store.
+    void applyBounds();
     bool listen();
     void startFeeds();
     void startTimers();
@@ -120,9 +123,11 @@
     void takeRules(const std::string &text);
     void takeTargetItem(const wire::StoreItem &item);
     void takeTargetList(const std::vector<wire::StoreItem> &items);
+    void markReplaced(const TargetBelief &newer);
     void loseTarget(const std::string &id);
     void takePeerItem(const wire::StoreItem &item);
     void setPeerList();
+    std::set<std::string> peerNames() const;
     void dropMissingTargets(Time now);
     bool isReady(Time now) const;
     /// Whether the rules are confirmed recently enough to honour keys.
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -133,7 +133,10 @@
     TargetBelief &belief = request->target_->belief_;
     const unsigned status = request->answer_.status_;
     if (status == wrongTargetStatus || request->answer_.hasHeader(wire::notRunHeader)) {
-        if (status == wrongTargetStatus && !request->adapter_.empty())
+        const std::string_view id = request->answer_.header(wire::targetIdHeader);
+        if (status == wrongTargetStatus && !id.empty() && id != belief.listed_.id_)
+            belief.replaced_ = true;
+        else if (status == wrongTargetStatus && !request->adapter_.empty())
             belief.adapters_.erase(request->adapter_);
         else
             noteFailure(belief, errorWeight, now);
@@ -223,6 +226,9 @@
     TargetBelief &belief = request.target_->belief_;
     if (belief.outstanding_ > 0)
         --belief.outstanding_;
+    const auto running = request.target_->runningAdapters_.find(request.adapter_);
+    if (running != request.target_->runningAdapters_.end() && --running->second == 0)
+        request.target_->runningAdapters_.erase(running);
     request.stage_ = RequestStage::Waiting;
 }
 
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -123,6 +123,8 @@
         if (wishes.wishes_.size() == mostWishes)
             break;
     }
+    for (const auto &[adapter, runs] : target.runningAdapters_)
+        target.usedAdapters_.insert(adapter);
     wishes.inUse_.assign(target.usedAdapters_.begin(), target.usedAdapters_.end());
     target.usedAdapters_.clear();
     peersSocket_.send(encodePeerMessage(wishes), {belief.endpoint_.host_, peersAddress_.port_});
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -110,6 +110,10 @@
     const Duration left = timeLeftOf(request->head_, request->route_.timeout_);
     request->clientDeadline_ = request->arrivedAt_ + left;
     request->routeDeadline_ = request->arrivedAt_ + request->route_.timeout_;
+    if (now >= std::min(request->clientDeadline_, request->routeDeadline_)) {
+        refuse(*request, 503, "came too late", leastRetryAfter);
+        return;
+    }
     request->hash_ = suspectHash(request->head_.target_, request->key_, request->body_);
     if (isCrasher(suspects_, request->hash_)) {
         refuse(*request, 503, "crashes targets", 30s);
@@ -323,8 +327,10 @@
     request->answerBody_.clear();
     ++request->sends_;
     ++belief.outstanding_;
-    if (!request->adapter_.empty())
+    if (!request->adapter_.empty()) {
         target->usedAdapters_.insert(request->adapter_);
+        ++target->runningAdapters_[request->adapter_];
+    }
     countMetric("eelgrasscove_sends_total");
     request->connection_ = target->pool_.send(
         requestText(*request, belief, now), request->id_,
--- a/Source/Edge/targetbelief.cpp
+++ b/Source/Edge/targetbelief.cpp
@@ -26,7 +26,7 @@
 
 bool isUsable(const TargetBelief &target, Time now)
 {
-    if (target.listed_.draining_ || target.draining_ || !target.up_)
+    if (target.replaced_ || target.listed_.draining_ || target.draining_ || !target.up_)
         return false;
     return now >= target.avoidUntil_;
 }
--- a/Source/Edge/targetbelief.h
+++ b/Source/Edge/targetbelief.h
@@ -20,6 +20,8 @@
     /// The list lost the target's entry at this time; it may come back after an outage of the
     /// store.
     std::optional<Time> missingSince_;
+    /// Another target has its address now, though the list still has this one.
+    bool replaced_ = false;
 
     // Told by the agent, where there is one.
     bool agentHeard_ = false;
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -48,9 +48,17 @@
 
 void setPeers(TokenAllowance &allowance, const std::set<std::string> &vms, Time now)
 {
-    std::erase_if(allowance.peers_, [&](const auto &peer) { return !vms.contains(peer.first); });
+    for (auto &[vm, peer] : allowance.peers_) {
+        if (vms.contains(vm))
+            peer.leftAt_.reset();
+        else if (!peer.leftAt_)
+            peer.leftAt_ = now;
+    }
+    std::erase_if(allowance.peers_, [&](const auto &peer) {
+        return peer.second.leftAt_ && now - *peer.second.leftAt_ > allowance.settings_.keepLeft_;
+    });
     for (const std::string &vm : vms)
-        allowance.peers_.try_emplace(vm, PeerUsage{now, false, {}});
+        allowance.peers_.try_emplace(vm, PeerUsage{now, false, std::nullopt, {}});
 }
 
 void hearUsage(TokenAllowance &allowance, const std::string &vm, bool mutual,
@@ -59,7 +67,7 @@
     const auto peer = allowance.peers_.find(vm);
     if (peer == allowance.peers_.end())
         return;
-    peer->second = {now, mutual, std::move(windowTokens)};
+    peer->second = {now, mutual, peer->second.leftAt_, std::move(windowTokens)};
 }
 
 std::map<std::string, double> ownUsage(TokenAllowance &allowance, Time now)
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -12,6 +12,7 @@
 #include <eelgrasscove/serving.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -23,6 +24,9 @@
     /// Silence after which a peer's last figure no longer counts as its present one: three of the
     /// messages that peers send each other.
     Duration heardWithin_ = std::chrono::milliseconds(700);
+    /// A peer that left the list of entries may be cut off and serve on; its share counts for so
+    /// long.
+    Duration keepLeft_ = std::chrono::seconds(13);
 };
 
 struct PeerUsage
@@ -30,6 +34,7 @@
     Time heardAt_;
     /// The peer's message showed that it hears this entry as well.
     bool mutual_ = false;
+    std::optional<Time> leftAt_;
     std::map<std::string, double> windowTokens_;
 };
 
@@ -40,7 +45,7 @@
     /// free over one window.
     Time startedAt_;
     std::map<std::string, WindowSum> used_;
-    /// Peers by VM; those that left the list of entries are erased.
+    /// Peers by VM; those that left the list of entries are erased after keepLeft_.
     std::map<std::string, PeerUsage> peers_;
 };
 
--- a/Source/Net/eventloop.cpp
+++ b/Source/Net/eventloop.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// A process that hasn't called its timers for the second time stood still.
+constexpr Duration awakePeriod = std::chrono::milliseconds(50);
+constexpr Duration standstill = std::chrono::milliseconds(400);
+
 uv_loop_t &initialised(uv_loop_t &loop)
 {
     uv_loop_init(&loop);
@@ -97,7 +101,7 @@
     arm();
 }
 
-EventLoop::EventLoop() : timers_(initialised(loop_)) { }
+EventLoop::EventLoop() : timers_(initialised(loop_)), awakeAt_(bootNow()) { }
 
 // The process ends with its loop; handles that are still open go with it.
 EventLoop::~EventLoop() = default;
@@ -127,6 +131,19 @@
     uv_run(&loop_, UV_RUN_DEFAULT);
 }
 
+void EventLoop::watchStandstills()
+{
+    timers_.every(awakePeriod, [this] { awakeAt_ = bootNow(); });
+}
+
+std::optional<Time> EventLoop::asleepSince() const
+{
+    // After a standstill the loop reads before it calls timers, so the mark is still old then.
+    if (bootNow() - awakeAt_ < standstill)
+        return std::nullopt;
+    return awakeAt_;
+}
+
 void EventLoop::stop()
 {
     uv_stop(&loop_);
--- a/Source/Net/eventloop.h
+++ b/Source/Net/eventloop.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <uv.h>
 
 namespace eelgrasscove {
@@ -70,6 +71,13 @@
     /// Calls back on each SIGTERM or SIGINT, and on each SIGHUP. SIGPIPE is ignored.
     void onSignals(std::function<void()> terminate, std::function<void()> hangUp);
 
+    /// Begins to look for standstills of the process, such as a suspended VM.
+    void watchStandstills();
+
+    /// When the process was last awake before a standstill that ended just now; empty where there
+    /// was none. What is read in this round of the loop may have come at any moment since.
+    std::optional<Time> asleepSince() const;
+
     /// Runs until stop().
     void run();
     void stop();
@@ -77,6 +85,7 @@
 private:
     uv_loop_t loop_{};
     LoopTimers timers_;
+    Time awakeAt_;
     uv_signal_t terminate_{};
     uv_signal_t interrupt_{};
     uv_signal_t hangUp_{};
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -1,6 +1,7 @@
 #include "Net/tcpstream.h"
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -32,6 +33,18 @@
     std::string bytes_;
 };
 
+/// The error behind an end that libuv reports as orderly: where data and a reset arrive together,
+/// it reports an end of file.
+int errorBehindEnd(uv_tcp_t &handle)
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t *>(&handle), &descriptor) != 0)
+        return 0;
+    char byte = 0;
+    const ssize_t got = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && errno != EAGAIN ? uv_translate_sys_error(errno) : 0;
+}
+
 void setUserTimeout(uv_tcp_t &handle)
 {
     uv_os_fd_t descriptor = -1;
@@ -140,7 +153,8 @@
                 if (!stream->lingering_ && stream->callbacks_.data_)
                     stream->callbacks_.data_({buffer->base, static_cast<std::size_t>(count)});
             } else if (count < 0) {
-                stream->fail(count == UV_EOF ? 0 : static_cast<int>(count));
+                stream->fail(count == UV_EOF ? errorBehindEnd(stream->handle_)
+                                             : static_cast<int>(count));
             }
         });
 }
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -133,6 +133,8 @@
     std::string dataCentre_;
     std::uint32_t slots_ = 1;
     bool draining_ = false;
+    /// Unix milliseconds of its start; 0 where it isn't told.
+    std::uint64_t startedAt_ = 0;
     /// The adapters held when the entry was written, "MODEL/NAME@VERSION".
     std::vector<std::string> adapters_;
     /// The base models held.
