--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -26,6 +26,8 @@
 constexpr Duration entryLife = 3s;
 /// An entry hears at least this often, so that it can tell silence from calm.
 constexpr Duration tellAtLeast = 500ms;
+/// The same while the engine has work, so that a standstill shows soon.
+constexpr Duration tellAtLeastBusy = 190ms;
 constexpr Duration logPeriod = 500ms;
 /// Failed questions after which the engine counts as down.
 constexpr std::uint32_t failuresOfDown = 2;
@@ -316,12 +318,14 @@
 void Agent::tellEntries(bool urgent)
 {
     const Time now = bootNow();
+    const bool busy = report_.running_ + report_.waiting_ > 0;
+    const Duration atLeast = busy ? tellAtLeastBusy : tellAtLeast;
     std::erase_if(entries_, [&](const auto &entry) { return now - entry.second.at_ > entryLife; });
     for (auto &[vm, entry] : entries_) {
         const Duration since = now - entry.toldAt_;
         const bool listsDue = entry.knownResidency_ != residency_;
-        const bool due = urgent || listsDue || since >= tellAtLeast
-            || (stateChanged_ && since >= calmPoll - 10ms);
+        const bool due =
+            urgent || listsDue || since >= atLeast || (stateChanged_ && since >= calmPoll - 10ms);
         if (!due)
             continue;
         entry.toldAt_ = now;
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -54,7 +54,6 @@
       random_(std::random_device{}())
 {
     parseEndpoint(settings_.peersListen_, peersAddress_);
-    allowance_.startedAt_ = bootNow();
     applyBounds();
     sessionCallbacks_ = {
         [this](const std::shared_ptr<ClientSession> &session, ClientRequest &&request) {
@@ -159,6 +158,8 @@
                            [](bool) {}});
     registration_ = std::make_unique<Registration>(
         loop_, store, std::string(entryPrefix) + settings_.vm_, settings_.peersListen_);
+    usageCaller_ = std::make_unique<HttpCaller>(loop_, store);
+    readUsage();
     operatorFeed_->start();
     targetFeed_->start();
     peerFeed_->start();
@@ -169,7 +170,11 @@
 {
     LoopTimers &timers = loop_.timers();
     timers.every(requestPeriod, [this] { checkRequests(bootNow()); });
-    timers.every(peerPeriod, [this] { sendEntryStates(bootNow()); });
+    timers.every(peerPeriod, [this] {
+        const Time now = bootNow();
+        sendEntryStates(now);
+        writeUsage(now);
+    });
     timers.every(wishPeriod, [this] {
         const Time now = bootNow();
         for (const auto &[id, target] : targets_)
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -167,6 +167,10 @@
     void noteTargetLoad(EdgeRequest &request, const HttpHead &head, Time now);
     void leaveTarget(EdgeRequest &request);
 
+    // edgeusage.cpp: the record of what was let run.
+    void readUsage();
+    void writeUsage(Time now);
+
     // edgepeers.cpp: datagrams to and from other VMs.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     void takeEngineState(EngineState &&state, const Endpoint &from);
@@ -188,6 +192,9 @@
     std::unique_ptr<StoreFeed> targetFeed_;
     std::unique_ptr<StoreFeed> peerFeed_;
     std::unique_ptr<Registration> registration_;
+    std::unique_ptr<HttpCaller> usageCaller_;
+    std::map<std::string, UsageParts> writtenUsage_;
+    Time usageWrittenAt_;
     SessionCallbacks sessionCallbacks_;
     std::set<std::shared_ptr<ClientSession>> sessions_;
 
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -53,6 +53,7 @@
 {
     const Time now = bootNow();
     request->headCame_ = true;
+    request->target_->belief_.aliveAt_ = now;
     noteTargetLoad(*request, head, now);
     request->answer_ = std::move(head);
 }
@@ -73,6 +74,7 @@
 void Edge::onAnswerBody(const EdgeRequestPtr &request, std::string_view bytes)
 {
     request->answerBody_ += bytes;
+    request->target_->belief_.aliveAt_ = bootNow();
     const bool stream = request->route_.kind_ == RequestKind::Stream
         && succeeded(request->answer_.status_) && request->answer_.hasHeader(wire::signatureHeader);
     const auto session = request->session_.lock();
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -54,6 +54,8 @@
     }
     belief.agentHeard_ = true;
     belief.heardAt_ = now;
+    if (state.up_)
+        belief.aliveAt_ = now;
     belief.stateNumber_ = state.number_;
     belief.startedAt_ = state.startedAt_;
     belief.up_ = state.up_;
--- a/Source/Edge/targetbelief.cpp
+++ b/Source/Edge/targetbelief.cpp
@@ -9,6 +9,16 @@
 
 using namespace std::chrono_literals;
 
+/// A target that was silent for so long, with requests in work, may stand still. It gets no more
+/// than the number of trials below, since what waits for it can't be called back.
+constexpr Duration silenceLimit = 1000ms;
+constexpr std::uint32_t silentTrials = 2;
+
+/// The same for a target with an agent, which tells its state every 200 ms while it has work: two
+/// of its messages may be lost.
+constexpr Duration agentSilenceLimit = 450ms;
+constexpr std::uint32_t agentSilentTrials = 1;
+
 /// A load told longer ago says less than what this entry has there itself.
 constexpr Duration loadGoodFor = 1000ms;
 
@@ -28,6 +38,10 @@
 {
     if (target.replaced_ || target.listed_.draining_ || target.draining_ || !target.up_)
         return false;
+    const std::uint32_t trials = target.agentHeard_ ? agentSilentTrials : silentTrials;
+    const Duration limit = target.agentHeard_ ? agentSilenceLimit : silenceLimit;
+    if (target.outstanding_ >= trials && now - target.aliveAt_ > limit)
+        return false;
     return now >= target.avoidUntil_;
 }
 
--- a/Source/Edge/targetbelief.h
+++ b/Source/Edge/targetbelief.h
@@ -48,6 +48,8 @@
     // Of this entry.
     std::uint32_t outstanding_ = 0;
     std::uint32_t outstandingAtLoad_ = 0;
+    /// When the target or its agent last gave any sign of life.
+    Time aliveAt_;
     /// Rises with each failure and fades; 1 is about one failure just now.
     double distrust_ = 0;
     Time distrustAt_;
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -1,6 +1,8 @@
 #include "Edge/tokenallowance.h"
 
+#include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace eelgrasscove {
 
@@ -11,6 +13,19 @@
     return allowance.used_.try_emplace(account, allowance.settings_.window_).first->second;
 }
 
+/// Part of an entry's share that may run before its record is written again.
+constexpr double unwrittenPart = 0.15;
+
+/// An account that has used this part of an entry's share has its record written at least so often.
+constexpr double hotPart = 0.6;
+constexpr Duration hotRecordAge = std::chrono::seconds(1);
+
+double limitOf(const TokenAllowance &allowance, const ServingAccount &account)
+{
+    const double windowSeconds = std::chrono::duration<double>(allowance.settings_.window_).count();
+    return account.tokensPerSecond_ * windowSeconds + account.burstTokens_;
+}
+
 bool inContact(const TokenAllowance &allowance, const PeerUsage &peer, Time now)
 {
     return peer.mutual_ && now - peer.heardAt_ <= allowance.settings_.heardWithin_;
@@ -22,14 +37,13 @@
 {
     if (account.tokensPerSecond_ <= 0)
         return std::numeric_limits<double>::infinity();
-    const double windowSeconds = std::chrono::duration<double>(allowance.settings_.window_).count();
-    const double limit = account.tokensPerSecond_ * windowSeconds + account.burstTokens_;
+    const double limit = limitOf(allowance, account);
     const double share = limit / static_cast<double>(allowance.peers_.size() + 1);
     double used = sumOf(allowance, account.name_).sum(now);
-    const double sinceStart =
-        std::chrono::duration<double>(now - allowance.startedAt_).count() / windowSeconds;
-    if (sinceStart < 1)
-        used += share * (1 - sinceStart);
+    if (!allowance.restoredAt_)
+        used += share;
+    else if (now - *allowance.restoredAt_ < allowance.settings_.window_)
+        used += share * unwrittenPart;
     for (const auto &[vm, peer] : allowance.peers_) {
         if (!inContact(allowance, peer, now)) {
             used += share;
@@ -70,6 +84,47 @@
     peer->second = {now, mutual, peer->second.leftAt_, std::move(windowTokens)};
 }
 
+std::map<std::string, UsageParts> usageParts(TokenAllowance &allowance, Time now)
+{
+    std::map<std::string, UsageParts> parts;
+    for (auto &[account, sum] : allowance.used_)
+        parts[account] = sum.parts<std::tuple_size_v<UsageParts>>(now);
+    return parts;
+}
+
+bool usageMoved(TokenAllowance &allowance, const std::map<std::string, UsageParts> &written,
+                Time writtenAt, const std::vector<ServingAccount> &accounts, Time now)
+{
+    for (const ServingAccount &account : accounts) {
+        if (account.tokensPerSecond_ <= 0)
+            continue;
+        const auto before = written.find(account.name_);
+        const double last = before == written.end()
+            ? 0
+            : std::accumulate(before->second.begin(), before->second.end(), 0.0);
+        const double moved = sumOf(allowance, account.name_).sum(now) - last;
+        const double share =
+            limitOf(allowance, account) / static_cast<double>(allowance.peers_.size() + 1);
+        if (std::abs(moved) > unwrittenPart * share)
+            return true;
+        // The sum of an account near its limit hardly moves, but what it is made of grows older.
+        if (last > hotPart * share && now - writtenAt > hotRecordAge)
+            return true;
+    }
+    return false;
+}
+
+void restoreUsage(TokenAllowance &allowance, const std::map<std::string, UsageParts> &record,
+                  Time now)
+{
+    allowance.restoredAt_ = now;
+    const Duration part = allowance.settings_.window_ / std::tuple_size_v<UsageParts>;
+    for (const auto &[account, parts] : record) {
+        for (std::size_t age = parts.size(); age-- > 0;)
+            sumOf(allowance, account).addAt(parts[age], now - age * part, now);
+    }
+}
+
 std::map<std::string, double> ownUsage(TokenAllowance &allowance, Time now)
 {
     std::map<std::string, double> sums;
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -9,6 +9,8 @@
 
 #include "Edge/windowsum.h"
 
+#include <array>
+
 #include <eelgrasscove/serving.h>
 
 #include <map>
@@ -41,9 +43,9 @@
 struct TokenAllowance
 {
     AllowanceSettings settings_;
-    /// A start forgets what the VM let run before, so the entry's share counts as used and becomes
-    /// free over one window.
-    Time startedAt_;
+    /// Until this VM's record was read, all of its share counts as used; from then on, for one
+    /// window, the part that the record may have missed.
+    std::optional<Time> restoredAt_;
     std::map<std::string, WindowSum> used_;
     /// Peers by VM; those that left the list of entries are erased after keepLeft_.
     std::map<std::string, PeerUsage> peers_;
@@ -62,6 +64,21 @@
 void hearUsage(TokenAllowance &allowance, const std::string &vm, bool mutual,
                std::map<std::string, double> windowTokens, Time now);
 
+/// Tokens let run in each eighth of the window, the newest first.
+using UsageParts = std::array<double, 8>;
+
+/// What this entry let run, for its record in the store.
+std::map<std::string, UsageParts> usageParts(TokenAllowance &allowance, Time now);
+
+/// Whether the record differs so much from what was last written that it is to be written again.
+bool usageMoved(TokenAllowance &allowance, const std::map<std::string, UsageParts> &written,
+                Time writtenAt, const std::vector<ServingAccount> &accounts, Time now);
+
+/// Takes up what this VM's earlier process had let run. The record is taken as written just now,
+/// and what it may have missed counts as used for a whole window.
+void restoreUsage(TokenAllowance &allowance, const std::map<std::string, UsageParts> &record,
+                  Time now);
+
 /// This entry's sums, for its message to the peers.
 std::map<std::string, double> ownUsage(TokenAllowance &allowance, Time now);
 
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -133,6 +133,31 @@
     }
 };
 
+/// What an entry let run of an account in each part of the window, the newest first.
+struct AccountUsageParts
+{
+    std::string account_;
+    std::vector<double> tokens_;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(account_, tokens_);
+    }
+};
+
+/// An entry's record in the store, for the process that comes after it.
+struct UsageRecord
+{
+    std::vector<AccountUsageParts> accounts_;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(accounts_);
+    }
+};
+
 /// From an entry to each other entry.
 struct EntryState
 {
@@ -153,7 +178,7 @@
     }
 };
 
-using PeerMessage = std::variant<EngineState, EntryWishes, EntryState>;
+using PeerMessage = std::variant<EngineState, EntryWishes, EntryState, UsageRecord>;
 
 std::string encodePeerMessage(const PeerMessage &message);
 
