--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -226,6 +226,7 @@
     if (request.stage_ != RequestStage::Sent && request.stage_ != RequestStage::Streaming)
         return;
     TargetBelief &belief = request.target_->belief_;
+    noteSilence(belief, bootNow());
     if (belief.outstanding_ > 0)
         --belief.outstanding_;
     const auto running = request.target_->runningAdapters_.find(request.adapter_);
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -326,8 +326,9 @@
     request->headCame_ = false;
     request->answerBody_.clear();
     ++request->sends_;
-    if (belief.outstanding_ == 0)
-        belief.aliveAt_ = std::max(belief.aliveAt_, now);
+    // Without an agent, silence begins with the first request that waits for an answer.
+    if (belief.outstanding_ == 0 && !belief.agentHeard_)
+        belief.aliveAt_ = now;
     ++belief.outstanding_;
     if (!request->adapter_.empty()) {
         target->usedAdapters_.insert(request->adapter_);
--- a/Source/Edge/targetbelief.cpp
+++ b/Source/Edge/targetbelief.cpp
@@ -39,12 +39,22 @@
     if (target.replaced_ || target.listed_.draining_ || target.draining_ || !target.up_)
         return false;
     const std::uint32_t trials = target.agentHeard_ ? agentSilentTrials : silentTrials;
-    const Duration limit = target.agentHeard_ ? agentSilenceLimit : silenceLimit;
-    if (target.outstanding_ >= trials && now - target.aliveAt_ > limit)
+    if (target.outstanding_ >= trials && isSilent(target, now))
         return false;
     return now >= target.avoidUntil_;
 }
 
+bool isSilent(const TargetBelief &target, Time now)
+{
+    return now - target.aliveAt_ > (target.agentHeard_ ? agentSilenceLimit : silenceLimit);
+}
+
+void noteSilence(TargetBelief &target, Time now)
+{
+    if (isSilent(target, now))
+        target.avoidUntil_ = std::max(target.avoidUntil_, now + avoidTime);
+}
+
 double estimatedLoad(const TargetBelief &target, std::size_t entries, Time now)
 {
     const double own = target.outstanding_;
--- a/Source/Edge/targetbelief.h
+++ b/Source/Edge/targetbelief.h
@@ -60,6 +60,12 @@
 /// Whether new requests may be sent to the target at all.
 bool isUsable(const TargetBelief &target, Time now);
 
+/// Whether the target has given no sign of life for longer than one that works would.
+bool isSilent(const TargetBelief &target, Time now);
+
+/// Takes note of a request that ended without an answer while its target was silent.
+void noteSilence(TargetBelief &target, Time now);
+
 /// Requests running and waiting there, from the last load told and what this entry has sent since.
 double estimatedLoad(const TargetBelief &target, std::size_t entries, Time now);
 
--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -180,6 +180,9 @@
     retired_ = std::move(callbacks_);
     callbacks_ = {};
     inUse_ = false;
+    // With a reset, a target that stands still doesn't find the request when it goes on.
+    if (stream_)
+        stream_->close(true);
     discard();
 }
 
