--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -197,6 +197,10 @@
                         "started", report->startedAt_, "orders", report->orders_, "adapters",
                         report->adapters_.size(), "models", report->models_.size());
     }
+    if (report->models_ != report_.models_) {
+        eventLog().note("engine.models", "models", report->models_.size(), "adapters",
+                        report->adapters_.size(), "orders", report->orders_);
+    }
     const bool loadChanged = report->running_ != report_.running_
         || report->waiting_ != report_.waiting_ || report->draining_ != report_.draining_;
     report_ = std::move(*report);
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -20,6 +20,11 @@
 constexpr Duration adapterLoadTime = 300ms;
 constexpr std::uint32_t loadsAtOnce = 4;
 
+/// A target that crashed, or is avoided, is back in about this time; an engine that started also
+/// loads its model from its disk first.
+constexpr Duration targetReturnTime = 500ms;
+constexpr Duration modelLoadTime = 1500ms;
+
 /// Part of its time that a request may wait for room: what is left has to suffice for its run.
 constexpr double waitingPart = 0.5;
 
@@ -256,6 +261,9 @@
                leastRetryAfter);
         return;
     }
+    // What was tried may be tried again once it has recovered.
+    if (place.kind_ == PlaceKind::AwaitTarget)
+        request->tried_.clear();
     await(request, place);
 }
 
@@ -281,6 +289,8 @@
             request->awaitedTarget_ = place.target_->listed_.id_;
             wish(*target, request->adapter_, now);
         }
+    } else if (place.kind_ == PlaceKind::AwaitTarget) {
+        wait = request->model_.empty() ? targetReturnTime : modelLoadTime;
     } else {
         const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &other) {
             return other->priority_ <= request->priority_;
@@ -299,8 +309,9 @@
     });
     queue.insert(before, request);
     eventLog().note("request.waits", "id", request->id_, "for", nameOf(placeKindNames, place.kind_),
-                    "target", place.target_->listed_.id_, "adapter", request->adapter_, "ahead",
-                    queue.size() - 1, "expected_ms", wait.count() / 1000);
+                    "target", place.target_ != nullptr ? place.target_->listed_.id_ : "", "adapter",
+                    request->adapter_, "ahead", queue.size() - 1, "expected_ms",
+                    wait.count() / 1000);
 }
 
 void Edge::unwait(const EdgeRequest &request)
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -128,9 +128,14 @@
 Place choosePlace(const std::vector<TargetBelief *> &targets, const PlaceQuery &query, Time now)
 {
     const Candidates candidates = candidatesOf(targets, query, now);
-    if (candidates.usable_.empty())
-        return {};
     Place place;
+    if (candidates.usable_.empty()) {
+        const bool any = std::any_of(targets.begin(), targets.end(), [](const auto *target) {
+            return !target->replaced_ && !target->listed_.draining_ && !target->draining_;
+        });
+        place.kind_ = any ? PlaceKind::AwaitTarget : PlaceKind::None;
+        return place;
+    }
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : candidates.able_) {
         const double cost = costOf(*target, query, now);
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -36,14 +36,17 @@
     AwaitAdapter,
     /// All that could serve it are full.
     AwaitRoom,
+    /// There are targets, but none can take it now: they start, load the model or are avoided.
+    AwaitTarget,
     /// No target can serve it.
     None,
 };
 
-constexpr NameTable<PlaceKind, 4> placeKindNames = {{
+constexpr NameTable<PlaceKind, 5> placeKindNames = {{
     {PlaceKind::Send, "send"},
     {PlaceKind::AwaitAdapter, "await_adapter"},
     {PlaceKind::AwaitRoom, "await_room"},
+    {PlaceKind::AwaitTarget, "await_target"},
     {PlaceKind::None, "none"},
 }};
 
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -44,20 +44,27 @@
         used += share;
     else if (now - *allowance.restoredAt_ < allowance.settings_.window_)
         used += share * unwrittenPart;
+    double sharers = 1;
     for (const auto &[vm, peer] : allowance.peers_) {
         if (!inContact(allowance, peer, now)) {
             used += share;
             continue;
         }
+        ++sharers;
         const auto told = peer.windowTokens_.find(account.name_);
         used += told == peer.windowTokens_.end() ? 0 : told->second;
     }
-    return limit - used;
+    // What is free is seen by all entries at once, so each takes its part of it until the others
+    // know.
+    const auto untold = allowance.untold_.find(account.name_);
+    const double taken = untold == allowance.untold_.end() ? 0 : untold->second;
+    return (limit - used + taken) / sharers - taken;
 }
 
 void takeTokens(TokenAllowance &allowance, const std::string &account, double tokens, Time now)
 {
     sumOf(allowance, account).add(tokens, now);
+    allowance.untold_[account] += tokens;
 }
 
 void setPeers(TokenAllowance &allowance, const std::set<std::string> &vms, Time now)
@@ -127,6 +134,7 @@
 
 std::map<std::string, double> ownUsage(TokenAllowance &allowance, Time now)
 {
+    allowance.untold_.clear();
     std::map<std::string, double> sums;
     for (auto &[account, sum] : allowance.used_) {
         const double tokens = sum.sum(now);
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -47,6 +47,8 @@
     /// window, the part that the record may have missed.
     std::optional<Time> restoredAt_;
     std::map<std::string, WindowSum> used_;
+    /// Tokens let run since the peers were last told.
+    std::map<std::string, double> untold_;
     /// Peers by VM; those that left the list of entries are erased after keepLeft_.
     std::map<std::string, PeerUsage> peers_;
 };
@@ -79,7 +81,7 @@
 void restoreUsage(TokenAllowance &allowance, const std::map<std::string, UsageParts> &record,
                   Time now);
 
-/// This entry's sums, for its message to the peers.
+/// This entry's sums, for its message to the peers; what was let run counts as told.
 std::map<std::string, double> ownUsage(TokenAllowance &allowance, Time now);
 
 } // namespace eelgrasscove
