--- a/Source/Agent/residencyplan.cpp
+++ b/Source/Agent/residencyplan.cpp
@@ -31,6 +31,14 @@
     });
 }
 
+/// What more requests wait for goes first, and what was wished for first within that.
+bool comesBefore(const WishedAdapter &left, const WishedAdapter &right)
+{
+    if (left.requests_ != right.requests_)
+        return left.requests_ > right.requests_;
+    return left.firstAt_ < right.firstAt_;
+}
+
 Time lastUseOf(const ResidencyPlan &plan, const std::string &adapter)
 {
     const auto used = plan.lastUsed_.find(adapter);
@@ -136,7 +144,7 @@
     for (const auto &wish : plan.wishes_) {
         if (holds(report.incoming_, wish.first, wish.second.version_))
             continue;
-        if (next == nullptr || wish.second.firstAt_ < next->second.firstAt_)
+        if (next == nullptr || comesBefore(wish.second, next->second))
             next = &wish;
     }
     if (next == nullptr)
