Refuse a stream before its client leaves it without an event

Cause: clients leave a stream that gives no event for 2 s, four objectives or eight pauses; requests for engines that started were held half their deadline, so 114 clients left and came back nowhere.

--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -64,6 +64,8 @@
     Time arrivedAt_;
     /// When the client gives up, and when the route's timeout ends.
     Time clientDeadline_;
+    /// It is refused if it still waits for room or an adapter then.
+    Time waitUntil_;
     /// When a client of a stream leaves that has had no event.
     Time firstEventDeadline_;
     Time routeDeadline_;
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -28,6 +28,11 @@
 /// Part of its time that a request may wait for room: what is left has to suffice for its run.
 constexpr double waitingPart = 0.5;
 
+/// Clients leave a stream that gave no event for this time, four objectives or eight pauses,
+/// whichever is longest; so the platform's page says. The second is what a run takes to its first.
+constexpr Duration leastStreamPatience = 2s;
+constexpr Duration firstEventTime = 250ms;
+
 /// What a client is told to wait at least, and by how much more clients are spread.
 constexpr Duration leastRetryAfter = 200ms;
 constexpr double retryAfterSpread = 0.5;
@@ -94,6 +99,18 @@
 
 } // namespace
 
+/// How long a request may wait here for room or an adapter.
+Duration patienceFor(const EdgeRequest &request)
+{
+    const Duration allowed =
+        std::min(request.clientDeadline_, request.routeDeadline_) - request.arrivedAt_;
+    if (request.route_.kind_ != RequestKind::Stream)
+        return std::chrono::duration_cast<Duration>(allowed * waitingPart);
+    const Duration leaves = std::max({leastStreamPatience, request.route_.objective_ * 4,
+                                      request.route_.pauseObjective_ * 8});
+    return std::min(allowed * 3 / 4, leaves - firstEventTime);
+}
+
 void Edge::onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest &&client)
 {
     const Time now = bootNow();
@@ -115,6 +132,7 @@
     const Duration left = timeLeftOf(request->head_, request->route_.timeout_);
     request->clientDeadline_ = request->arrivedAt_ + left;
     request->routeDeadline_ = request->arrivedAt_ + request->route_.timeout_;
+    request->waitUntil_ = request->arrivedAt_ + patienceFor(*request);
     if (now >= std::min(request->clientDeadline_, request->routeDeadline_)) {
         refuse(*request, 503, "came too late", leastRetryAfter);
         return;
@@ -281,8 +299,7 @@
     const Time now = bootNow();
     std::list<EdgeRequestPtr> &queue = waiting_[request->service_];
     const bool fresh = std::find(queue.begin(), queue.end(), request) == queue.end();
-    const Time deadline = std::min(request->clientDeadline_, request->routeDeadline_);
-    Duration wait{};
+    Duration wait {};
     if (place.kind_ == PlaceKind::AwaitAdapter) {
         wait = adapterLoadTime * (1 + place.target_->loadsWaiting_ / loadsAtOnce);
         if (const auto target = targetOf(place.target_)) {
@@ -299,7 +316,7 @@
     }
     if (!fresh)
         return;
-    if (now + wait > request->arrivedAt_ + (deadline - request->arrivedAt_) * waitingPart) {
+    if (now + wait > request->waitUntil_) {
         refuse(*request, 503, nameOf(placeKindNames, place.kind_), wait);
         return;
     }
@@ -426,8 +443,7 @@
     for (const EdgeRequestPtr &request : requests) {
         const Time deadline = std::min(request->clientDeadline_, request->routeDeadline_);
         if (request->stage_ == RequestStage::Waiting) {
-            const Duration allowed = deadline - request->arrivedAt_;
-            if (now > request->arrivedAt_ + allowed * waitingPart)
+            if (now > request->waitUntil_)
                 refuse(*request, request->runs_ > 0 ? 504 : 503, "waited too long",
                        leastRetryAfter);
         } else if (now > deadline + answerSlack) {
