--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -54,6 +54,8 @@
       random_(std::random_device{}())
 {
     parseEndpoint(settings_.peersListen_, peersAddress_);
+    startedAt_ = bootNow();
+    allowance_.startedAt_ = startedAt_;
     applyBounds();
     sessionCallbacks_ = {
         [this](const std::shared_ptr<ClientSession> &session, ClientRequest &&request) {
@@ -66,10 +68,9 @@
 void Edge::applyBounds()
 {
     const ServingBounds &bounds = settings_.bounds_;
+
     allowance_.settings_.window_ = bounds.allowanceWindow_;
-    // A peer that is cut off honours keys until the first bound, and its tokens count for the
-    // second.
-    allowance_.settings_.keepLeft_ = bounds.revoke_ + bounds.allowanceWindow_;
+    allowance_.settings_.slackTokens_ = bounds.allowanceSlack_;
     retryBudget_.settings_ = {bounds.retryShare_, bounds.retrySlack_, bounds.retryWindow_};
 }
 
@@ -145,12 +146,7 @@
                            [this](const auto &item) { takeTargetItem(item); }, [](bool) {}});
     peerFeed_ = std::make_unique<StoreFeed>(
         loop_, store, StoreFeedSettings{std::string(entryPrefix), peersWait, targetsGather},
-        StoreFeedCallbacks{[this](const auto &items) {
-                               peers_.clear();
-                               for (const wire::StoreItem &item : items)
-                                   takePeerItem(item);
-                               setPeerList();
-                           },
+        StoreFeedCallbacks{[this](const auto &items) { takePeerList(items); },
                            [this](const auto &item) {
                                takePeerItem(item);
                                setPeerList();
@@ -158,8 +154,6 @@
                            [](bool) {}});
     registration_ = std::make_unique<Registration>(
         loop_, store, std::string(entryPrefix) + settings_.vm_, settings_.peersListen_);
-    usageCaller_ = std::make_unique<HttpCaller>(loop_, store);
-    readUsage();
     operatorFeed_->start();
     targetFeed_->start();
     peerFeed_->start();
@@ -170,11 +164,7 @@
 {
     LoopTimers &timers = loop_.timers();
     timers.every(requestPeriod, [this] { checkRequests(bootNow()); });
-    timers.every(peerPeriod, [this] {
-        const Time now = bootNow();
-        sendEntryStates(now);
-        writeUsage(now);
-    });
+    timers.every(peerPeriod, [this] { sendEntryStates(bootNow()); });
     timers.every(wishPeriod, [this] {
         const Time now = bootNow();
         for (const auto &[id, target] : targets_)
@@ -190,7 +180,7 @@
             target->pool_.closeExpired(now);
         expireSuspects(suspects_, now);
         dropMissingTargets(now);
-        setPeers(allowance_, peerNames(), now);
+        dropLeftPeers(now);
     });
 }
 
@@ -269,7 +259,7 @@
 
 bool Edge::isReady(Time now) const
 {
-    return !leaving_ && rulesAreFresh(now) && !targets_.empty();
+    return !leaving_ && rulesAreFresh(now) && !targets_.empty() && peerFeed_->confirmedAt();
 }
 
 void Edge::takeOperatorItem(const wire::StoreItem &item)
@@ -435,18 +425,49 @@
     if (vm == settings_.vm_)
         return;
     Endpoint endpoint;
-    if (item.deleted_)
-        peers_.erase(vm);
-    else if (parseEndpoint(item.value_, endpoint))
-        peers_[vm] = endpoint;
-    else
+    if (item.deleted_) {
+        const auto peer = peers_.find(vm);
+        if (peer != peers_.end())
+            peer->second.leftAt_ = bootNow();
+    } else if (parseEndpoint(item.value_, endpoint)) {
+        peers_[vm] = {endpoint, std::nullopt};
+    } else {
         eventLog().note("peer.ignored", "peer", vm, "reason", "its address can't be read");
+    }
+}
+
+void Edge::takePeerList(const std::vector<wire::StoreItem> &items)
+{
+    std::set<std::string> present;
+    for (const wire::StoreItem &item : items) {
+        present.insert(item.key_.substr(entryPrefix.size()));
+        takePeerItem(item);
+    }
+    for (auto &[vm, peer] : peers_) {
+        if (!present.contains(vm) && !peer.leftAt_)
+            peer.leftAt_ = bootNow();
+    }
+    setPeerList();
+}
+
+void Edge::dropLeftPeers(Time now)
+{
+    const std::size_t before = peers_.size();
+    std::erase_if(peers_, [&](const auto &each) {
+        const auto heard = heardPeers_.find(each.first);
+        const Time heardAt = heard == heardPeers_.end() ? Time{} : heard->second.at_;
+        // One that was cut off honours keys for this time.
+        return each.second.leftAt_
+            && now - std::max(*each.second.leftAt_, heardAt) > settings_.bounds_.revoke_;
+    });
+    if (peers_.size() != before)
+        setPeerList();
 }
 
 std::set<std::string> Edge::peerNames() const
 {
     std::set<std::string> vms;
-    for (const auto &[vm, endpoint] : peers_)
+    for (const auto &[vm, peer] : peers_)
         vms.insert(vm);
     return vms;
 }
@@ -455,7 +476,7 @@
 {
     const std::set<std::string> vms = peerNames();
     std::erase_if(heardPeers_, [&](const auto &peer) { return !vms.contains(peer.first); });
-    setPeers(allowance_, vms, bootNow());
+    setPeers(allowance_, vms);
     retryBudget_.entries_ = vms.size() + 1;
     eventLog().note("peers.changed", "entries", vms.size() + 1);
 }
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -130,6 +130,8 @@
     void markReplaced(const TargetBelief &newer);
     void loseTarget(const std::string &id);
     void takePeerItem(const wire::StoreItem &item);
+    void takePeerList(const std::vector<wire::StoreItem> &items);
+    void dropLeftPeers(Time now);
     void setPeerList();
     std::set<std::string> peerNames() const;
     void dropMissingTargets(Time now);
@@ -171,10 +173,6 @@
     void noteTargetLoad(EdgeRequest &request, const HttpHead &head, Time now);
     void leaveTarget(EdgeRequest &request);
 
-    // edgeusage.cpp: the record of what was let run.
-    void readUsage();
-    void writeUsage(Time now);
-
     // edgepeers.cpp: datagrams to and from other VMs.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     void takeEngineState(EngineState &&state, const Endpoint &from);
@@ -196,9 +194,6 @@
     std::unique_ptr<StoreFeed> targetFeed_;
     std::unique_ptr<StoreFeed> peerFeed_;
     std::unique_ptr<Registration> registration_;
-    std::unique_ptr<HttpCaller> usageCaller_;
-    std::map<std::string, UsageParts> writtenUsage_;
-    Time usageWrittenAt_;
     SessionCallbacks sessionCallbacks_;
     std::set<std::shared_ptr<ClientSession>> sessions_;
 
@@ -208,7 +203,15 @@
     std::unordered_map<std::string, Time> versionHeardAt_;
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
-    std::map<std::string, Endpoint> peers_;
+    /// Another entry, from the list of entries.
+    struct Peer
+    {
+        Endpoint endpoint_;
+        /// It left the list at this time; it may be cut off from the store and serve on.
+        std::optional<Time> leftAt_;
+    };
+    std::map<std::string, Peer> peers_;
+    Time startedAt_;
     /// The newest message of each peer: its stamp and when it came.
     struct HeardPeer
     {
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -242,7 +242,7 @@
     if (!request || request->stage_ == RequestStage::Ended)
         return;
     if (request->charged_ && request->sends_ == 0)
-        takeTokens(allowance_, request->account_, -request->tokens_, bootNow());
+        takeTokens(allowance_, request->account_, -request->tokens_);
     end(*request, 0, "client gone");
 }
 
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -137,10 +137,11 @@
     EntryState state;
     state.vm_ = settings_.vm_;
     state.stampMicros_ = now.time_since_epoch().count();
+    state.startedMicros_ = startedAt_.time_since_epoch().count();
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
     if (rules_ && operatorFeed_->confirmedAt())
         state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
-    for (const auto &[account, tokens] : ownUsage(allowance_, now))
+    for (const auto &[account, tokens] : tellUsage(allowance_))
         state.usage_.push_back({account, tokens});
     for (const auto &[vm, heard] : heardPeers_)
         state.echoes_.push_back({vm, heard.stampMicros_, (now - heard.at_).count()});
@@ -149,8 +150,8 @@
             state.suspects_.push_back({hash, suspect.seen_});
     }
     const std::string bytes = encodePeerMessage(state);
-    for (const auto &[vm, endpoint] : peers_)
-        peersSocket_.send(bytes, endpoint);
+    for (const auto &[vm, peer] : peers_)
+        peersSocket_.send(bytes, peer.endpoint_);
 }
 
 void Edge::takeEntryState(EntryState &&state)
@@ -176,10 +177,10 @@
             peerConfirmedAt_ = std::max(peerConfirmedAt_.value_or(confirmed), confirmed);
         }
     }
-    std::map<std::string, double> tokens;
-    for (const AccountUsage &usage : state.usage_)
-        tokens[usage.account_] = usage.windowTokens_;
-    hearUsage(allowance_, state.vm_, mutual, std::move(tokens), now);
+    PeerUsage usage{state.startedMicros_, now, mutual, {}};
+    for (const AccountUsage &account : state.usage_)
+        usage.tokens_[account.account_] = account.tokens_;
+    hearUsage(allowance_, state.vm_, std::move(usage));
     for (const SuspectCount &suspect : state.suspects_)
         hearCrashes(suspects_, suspect.request_, suspect.crashes_, now);
 }
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -106,8 +106,8 @@
         std::min(request.clientDeadline_, request.routeDeadline_) - request.arrivedAt_;
     if (request.route_.kind_ != RequestKind::Stream)
         return std::chrono::duration_cast<Duration>(allowed * waitingPart);
-    const Duration leaves = std::max({leastStreamPatience, request.route_.objective_ * 4,
-                                      request.route_.pauseObjective_ * 8});
+    const Duration leaves = std::max(
+        {leastStreamPatience, request.route_.objective_ * 4, request.route_.pauseObjective_ * 8});
     return std::min(allowed * 3 / 4, leaves - firstEventTime);
 }
 
@@ -205,16 +205,20 @@
         return true;
     const ServingAccount *account = rules_->accountOfKey(request.key_);
     request.tokens_ = tokensOf(request.head_, account->plainTokens_);
-    const double allowed = allowedTokens(allowance_, *account, now);
-    if (request.tokens_ > allowed) {
-        // Tokens come free as they leave the window, at about the account's rate.
-        const double seconds =
-            (request.tokens_ - std::max(allowed, 0.0)) / std::max(account->tokensPerSecond_, 1.0);
+    if (!peerFeed_->confirmedAt()) {
+        refuse(request, 503, "other entries not known yet", leastRetryAfter);
+        return false;
+    }
+    if (!mayTake(allowance_, *account, request.tokens_, now)) {
+        eventLog().note("allowance.used", "id", request.id_, "account", account->name_, "tokens",
+                        request.tokens_, "level", allowance_.buckets_[account->name_].level_,
+                        "per_second", account->tokensPerSecond_, "burst", account->burstTokens_,
+                        "rules", request.rulesVersion_);
         refuse(request, 429, "allowance used",
-               leastRetryAfter + std::chrono::duration_cast<Duration>(seconds * 1s));
+               leastRetryAfter + timeUntil(allowance_, *account, request.tokens_));
         return false;
     }
-    takeTokens(allowance_, request.account_, request.tokens_, now);
+    takeTokens(allowance_, request.account_, request.tokens_);
     request.charged_ = true;
     return true;
 }
@@ -299,7 +303,7 @@
     const Time now = bootNow();
     std::list<EdgeRequestPtr> &queue = waiting_[request->service_];
     const bool fresh = std::find(queue.begin(), queue.end(), request) == queue.end();
-    Duration wait {};
+    Duration wait{};
     if (place.kind_ == PlaceKind::AwaitAdapter) {
         wait = adapterLoadTime * (1 + place.target_->loadsWaiting_ / loadsAtOnce);
         if (const auto target = targetOf(place.target_)) {
@@ -467,7 +471,7 @@
     const auto session = request.session_.lock();
     const bool notRun = status == 503 || status == 429;
     if (notRun && request.charged_) {
-        takeTokens(allowance_, request.account_, -request.tokens_, bootNow());
+        takeTokens(allowance_, request.account_, -request.tokens_);
         request.charged_ = false;
     }
     end(request, status, reason);
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -1,147 +1,131 @@
 #include "Edge/tokenallowance.h"
 
-#include <cmath>
-#include <limits>
-#include <numeric>
+#include <algorithm>
 
 namespace eelgrasscove {
 
 namespace {
 
-WindowSum &sumOf(TokenAllowance &allowance, const std::string &account)
-{
-    return allowance.used_.try_emplace(account, allowance.settings_.window_).first->second;
-}
+/// Parts of the burst that a bucket holds, and that flow in over one window beside the rate. Both
+/// together with the window's rate stay below what the operator's bound tolerates; the rest is for
+/// what entries take before they have told each other.
+constexpr double capacityPart = 0.9;
+constexpr double burstRefilled = 0.5;
 
-/// Part of an entry's share that may run before its record is written again.
-constexpr double unwrittenPart = 0.15;
+/// Part of the capacity that an account has at a start, as what its requests used just before isn't
+/// known.
+constexpr double startPart = 0.25;
 
-/// An account that has used this part of an entry's share has its record written at least so often.
-constexpr double hotPart = 0.6;
-constexpr Duration hotRecordAge = std::chrono::seconds(1);
+/// An entry that has taken nothing since it last told its peers may take a request although its
+/// part of the level is smaller, if the level holds so many of them: as many entries at most are
+/// likely to do so at the same time.
+constexpr double lonelyRequests = 4;
 
-double limitOf(const TokenAllowance &allowance, const ServingAccount &account)
-{
-    const double windowSeconds = std::chrono::duration<double>(allowance.settings_.window_).count();
-    return account.tokensPerSecond_ * windowSeconds + account.burstTokens_;
-}
+/// Part of the operator's slack by which a level may be overdrawn, so that a large request isn't
+/// refused for want of a level that a small account never has. The rest is for requests that
+/// entries take at the same time.
+constexpr double overdraftPart = 0.5;
 
-bool inContact(const TokenAllowance &allowance, const PeerUsage &peer, Time now)
+bool inContact(const TokenAllowance &allowance, const std::optional<PeerUsage> &peer, Time now)
 {
-    return peer.mutual_ && now - peer.heardAt_ <= allowance.settings_.heardWithin_;
+    return peer && peer->mutual_ && now - peer->heardAt_ <= allowance.settings_.heardWithin_;
 }
 
-} // namespace
-
-double allowedTokens(TokenAllowance &allowance, const ServingAccount &account, Time now)
+/// Entries in contact, this one included.
+double sharersOf(const TokenAllowance &allowance, Time now)
 {
-    if (account.tokensPerSecond_ <= 0)
-        return std::numeric_limits<double>::infinity();
-    const double limit = limitOf(allowance, account);
-    const double share = limit / static_cast<double>(allowance.peers_.size() + 1);
-    double used = sumOf(allowance, account.name_).sum(now);
-    if (!allowance.restoredAt_)
-        used += share;
-    else if (now - *allowance.restoredAt_ < allowance.settings_.window_)
-        used += share * unwrittenPart;
     double sharers = 1;
-    for (const auto &[vm, peer] : allowance.peers_) {
-        if (!inContact(allowance, peer, now)) {
-            used += share;
-            continue;
-        }
-        ++sharers;
-        const auto told = peer.windowTokens_.find(account.name_);
-        used += told == peer.windowTokens_.end() ? 0 : told->second;
-    }
-    // What is free is seen by all entries at once, so each takes its part of it until the others
-    // know.
-    const auto untold = allowance.untold_.find(account.name_);
-    const double taken = untold == allowance.untold_.end() ? 0 : untold->second;
-    return (limit - used + taken) / sharers - taken;
+    for (const auto &[vm, peer] : allowance.peers_)
+        sharers += inContact(allowance, peer, now) ? 1 : 0;
+    return sharers;
 }
 
-void takeTokens(TokenAllowance &allowance, const std::string &account, double tokens, Time now)
+AccountBucket &filledBucket(TokenAllowance &allowance, const ServingAccount &account,
+                            double sharers, Time now)
 {
-    sumOf(allowance, account).add(tokens, now);
-    allowance.untold_[account] += tokens;
+    const double part = sharers / static_cast<double>(allowance.peers_.size() + 1);
+    const double windowSeconds = std::chrono::duration<double>(allowance.settings_.window_).count();
+    const double perSecond =
+        account.tokensPerSecond_ + account.burstTokens_ * burstRefilled / windowSeconds;
+    const double most = account.burstTokens_ * capacityPart * part;
+    const auto [found, isNew] = allowance.buckets_.try_emplace(account.name_);
+    AccountBucket &bucket = found->second;
+    if (isNew || bucket.filledAt_ == Time{}) {
+        bucket.level_ += most * startPart;
+        bucket.filledAt_ = allowance.startedAt_;
+    }
+    bucket.level_ +=
+        perSecond * part * std::chrono::duration<double>(now - bucket.filledAt_).count();
+    bucket.level_ = std::min(bucket.level_, most);
+    bucket.filledAt_ = now;
+    return bucket;
 }
 
-void setPeers(TokenAllowance &allowance, const std::set<std::string> &vms, Time now)
+} // namespace
+
+bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now)
 {
-    for (auto &[vm, peer] : allowance.peers_) {
-        if (vms.contains(vm))
-            peer.leftAt_.reset();
-        else if (!peer.leftAt_)
-            peer.leftAt_ = now;
-    }
-    std::erase_if(allowance.peers_, [&](const auto &peer) {
-        return peer.second.leftAt_ && now - *peer.second.leftAt_ > allowance.settings_.keepLeft_;
-    });
-    for (const std::string &vm : vms)
-        allowance.peers_.try_emplace(vm, PeerUsage{now, false, std::nullopt, {}});
+    if (account.tokensPerSecond_ <= 0)
+        return true;
+    const double sharers = sharersOf(allowance, now);
+    const AccountBucket &bucket = filledBucket(allowance, account, sharers, now);
+    // All entries see the same level until they have told each other, so each takes its part of it.
+    const double part = (bucket.level_ + bucket.untold_) / sharers - bucket.untold_;
+    const double overdraft = allowance.settings_.slackTokens_ * overdraftPart;
+    const bool lonely = bucket.untold_ == 0
+        && bucket.level_ + overdraft >= tokens * std::min(sharers, lonelyRequests);
+    return tokens <= part || lonely;
 }
 
-void hearUsage(TokenAllowance &allowance, const std::string &vm, bool mutual,
-               std::map<std::string, double> windowTokens, Time now)
+Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens)
 {
-    const auto peer = allowance.peers_.find(vm);
-    if (peer == allowance.peers_.end())
-        return;
-    peer->second = {now, mutual, peer->second.leftAt_, std::move(windowTokens)};
+    const auto bucket = allowance.buckets_.find(account.name_);
+    const double level = bucket == allowance.buckets_.end() ? 0 : bucket->second.level_;
+    const double seconds = std::max(tokens - level, 0.0) / std::max(account.tokensPerSecond_, 1.0);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-std::map<std::string, UsageParts> usageParts(TokenAllowance &allowance, Time now)
+void takeTokens(TokenAllowance &allowance, const std::string &account, double tokens)
 {
-    std::map<std::string, UsageParts> parts;
-    for (auto &[account, sum] : allowance.used_)
-        parts[account] = sum.parts<std::tuple_size_v<UsageParts>>(now);
-    return parts;
+    AccountBucket &bucket = allowance.buckets_[account];
+    bucket.level_ -= tokens;
+    bucket.used_ += tokens;
+    bucket.untold_ += tokens;
 }
 
-bool usageMoved(TokenAllowance &allowance, const std::map<std::string, UsageParts> &written,
-                Time writtenAt, const std::vector<ServingAccount> &accounts, Time now)
+void setPeers(TokenAllowance &allowance, const std::set<std::string> &vms)
 {
-    for (const ServingAccount &account : accounts) {
-        if (account.tokensPerSecond_ <= 0)
-            continue;
-        const auto before = written.find(account.name_);
-        const double last = before == written.end()
-            ? 0
-            : std::accumulate(before->second.begin(), before->second.end(), 0.0);
-        const double moved = sumOf(allowance, account.name_).sum(now) - last;
-        const double share =
-            limitOf(allowance, account) / static_cast<double>(allowance.peers_.size() + 1);
-        if (std::abs(moved) > unwrittenPart * share)
-            return true;
-        // The sum of an account near its limit hardly moves, but what it is made of grows older.
-        if (last > hotPart * share && now - writtenAt > hotRecordAge)
-            return true;
-    }
-    return false;
+    std::erase_if(allowance.peers_, [&](const auto &peer) { return !vms.contains(peer.first); });
+    for (const std::string &vm : vms)
+        allowance.peers_.try_emplace(vm);
 }
 
-void restoreUsage(TokenAllowance &allowance, const std::map<std::string, UsageParts> &record,
-                  Time now)
+void hearUsage(TokenAllowance &allowance, const std::string &vm, PeerUsage usage)
 {
-    allowance.restoredAt_ = now;
-    const Duration part = allowance.settings_.window_ / std::tuple_size_v<UsageParts>;
-    for (const auto &[account, parts] : record) {
-        for (std::size_t age = parts.size(); age-- > 0;)
-            sumOf(allowance, account).addAt(parts[age], now - age * part, now);
+    const auto peer = allowance.peers_.find(vm);
+    if (peer == allowance.peers_.end())
+        return;
+    // What a peer used while it was out of contact came from the share that was left to it.
+    const bool counted = inContact(allowance, peer->second, usage.heardAt_) && usage.mutual_;
+    if (counted) {
+        const bool restarted = peer->second->startedAt_ != usage.startedAt_;
+        for (const auto &[account, tokens] : usage.tokens_) {
+            const auto before = peer->second->tokens_.find(account);
+            const bool known = !restarted && before != peer->second->tokens_.end();
+            allowance.buckets_[account].level_ -= tokens - (known ? before->second : 0);
+        }
     }
+    peer->second = std::move(usage);
 }
 
-std::map<std::string, double> ownUsage(TokenAllowance &allowance, Time now)
+std::map<std::string, double> tellUsage(TokenAllowance &allowance)
 {
-    allowance.untold_.clear();
-    std::map<std::string, double> sums;
-    for (auto &[account, sum] : allowance.used_) {
-        const double tokens = sum.sum(now);
-        if (tokens > 0)
-            sums[account] = tokens;
+    std::map<std::string, double> told;
+    for (auto &[account, bucket] : allowance.buckets_) {
+        bucket.untold_ = 0;
+        told[account] = bucket.used_;
     }
-    return sums;
+    return told;
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/windowsum.h
+++ b/Source/Edge/windowsum.h
@@ -21,13 +21,6 @@
         slots_[index(slotOf(now))] += amount;
     }
 
-    /// Adds what came within the span before now.
-    void addAt(double amount, Time at, Time now)
-    {
-        advance(now);
-        slots_[index(slotOf(at))] += amount;
-    }
-
     /// What was added within the span, and up to one slot before it.
     double sum(Time now)
     {
@@ -38,20 +31,6 @@
         return total;
     }
 
-    /// The sum by parts of the span, the newest first.
-    template <std::size_t Count>
-    std::array<double, Count> parts(Time now)
-    {
-        advance(now);
-        std::array<double, Count> sums{};
-        const std::int64_t current = slotOf(now);
-        for (std::int64_t age = 0; age <= slotCount; ++age) {
-            const auto part = static_cast<std::size_t>(age) * Count / (slotCount + 1);
-            sums[part] += slots_[index(current - age)];
-        }
-        return sums;
-    }
-
 private:
     /// Slots of the span; one more holds what leaves it at present, so that a sum is never short.
     static constexpr std::int64_t slotCount = 40;
--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -70,8 +70,6 @@
             return unpacked<EntryWishes>(body);
         case 2:
             return unpacked<EntryState>(body);
-        case 3:
-            return unpacked<UsageRecord>(body);
         default:
             return std::nullopt;
         }
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -96,12 +96,13 @@
 struct AccountUsage
 {
     std::string account_;
-    double windowTokens_ = 0;
+    /// Since the sender's start.
+    double tokens_ = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(account_, windowTokens_);
+        archive(account_, tokens_);
     }
 };
 
@@ -133,37 +134,13 @@
     }
 };
 
-/// What an entry let run of an account in each part of the window, the newest first.
-struct AccountUsageParts
-{
-    std::string account_;
-    std::vector<double> tokens_;
-
-    template <class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(account_, tokens_);
-    }
-};
-
-/// An entry's record in the store, for the process that comes after it.
-struct UsageRecord
-{
-    std::vector<AccountUsageParts> accounts_;
-
-    template <class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(accounts_);
-    }
-};
-
 /// From an entry to each other entry.
 struct EntryState
 {
     std::string vm_;
-    /// The sender's boot clock.
+    /// The sender's boot clock, and its reading at the sender's start.
     std::int64_t stampMicros_ = 0;
+    std::int64_t startedMicros_ = 0;
     std::uint64_t rulesVersion_ = 0;
     /// Age of the sender's last confirmation that no newer rules exist; negative for none.
     std::int64_t rulesAgeMicros_ = -1;
@@ -174,11 +151,12 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, stampMicros_, rulesVersion_, rulesAgeMicros_, usage_, echoes_, suspects_);
+        archive(vm_, stampMicros_, startedMicros_, rulesVersion_, rulesAgeMicros_, usage_, echoes_,
+                suspects_);
     }
 };
 
-using PeerMessage = std::variant<EngineState, EntryWishes, EntryState, UsageRecord>;
+using PeerMessage = std::variant<EngineState, EntryWishes, EntryState>;
 
 std::string encodePeerMessage(const PeerMessage &message);
 
--- a/Source/Vm/servingsettings.h
+++ b/Source/Vm/servingsettings.h
@@ -29,6 +29,8 @@
     double retrySlack_ = 50;
     /// Span over which an account's tokens are counted.
     Duration allowanceWindow_ = std::chrono::seconds(8);
+    /// Tokens that may run beyond an account's limit in a window.
+    double allowanceSlack_ = 0;
     /// A stream's event may wait here for so long.
     Duration passOn_ = std::chrono::milliseconds(120);
 };
