Test the wire formats and the decisions of edge and agent; bound small accounts at many entries

Cause: played at 29 entries, a hot account of 4,200 tokens a second had 92,152 tokens in a window of at most 58,580: each entry took one request beyond its part at the same time. Such takes are now drawn by chance, by how many entries use the account of late, and a young peer's first message counts.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
+#include "Vm/servingprogram.h"
 #include "platform/ruleswire.h"
 #include "platform/storewire.h"
 #include "platform/wirenames.h"
@@ -342,21 +343,13 @@
 
 int runAgent(int argc, char **argv)
 {
-    const std::string file = argc > 1 ? argv[1] : "";
-    Result<ServingSettings, std::vector<SettingsError>> settings = readServingSettings(file);
-    if (!ok(settings)) {
-        fmt::print(stderr, "{}", settingsFaultsText(errorOf(settings)));
-        return 2;
-    }
-    eventLog().open(valueOf(settings).vm_);
-    EventLoop loop;
-    Agent agent(loop, valueOf(settings));
-    if (!agent.start()) {
-        eventLog().flush();
-        return 1;
-    }
-    loop.run();
-    return 0;
+    std::unique_ptr<Agent> agent;
+    return runServingProgram(
+        "eelgrasscove-agent", argc, argv,
+        [&](EventLoop &loop, const ServingSettings &settings, const std::string &) {
+            agent = std::make_unique<Agent>(loop, settings);
+            return agent->start();
+        });
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -2,6 +2,7 @@
 
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
+#include "Vm/servingprogram.h"
 #include "platform/ruleswire.h"
 #include "platform/wirenames.h"
 
@@ -483,21 +484,13 @@
 
 int runEdge(int argc, char **argv)
 {
-    const std::string file = argc > 1 ? argv[1] : "";
-    Result<ServingSettings, std::vector<SettingsError>> settings = readServingSettings(file);
-    if (!ok(settings)) {
-        fmt::print(stderr, "{}", settingsFaultsText(errorOf(settings)));
-        return 2;
-    }
-    eventLog().open(valueOf(settings).vm_);
-    EventLoop loop;
-    Edge edge(loop, valueOf(settings), file);
-    if (!edge.start()) {
-        eventLog().flush();
-        return 1;
-    }
-    loop.run();
-    return 0;
+    std::unique_ptr<Edge> edge;
+    return runServingProgram(
+        "eelgrasscove-edge", argc, argv,
+        [&](EventLoop &loop, const ServingSettings &settings, const std::string &file) {
+            edge = std::make_unique<Edge>(loop, settings, file);
+            return edge->start();
+        });
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -177,7 +177,12 @@
             peerConfirmedAt_ = std::max(peerConfirmedAt_.value_or(confirmed), confirmed);
         }
     }
-    PeerUsage usage{state.startedMicros_, now, mutual, {}};
+    PeerUsage usage{state.startedMicros_,
+                    Duration(state.stampMicros_ - state.startedMicros_),
+                    now,
+                    mutual,
+                    {},
+                    {}};
     for (const AccountUsage &account : state.usage_)
         usage.tokens_[account.account_] = account.tokens_;
     hearUsage(allowance_, state.vm_, std::move(usage));
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -209,7 +209,7 @@
         refuse(request, 503, "other entries not known yet", leastRetryAfter);
         return false;
     }
-    if (!mayTake(allowance_, *account, request.tokens_, now)) {
+    if (!mayTake(allowance_, *account, request.tokens_, request.draw_, now)) {
         eventLog().note("allowance.used", "id", request.id_, "account", account->name_, "tokens",
                         request.tokens_, "level", allowance_.buckets_[account->name_].level_,
                         "per_second", account->tokensPerSecond_, "burst", account->burstTokens_,
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -16,16 +16,20 @@
 /// known.
 constexpr double startPart = 0.25;
 
-/// An entry that has taken nothing since it last told its peers may take a request although its
-/// part of the level is smaller, if the level holds so many of them: as many entries at most are
-/// likely to do so at the same time.
-constexpr double lonelyRequests = 4;
+/// Entries that are taken to ask for the same account at the same time, where none is known to.
+constexpr double usualAskers = 4;
+
+/// A peer whose use of an account rose within this time is likely to use it now.
+constexpr Duration askedWithin = std::chrono::seconds(2);
 
 /// Part of the operator's slack by which a level may be overdrawn, so that a large request isn't
 /// refused for want of a level that a small account never has. The rest is for requests that
 /// entries take at the same time.
 constexpr double overdraftPart = 0.5;
 
+/// All that a peer this young has used counts, also where it wasn't heard before.
+constexpr Duration youngAge = std::chrono::seconds(3);
+
 bool inContact(const TokenAllowance &allowance, const std::optional<PeerUsage> &peer, Time now)
 {
     return peer && peer->mutual_ && now - peer->heardAt_ <= allowance.settings_.heardWithin_;
@@ -40,6 +44,19 @@
     return sharers;
 }
 
+/// Entries that are likely to take from the account before they have heard of each other's takes.
+double askersOf(const TokenAllowance &allowance, const std::string &account, Time now)
+{
+    double askers = 1;
+    for (const auto &[vm, peer] : allowance.peers_) {
+        if (!inContact(allowance, peer, now))
+            continue;
+        const auto rose = peer->roseAt_.find(account);
+        askers += rose != peer->roseAt_.end() && now - rose->second <= askedWithin ? 1 : 0;
+    }
+    return askers;
+}
+
 AccountBucket &filledBucket(TokenAllowance &allowance, const ServingAccount &account,
                             double sharers, Time now)
 {
@@ -63,7 +80,8 @@
 
 } // namespace
 
-bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now)
+bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, double draw,
+             Time now)
 {
     if (account.tokensPerSecond_ <= 0)
         return true;
@@ -72,9 +90,13 @@
     // All entries see the same level until they have told each other, so each takes its part of it.
     const double part = (bucket.level_ + bucket.untold_) / sharers - bucket.untold_;
     const double overdraft = allowance.settings_.slackTokens_ * overdraftPart;
-    const bool lonely = bucket.untold_ == 0
-        && bucket.level_ + overdraft >= tokens * std::min(sharers, lonelyRequests);
-    return tokens <= part || lonely;
+    if (tokens <= part)
+        return true;
+    // A small account's part never holds a request, so one entry takes more than its part, with
+    // such a chance that all together are expected to take what is there.
+    const double askers =
+        std::max(askersOf(allowance, account.name_, now), std::min(sharers, usualAskers));
+    return bucket.untold_ == 0 && draw * tokens * askers < bucket.level_ + overdraft;
 }
 
 Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens)
@@ -106,13 +128,22 @@
     if (peer == allowance.peers_.end())
         return;
     // What a peer used while it was out of contact came from the share that was left to it.
-    const bool counted = inContact(allowance, peer->second, usage.heardAt_) && usage.mutual_;
+    const bool young = usage.age_ < youngAge;
+    const bool counted =
+        usage.mutual_ && (young || inContact(allowance, peer->second, usage.heardAt_));
     if (counted) {
-        const bool restarted = peer->second->startedAt_ != usage.startedAt_;
+        const bool same = peer->second && peer->second->startedAt_ == usage.startedAt_;
+        for (const auto &[account, tokens] : usage.tokens_) {
+            const bool known = same && peer->second->tokens_.contains(account);
+            const double before = known ? peer->second->tokens_.at(account) : 0;
+            allowance.buckets_[account].level_ -= tokens - before;
+        }
+    }
+    if (peer->second) {
+        usage.roseAt_ = std::move(peer->second->roseAt_);
         for (const auto &[account, tokens] : usage.tokens_) {
-            const auto before = peer->second->tokens_.find(account);
-            const bool known = !restarted && before != peer->second->tokens_.end();
-            allowance.buckets_[account].level_ -= tokens - (known ? before->second : 0);
+            if (tokens > peer->second->tokens_[account])
+                usage.roseAt_[account] = usage.heardAt_;
         }
     }
     peer->second = std::move(usage);
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -35,11 +35,15 @@
 {
     /// Differs after a restart of the peer.
     std::int64_t startedAt_ = 0;
+    /// How long the peer had run when it sent this.
+    Duration age_{};
     Time heardAt_;
     /// The peer's message showed that it hears this entry as well.
     bool mutual_ = false;
     /// Tokens let run since its start.
     std::map<std::string, double> tokens_;
+    /// When the figure of an account last rose.
+    std::map<std::string, Time> roseAt_;
 };
 
 struct AccountBucket
@@ -61,8 +65,10 @@
     std::map<std::string, std::optional<PeerUsage>> peers_;
 };
 
-/// Whether the account may let so many tokens run now; infinite where it has no limit.
-bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now);
+/// Whether the account may let so many tokens run now. draw, in [0, 1), decides where entries that
+/// can't know of each other yet would together take too much.
+bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, double draw,
+             Time now);
 
 /// Time until that many tokens are there, if nothing else takes them.
 Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens);
--- /dev/null
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -0,0 +1,153 @@
+#define BOOST_TEST_MODULE EdgeDecisions
+#include "Edge/placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace eelgrasscove;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time now = Time(100s);
+
+struct Fleet
+{
+    std::deque<TargetBelief> beliefs_;
+
+    TargetBelief &add(const std::string &id, const std::string &dataCentre = "here")
+    {
+        TargetBelief &belief = beliefs_.emplace_back();
+        belief.listed_.id_ = id;
+        belief.listed_.dataCentre_ = dataCentre;
+        belief.listed_.slots_ = 10;
+        belief.agentHeard_ = true;
+        belief.models_ = {"base"};
+        belief.aliveAt_ = now;
+        belief.loadAt_ = now;
+        return belief;
+    }
+
+    std::vector<TargetBelief *> all()
+    {
+        std::vector<TargetBelief *> targets;
+        for (TargetBelief &belief : beliefs_)
+            targets.push_back(&belief);
+        return targets;
+    }
+};
+
+PlaceQuery queryFor(const std::string &adapter)
+{
+    PlaceQuery query;
+    query.dataCentre_ = "here";
+    query.model_ = "base";
+    query.adapter_ = adapter;
+    return query;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_goes_where_its_adapter_is)
+{
+    Fleet fleet;
+    fleet.add("a");
+    fleet.add("b").adapters_["base/x"] = 1;
+    const Place place = choosePlace(fleet.all(), queryFor("base/x"), now);
+    BOOST_TEST((place.kind_ == PlaceKind::Send));
+    BOOST_TEST(place.target_->listed_.id_ == "b");
+}
+
+BOOST_AUTO_TEST_CASE(entries_agree_on_the_home_of_a_rare_adapter_whatever_their_data_centre)
+{
+    Fleet fleet;
+    for (int number = 0; number < 12; ++number)
+        fleet.add("t" + std::to_string(number), number < 6 ? "here" : "there");
+    for (int number = 0; number < 50; ++number) {
+        PlaceQuery query = queryFor("base/a" + std::to_string(number));
+        const Place here = choosePlace(fleet.all(), query, now);
+        query.dataCentre_ = "there";
+        const Place there = choosePlace(fleet.all(), query, now);
+        BOOST_TEST((here.kind_ == PlaceKind::AwaitAdapter));
+        BOOST_TEST(here.target_ == there.target_);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_adapter_on_its_way_is_not_asked_for_elsewhere)
+{
+    Fleet fleet;
+    fleet.add("a");
+    fleet.add("b");
+    fleet.add("c").incoming_["base/x"] = 0;
+    const Place place = choosePlace(fleet.all(), queryFor("base/x"), now);
+    BOOST_TEST((place.kind_ == PlaceKind::AwaitAdapter));
+    BOOST_TEST(place.target_->listed_.id_ == "c");
+}
+
+BOOST_AUTO_TEST_CASE(a_frequent_adapter_gets_a_copy_before_its_target_is_full)
+{
+    Fleet fleet;
+    TargetBelief &full = fleet.add("a");
+    full.adapters_["base/x"] = 1;
+    full.running_ = 8;
+    fleet.add("b").running_ = 1;
+    const Place place = choosePlace(fleet.all(), queryFor("base/x"), now);
+    BOOST_TEST((place.kind_ == PlaceKind::Send));
+    BOOST_REQUIRE(place.copyAt_ != nullptr);
+    BOOST_TEST(place.copyAt_->listed_.id_ == "b");
+}
+
+BOOST_AUTO_TEST_CASE(an_older_version_is_not_used_once_a_newer_is_due)
+{
+    Fleet fleet;
+    fleet.add("a").adapters_["base/x"] = 1;
+    PlaceQuery query = queryFor("base/x");
+    query.leastVersion_ = 2;
+    BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ != PlaceKind::Send));
+    fleet.beliefs_[0].adapters_["base/x"] = 2;
+    BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ == PlaceKind::Send));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_to_targets_that_leave_are_down_or_were_replaced)
+{
+    for (int fault = 0; fault < 4; ++fault) {
+        Fleet fleet;
+        TargetBelief &target = fleet.add("a");
+        target.listed_.draining_ = fault == 0;
+        target.draining_ = fault == 1;
+        target.up_ = fault != 2;
+        target.replaced_ = fault == 3;
+        PlaceQuery query = queryFor("");
+        BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ != PlaceKind::Send), fault);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(requests_wait_for_an_engine_that_loads_its_model)
+{
+    Fleet fleet;
+    fleet.add("a").models_.clear();
+    BOOST_TEST((choosePlace(fleet.all(), queryFor("base/x"), now).kind_ == PlaceKind::AwaitTarget));
+    BOOST_TEST((choosePlace({}, queryFor("base/x"), now).kind_ == PlaceKind::None));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_target_with_work_gets_nothing_more)
+{
+    Fleet fleet;
+    TargetBelief &silent = fleet.add("a");
+    silent.outstanding_ = 1;
+    silent.aliveAt_ = now - 600ms;
+    BOOST_TEST((choosePlace(fleet.all(), queryFor(""), now).kind_ == PlaceKind::AwaitTarget));
+    silent.aliveAt_ = now - 100ms;
+    BOOST_TEST((choosePlace(fleet.all(), queryFor(""), now).kind_ == PlaceKind::Send));
+}
+
+BOOST_AUTO_TEST_CASE(distrust_fades_so_that_a_mended_target_is_back)
+{
+    TargetBelief target;
+    for (int failure = 0; failure < 4; ++failure)
+        noteFailure(target, 1.0, now);
+    BOOST_TEST(!isUsable(target, now));
+    BOOST_TEST(isUsable(target, now + 1500ms));
+    BOOST_TEST(distrustOf(target, now + 10s) < 0.2);
+}
--- /dev/null
+++ b/Tests/EdgeDecisions/ruleindextest.cpp
@@ -0,0 +1,57 @@
+#include "Edge/ruleindex.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+
+namespace {
+
+ServingRoute routeFor(const std::string &name, const std::string &prefix)
+{
+    ServingRoute route;
+    route.name_ = name;
+    route.host_ = "desk.example";
+    route.pathPrefix_ = prefix;
+    route.services_ = {{"one", 3}, {"two", 1}};
+    return route;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ruleindex)
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
+{
+    ServingRules rules;
+    rules.routes_ = {routeFor("short", "/a/"), routeFor("long", "/a/b/")};
+    const RuleIndex index(std::move(rules));
+    BOOST_REQUIRE(index.routeOf("Desk.Example:8080", "/a/b/c?x=/a/") != nullptr);
+    BOOST_TEST(index.routeOf("desk.example", "/a/b/c")->name_ == "long");
+    BOOST_TEST(index.routeOf("desk.example", "/a/c/b/")->name_ == "short");
+    BOOST_TEST(index.routeOf("desk.example", "/a?/a/b/") == nullptr);
+    BOOST_TEST(index.routeOf("other.example", "/a/b/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(keys_lead_to_their_account)
+{
+    ServingRules rules;
+    ServingAccount account;
+    account.name_ = "shed";
+    account.keys_ = {"k1", "k2"};
+    rules.accounts_.push_back(account);
+    const RuleIndex index(std::move(rules));
+    BOOST_TEST(index.accountOfKey("k2")->name_ == "shed");
+    BOOST_TEST(index.accountOfKey("k3") == nullptr);
+    BOOST_TEST(index.accountOfKey("") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(shares_are_drawn_by_weight)
+{
+    const ServingRoute route = routeFor("r", "/a/");
+    BOOST_TEST(serviceFor(route, 0.0) == "one");
+    BOOST_TEST(serviceFor(route, 0.74) == "one");
+    BOOST_TEST(serviceFor(route, 0.76) == "two");
+    BOOST_TEST(serviceFor(route, 0.9999999) == "two");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/PlatformWire/storewiretest.cpp
@@ -0,0 +1,55 @@
+#include "platform/storewire.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+
+BOOST_AUTO_TEST_SUITE(storewire)
+
+BOOST_AUTO_TEST_CASE(calls_have_the_form_of_the_page)
+{
+    BOOST_TEST(wire::readCall("op/config").target_ == "/eelgrasscove/kv-key?key=op/config");
+    BOOST_TEST(wire::rangeCall("servers/", "servers/b", true).target_
+               == "/eelgrasscove/kv-range?path_prefix=servers/&after=servers/b&stale_ok=1");
+    BOOST_TEST(wire::watchCall("op/", 411, 20000).target_
+               == "/eelgrasscove/kv-watch?path_prefix=op/&after=411&wait_ms=20000");
+    BOOST_TEST(wire::leaseCall(3000).body_ == R"({"ttl_ms":3000})");
+    BOOST_TEST(wire::renewCall(77).target_ == "/eelgrasscove/kv-keep/77");
+    BOOST_TEST(wire::writeCall("a", "node-1", 5).body_
+               == R"({"precondition":[],"write":[{"key":"a","value":"bm9kZS0x","lease":5}],)"
+                  R"("remove":[]})");
+}
+
+BOOST_AUTO_TEST_CASE(items_and_deletions_are_decoded)
+{
+    const auto items = wire::decodeItems(
+        R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":412,"lease":0},
+        {"key":"b","revision":413,"deleted":true}],"at":413})");
+    BOOST_REQUIRE(items.has_value());
+    BOOST_TEST(items->revision_ == 413);
+    BOOST_REQUIRE(items->items_.size() == 2);
+    BOOST_TEST(items->items_[0].value_ == "node-1");
+    BOOST_TEST(items->items_[1].deleted_);
+}
+
+BOOST_AUTO_TEST_CASE(a_value_that_is_no_base64_is_left_out)
+{
+    const auto items = wire::decodeItems(
+        R"({"items":[{"key":"a","value":"***","revision":1},{"key":"b","value":"","revision":2}],
+        "has_more":true,"at":9})");
+    BOOST_REQUIRE(items.has_value());
+    BOOST_TEST(items->more_);
+    BOOST_REQUIRE(items->items_.size() == 1);
+    BOOST_TEST(items->items_[0].key_ == "b");
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_are_something_else_give_nothing)
+{
+    BOOST_TEST(!wire::decodeItems("").has_value());
+    BOOST_TEST(!wire::decodeItems(R"({"items":[]})").has_value());
+    BOOST_TEST(!wire::decodeLease(R"({"lease":0})").has_value());
+    BOOST_TEST(!wire::decodeRevision("{").has_value());
+    BOOST_TEST(wire::decodeRevision(R"({"revision":412})").value() == 412);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
