--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -28,7 +28,10 @@
 /// An entry hears at least this often, so that it can tell silence from calm.
 constexpr Duration tellAtLeast = 500ms;
 /// The same while the engine has work, so that a standstill shows soon.
-constexpr Duration tellAtLeastBusy = 190ms;
+constexpr Duration tellAtLeastBusy = 200ms;
+/// A changed load is told to each of so many entries at most this often for each of them.
+constexpr Duration tellPause = 22ms;
+constexpr Duration longestTellPause = 400ms;
 constexpr Duration logPeriod = 500ms;
 /// Failed questions after which the engine counts as down.
 constexpr std::uint32_t failuresOfDown = 2;
@@ -54,6 +57,11 @@
     return std::hash<std::string>{}(text);
 }
 
+MarkedAdapter marked(const std::string &adapter, std::uint64_t version)
+{
+    return {markOf(adapter), static_cast<std::uint32_t>(version)};
+}
+
 std::uint64_t unixMicros()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -187,7 +195,7 @@
         if (wasUp && !up_) {
             eventLog().note("engine.lost", "engine", settings_.engine_, "status",
                             answer ? answer->status_ : 0);
-            tellEntries(true);
+            tellEntries(true, false);
         }
         return;
     }
@@ -208,13 +216,12 @@
     if (!report_.id_.empty())
         targetId_ = report_.id_;
     expirePlan(plan_, report_, bootNow());
-    stateChanged_ = stateChanged_ || loadChanged;
     const std::size_t hash = hashOf(report_, plan_.wishes_);
     if (hash != listsHash_) {
         listsHash_ = hash;
         ++residency_;
     }
-    tellEntries(!wasUp);
+    tellEntries(!wasUp, loadChanged);
     order();
 }
 
@@ -272,7 +279,7 @@
     entry->second.address_ = from;
     entry->second.at_ = now;
     entry->second.knownResidency_ = wishes->knownResidency_;
-    for (const std::string &adapter : wishes->inUse_)
+    for (const NameMark adapter : wishes->inUse_)
         noteUse(plan_, adapter, now);
     bool wished = false;
     for (const AdapterWish &wish : wishes->wishes_) {
@@ -288,8 +295,7 @@
 EngineState Agent::stateFor(const HeardEntry &entry)
 {
     EngineState state;
-    state.vm_ = settings_.vm_;
-    state.targetId_ = targetId_;
+    state.target_ = targetId_.empty() ? 0 : markOf(targetId_);
     state.number_ = ++number_;
     state.startedAt_ = report_.startedAt_;
     state.up_ = up_;
@@ -308,37 +314,42 @@
             continue;
         ++state.loadsWaiting_;
         if (state.hasLists_)
-            state.incoming_.push_back({adapter, wish.version_});
+            state.incoming_.push_back(marked(adapter, wish.version_));
     }
     if (!state.hasLists_)
         return state;
     for (const wire::HeldAdapter &held : report_.adapters_)
-        state.adapters_.push_back({held.adapter_, held.version_});
+        state.adapters_.push_back(marked(held.adapter_, held.version_));
     for (const wire::HeldAdapter &held : report_.incoming_)
-        state.incoming_.push_back({held.adapter_, held.version_});
-    state.models_ = report_.models_;
+        state.incoming_.push_back(marked(held.adapter_, held.version_));
+    for (const std::string &model : report_.models_)
+        state.models_.push_back(markOf(model));
     return state;
 }
 
-void Agent::tellEntries(bool urgent)
+void Agent::tellEntries(bool urgent, bool loadChanged)
 {
     const Time now = bootNow();
     const bool busy = report_.running_ + report_.waiting_ > 0;
     const Duration atLeast = busy ? tellAtLeastBusy : tellAtLeast;
     std::erase_if(entries_, [&](const auto &entry) { return now - entry.second.at_ > entryLife; });
+    // The more entries there are, the less each needs to know of what the others send here.
+    const Duration pause =
+        std::min(tellPause * static_cast<int>(entries_.size()), longestTellPause);
     for (auto &[vm, entry] : entries_) {
         const Duration since = now - entry.toldAt_;
+        entry.changed_ = entry.changed_ || loadChanged;
         const bool listsDue = entry.knownResidency_ != residency_;
         const bool due =
-            urgent || listsDue || since >= atLeast || (stateChanged_ && since >= calmPoll - 10ms);
+            urgent || listsDue || since >= atLeast || (entry.changed_ && since >= pause);
         if (!due)
             continue;
         entry.toldAt_ = now;
+        entry.changed_ = false;
         socket_.send(encodePeerMessage(stateFor(entry)), entry.address_);
         // Taken as received; the entry's next message says if it wasn't.
         entry.knownResidency_ = residency_;
     }
-    stateChanged_ = false;
 }
 
 int runAgent(int argc, char **argv)
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -33,6 +33,8 @@
         Time at_;
         std::uint64_t knownResidency_ = 0;
         Time toldAt_;
+        /// The load has changed since then.
+        bool changed_ = false;
     };
 
     void takeFence();
@@ -43,7 +45,7 @@
     void order();
     void takeOrderAnswer(const wire::EngineOrder &order, const std::optional<HttpAnswer> &answer);
     void onDatagram(std::string_view bytes, const Endpoint &from);
-    void tellEntries(bool urgent);
+    void tellEntries(bool urgent, bool loadChanged);
     EngineState stateFor(const HeardEntry &entry);
     void schedulePoll();
 
@@ -70,7 +72,6 @@
     bool up_ = false;
     bool polling_ = false;
     bool ordering_ = false;
-    bool stateChanged_ = false;
     bool leaving_ = false;
 };
 
--- a/Source/Agent/residencyplan.cpp
+++ b/Source/Agent/residencyplan.cpp
@@ -41,7 +41,7 @@
 
 Time lastUseOf(const ResidencyPlan &plan, const std::string &adapter)
 {
-    const auto used = plan.lastUsed_.find(adapter);
+    const auto used = plan.lastUsed_.find(markOf(adapter));
     return used == plan.lastUsed_.end() ? Time{} : used->second;
 }
 
@@ -103,7 +103,7 @@
     wish.lastAt_ = now;
 }
 
-void noteUse(ResidencyPlan &plan, const std::string &adapter, Time now)
+void noteUse(ResidencyPlan &plan, NameMark adapter, Time now)
 {
     plan.lastUsed_[adapter] = now;
 }
@@ -120,7 +120,7 @@
         const bool fulfilled =
             holds(report.adapters_, wish.first, std::max<std::uint64_t>(wish.second.version_, 1));
         if (fulfilled)
-            plan.lastUsed_[wish.first] = now;
+            plan.lastUsed_[markOf(wish.first)] = now;
         return fulfilled || now - wish.second.lastAt_ > wishLife;
     });
     std::erase_if(plan.unloading_, [&](const auto &unload) {
--- a/Source/Agent/residencyplan.h
+++ b/Source/Agent/residencyplan.h
@@ -5,6 +5,7 @@
 /// It answers the load of thousands of adapters on an engine with a few dozen places: what requests
 /// wait for comes first, and the place is taken from what was used longest ago.
 
+#include "Peer/namemark.h"
 #include "platform/enginewire.h"
 
 #include <eelgrasscove/serving.h>
@@ -29,7 +30,7 @@
 {
     /// By "MODEL/NAME".
     std::map<std::string, WishedAdapter> wishes_;
-    std::map<std::string, Time> lastUsed_;
+    std::map<NameMark, Time> lastUsed_;
     /// Adapters whose unload was accepted and waits for their runs, since when.
     std::map<std::string, Time> unloading_;
 };
@@ -39,7 +40,7 @@
 
 void takeWish(ResidencyPlan &plan, const std::string &adapter, std::uint64_t version,
               std::uint32_t requests, Time now);
-void noteUse(ResidencyPlan &plan, const std::string &adapter, Time now);
+void noteUse(ResidencyPlan &plan, NameMark adapter, Time now);
 
 /// Takes note of an order that the engine accepted.
 void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order, Time now);
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -22,6 +22,9 @@
 constexpr Duration peerPeriod = 200ms;
 /// Agents forget an entry that they haven't heard for several of these.
 constexpr Duration wishPeriod = 250ms;
+/// Events of streams after the first are passed on together, at most this part of the operator's
+/// bound later; the rest is for a VM that is short of processor time.
+constexpr double holdPart = 0.5;
 constexpr Duration logPeriod = 250ms;
 constexpr Duration slowPeriod = 1s;
 
@@ -38,13 +41,21 @@
 /// Left of the grace time for closing what remains.
 constexpr Duration stopReserve = 700ms;
 
-/// Watches of the store. That of the rules also confirms that there are none newer, so it returns
-/// well within the operator's bound for withdrawn keys.
-constexpr Duration rulesWait = 1500ms;
+/// Watches of the store. That of the rules also confirms that there are none newer, so with few
+/// entries it returns within this part of the operator's bound for withdrawn keys. Entries tell
+/// each other of their confirmations, so where there are many, each asks less often.
+constexpr double rulesWaitPart = 0.45;
+constexpr double entriesOfOneWait = 4;
+constexpr double longestRulesWaits = 4;
+/// A confirmation of this part of the bound's age is renewed beside the watch.
+constexpr double confirmAgePart = 0.6;
 constexpr Duration targetsWait = 10s;
 constexpr Duration peersWait = 20s;
-/// Targets' news may wait for each other for a part of the bound on leaving targets.
-constexpr Duration targetsGather = 300ms;
+/// Part of the bound on leaving targets for which their news may wait for each other. Engines'
+/// entries change with each adapter, and each change that isn't waited for costs every entry a
+/// call.
+constexpr double targetsGatherPart = 0.55;
+constexpr Duration peersGather = 300ms;
 
 constexpr std::string_view entryPrefix = "eelgrasscove/entry/";
 
@@ -133,20 +144,21 @@
 {
     Endpoint store;
     parseEndpoint(settings_.store_, store);
+    const auto gather =
+        std::chrono::duration_cast<Duration>(settings_.bounds_.drain_ * targetsGatherPart);
     operatorFeed_ = std::make_unique<StoreFeed>(
-        loop_, store, StoreFeedSettings{std::string(wire::operatorPrefix), rulesWait, 0ms},
+        loop_, store, StoreFeedSettings{std::string(wire::operatorPrefix), rulesWait(), 0ms},
         StoreFeedCallbacks{[this](const auto &items) {
                                for (const wire::StoreItem &item : items)
                                    takeOperatorItem(item);
                            },
                            [this](const auto &item) { takeOperatorItem(item); }, [](bool) {}});
     targetFeed_ = std::make_unique<StoreFeed>(
-        loop_, store,
-        StoreFeedSettings{std::string(wire::targetPrefix), targetsWait, targetsGather},
+        loop_, store, StoreFeedSettings{std::string(wire::targetPrefix), targetsWait, gather},
         StoreFeedCallbacks{[this](const auto &items) { takeTargetList(items); },
                            [this](const auto &item) { takeTargetItem(item); }, [](bool) {}});
     peerFeed_ = std::make_unique<StoreFeed>(
-        loop_, store, StoreFeedSettings{std::string(entryPrefix), peersWait, targetsGather},
+        loop_, store, StoreFeedSettings{std::string(entryPrefix), peersWait, peersGather},
         StoreFeedCallbacks{[this](const auto &items) { takePeerList(items); },
                            [this](const auto &item) {
                                takePeerItem(item);
@@ -165,7 +177,19 @@
 {
     LoopTimers &timers = loop_.timers();
     timers.every(requestPeriod, [this] { checkRequests(bootNow()); });
-    timers.every(peerPeriod, [this] { sendEntryStates(bootNow()); });
+    timers.every(peerPeriod, [this] {
+        const Time now = bootNow();
+        sendEntryStates(now);
+        if (now - rulesConfirmedAt() > settings_.bounds_.revoke_ * confirmAgePart)
+            operatorFeed_->confirmNow();
+    });
+    timers.every(std::chrono::duration_cast<Duration>(settings_.bounds_.passOn_ * holdPart),
+                 [this] {
+                     const auto holding = std::move(holding_);
+                     holding_.clear();
+                     for (const EdgeRequestPtr &request : holding)
+                         passHeld(*request);
+                 });
     timers.every(wishPeriod, [this] {
         const Time now = bootNow();
         for (const auto &[id, target] : targets_)
@@ -286,7 +310,7 @@
     // Whoever holds the older version is to replace it before the bound, not when it is asked for.
     const Time now = bootNow();
     for (const auto &[id, target] : targets_) {
-        const auto held = target->belief_.adapters_.find(named.adapter_);
+        const auto held = target->belief_.adapters_.find(markOf(named.adapter_));
         if (held != target->belief_.adapters_.end() && held->second < named.version_)
             wish(*target, named.adapter_, now);
     }
@@ -305,6 +329,9 @@
     eventLog().note("rules.adopted", "version", rules.version_, "routes", rules.routes_.size(),
                     "accounts", rules.accounts_.size());
     setGauge("eelgrasscove_rules_version", "", static_cast<double>(rules.version_));
+    accountOfMark_.clear();
+    for (const ServingAccount &account : rules.accounts_)
+        accountOfMark_[markOf(account.name_)] = account.name_;
     rules_ = std::make_shared<const RuleIndex>(std::move(rules));
 }
 
@@ -355,14 +382,15 @@
     if (belief.agentHeard_)
         return;
     belief.models_.clear();
-    belief.models_.insert(listed.models_.begin(), listed.models_.end());
+    for (const std::string &model : listed.models_)
+        belief.models_.insert(markOf(model));
     belief.adapters_.clear();
     for (const std::string &held : listed.adapters_) {
         const std::size_t at = held.rfind('@');
         std::uint64_t version = 1;
         if (at != std::string::npos)
             std::from_chars(held.data() + at + 1, held.data() + held.size(), version);
-        belief.adapters_[held.substr(0, at)] = version;
+        belief.adapters_[markOf(held.substr(0, at))] = version;
     }
 }
 
@@ -473,12 +501,23 @@
     return vms;
 }
 
+Duration Edge::rulesWait() const
+{
+    const double waits = std::clamp(static_cast<double>(peers_.size() + 1) / entriesOfOneWait, 1.0,
+                                    longestRulesWaits);
+    return std::chrono::duration_cast<Duration>(settings_.bounds_.revoke_ * rulesWaitPart * waits);
+}
+
 void Edge::setPeerList()
 {
     const std::set<std::string> vms = peerNames();
     std::erase_if(heardPeers_, [&](const auto &peer) { return !vms.contains(peer.first); });
+    vmOfMark_.clear();
+    for (const std::string &vm : vms)
+        vmOfMark_[markOf(vm)] = vm;
     setPeers(allowance_, vms);
     retryBudget_.entries_ = vms.size() + 1;
+    operatorFeed_->setWait(rulesWait());
     eventLog().note("peers.changed", "entries", vms.size() + 1);
 }
 
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -37,9 +37,10 @@
     /// Wishes for copies in advance, with the time until which they are repeated.
     std::map<std::string, Time> copyWishes_;
     /// Adapters sent to since the last message to its agent, and when each was last wished for.
-    std::set<std::string> usedAdapters_;
+    std::set<NameMark> usedAdapters_;
     /// Requests of this entry that run there, by adapter.
-    std::map<std::string, std::uint32_t> runningAdapters_;
+    std::map<NameMark, std::uint32_t> runningAdapters_;
+    Time toldAt_;
     std::map<std::string, Time> wishedAt_;
 };
 
@@ -97,6 +98,8 @@
     std::string answerBody_;
     bool headCame_ = false;
     bool firstEventPassed_ = false;
+    /// Whether events wait to be passed on.
+    bool holding_ = false;
     Time firstEventAt_;
 };
 
@@ -132,6 +135,8 @@
     void takePeerItem(const wire::StoreItem &item);
     void takePeerList(const std::vector<wire::StoreItem> &items);
     void dropLeftPeers(Time now);
+    /// How long a watch of the rules waits.
+    Duration rulesWait() const;
     void setPeerList();
     std::set<std::string> peerNames() const;
     void dropMissingTargets(Time now);
@@ -165,6 +170,7 @@
     void onAnswerBody(const EdgeRequestPtr &request, std::string_view bytes);
     void onExchangeEnd(const EdgeRequestPtr &request, ExchangeEnd end, std::string_view reason);
     void passEvents(EdgeRequest &request, ClientSession &session, bool all);
+    void passHeld(EdgeRequest &request);
     void finishAnswer(const EdgeRequestPtr &request);
     void onNotRun(const EdgeRequestPtr &request, std::string_view reason);
     void onFailed(const EdgeRequestPtr &request, unsigned status, std::string_view reason);
@@ -217,8 +223,13 @@
     {
         std::int64_t stampMicros_ = 0;
         Time at_;
+        /// The peer had a message of this entry then, by this entry's clock.
+        Time heardUs_;
     };
     std::map<std::string, HeardPeer> heardPeers_;
+    std::map<NameMark, std::string> vmOfMark_;
+    std::map<NameMark, std::string> accountOfMark_;
+    std::uint32_t statesSent_ = 0;
     /// Confirmation of the rules by a peer.
     std::optional<Time> peerConfirmedAt_;
 
@@ -234,6 +245,8 @@
     std::vector<Suspicion> suspicions_;
 
     std::set<EdgeRequestPtr> requests_;
+    /// Streams with events that wait to be passed on.
+    std::vector<EdgeRequestPtr> holding_;
     std::map<std::string, std::list<EdgeRequestPtr>> waiting_;
     /// Answers of a service of late, to predict when there will be room.
     std::map<std::string, WindowSum> completions_;
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -36,8 +36,7 @@
 {
     TargetBelief &belief = request.target_->belief_;
     const std::string_view text = head.header(wire::loadHeader);
-    // An agent's figure is as fresh, and comes for all entries.
-    if (text.empty() || (belief.agentHeard_ && now - belief.heardAt_ < 300ms))
+    if (text.empty())
         return;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
@@ -78,8 +77,22 @@
     const bool stream = request->route_.kind_ == RequestKind::Stream
         && succeeded(request->answer_.status_) && request->answer_.hasHeader(wire::signatureHeader);
     const auto session = request->session_.lock();
-    if (stream && session)
+    if (!stream || !session)
+        return;
+    if (!request->firstEventPassed_) {
         passEvents(*request, *session, false);
+    } else if (!request->holding_) {
+        request->holding_ = true;
+        holding_.push_back(request);
+    }
+}
+
+void Edge::passHeld(EdgeRequest &request)
+{
+    request.holding_ = false;
+    const auto session = request.session_.lock();
+    if (session && request.stage_ == RequestStage::Streaming)
+        passEvents(request, *session, false);
 }
 
 void Edge::passEvents(EdgeRequest &request, ClientSession &session, bool all)
@@ -139,7 +152,7 @@
         if (status == wrongTargetStatus && !id.empty() && id != belief.listed_.id_)
             belief.replaced_ = true;
         else if (status == wrongTargetStatus && !request->adapter_.empty())
-            belief.adapters_.erase(request->adapter_);
+            belief.adapters_.erase(markOf(request->adapter_));
         else
             noteFailure(belief, errorWeight, now);
         onNotRun(request, fmt::format("target answered {}", status));
@@ -195,9 +208,11 @@
     leaveTarget(*request);
     const auto session = request->session_.lock();
     if (request->firstEventPassed_) {
-        end(*request, 0, fmt::format("stream broken: {}", reason));
-        if (session)
+        if (session) {
+            passEvents(*request, *session, false);
             session->abort();
+        }
+        end(*request, 0, fmt::format("stream broken: {}", reason));
         return;
     }
     const bool repeatable = request->route_.kind_ == RequestKind::Idempotent
@@ -229,7 +244,7 @@
     noteSilence(belief, bootNow());
     if (belief.outstanding_ > 0)
         --belief.outstanding_;
-    const auto running = request.target_->runningAdapters_.find(request.adapter_);
+    const auto running = request.target_->runningAdapters_.find(markOf(request.adapter_));
     if (running != request.target_->runningAdapters_.end() && --running->second == 0)
         request.target_->runningAdapters_.erase(running);
     request.stage_ = RequestStage::Waiting;
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -12,6 +12,12 @@
 /// A wish is sent again at most this often: the agent answers it with its new state at once.
 constexpr Duration wishAgain = 100ms;
 
+/// An agent hears an entry at least this often.
+constexpr Duration tellAtLeast = 1s;
+
+/// The echoes of peers' messages are in each third message; contact is judged over longer.
+constexpr std::uint32_t echoEvery = 3;
+
 /// Wishes in one message, so that it fits a datagram on any link.
 constexpr std::size_t mostWishes = 64;
 
@@ -35,7 +41,8 @@
     std::shared_ptr<EdgeTarget> target;
     for (const auto &[id, each] : targets_) {
         const TargetBelief &belief = each->belief_;
-        if (state.targetId_.empty() ? belief.endpoint_.host_ == from.host_ : id == state.targetId_)
+        if (belief.endpoint_.host_ == from.host_ && !belief.replaced_
+            && (state.target_ == 0 || markOf(id) == state.target_))
             target = each;
     }
     if (!target)
@@ -68,10 +75,10 @@
         belief.residency_ = state.residency_;
         belief.adapters_.clear();
         belief.incoming_.clear();
-        for (VersionedAdapter &held : state.adapters_)
-            belief.adapters_[std::move(held.adapter_)] = held.version_;
-        for (VersionedAdapter &coming : state.incoming_)
-            belief.incoming_[std::move(coming.adapter_)] = coming.version_;
+        for (const MarkedAdapter &held : state.adapters_)
+            belief.adapters_[held.adapter_] = held.version_;
+        for (const MarkedAdapter &coming : state.incoming_)
+            belief.incoming_[coming.adapter_] = coming.version_;
         belief.models_ = {state.models_.begin(), state.models_.end()};
         placeWaiting(belief.listed_.service_, SIZE_MAX);
     }
@@ -113,9 +120,9 @@
             wanted.try_emplace(adapter, 1);
     }
     // Newer versions of what is held there.
-    for (const auto &[adapter, held] : belief.adapters_) {
-        const auto version = versions_.find(adapter);
-        if (version != versions_.end() && held < version->second)
+    for (const auto &[adapter, version] : versions_) {
+        const auto held = belief.adapters_.find(markOf(adapter));
+        if (held != belief.adapters_.end() && held->second < version)
             wanted.try_emplace(adapter, 1);
     }
     for (const auto &[adapter, requests] : wanted) {
@@ -127,6 +134,10 @@
     }
     for (const auto &[adapter, runs] : target.runningAdapters_)
         target.usedAdapters_.insert(adapter);
+    // An agent forgets an entry that it hears less often than this.
+    if (wanted.empty() && target.usedAdapters_.empty() && now - target.toldAt_ < tellAtLeast)
+        return;
+    target.toldAt_ = now;
     wishes.inUse_.assign(target.usedAdapters_.begin(), target.usedAdapters_.end());
     target.usedAdapters_.clear();
     peersSocket_.send(encodePeerMessage(wishes), {belief.endpoint_.host_, peersAddress_.port_});
@@ -135,16 +146,18 @@
 void Edge::sendEntryStates(Time now)
 {
     EntryState state;
-    state.vm_ = settings_.vm_;
+    state.vm_ = markOf(settings_.vm_);
     state.stampMicros_ = now.time_since_epoch().count();
     state.startedMicros_ = startedAt_.time_since_epoch().count();
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
     if (rules_ && operatorFeed_->confirmedAt())
         state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
     for (const auto &[account, tokens] : tellUsage(allowance_))
-        state.usage_.push_back({account, tokens});
-    for (const auto &[vm, heard] : heardPeers_)
-        state.echoes_.push_back({vm, heard.stampMicros_, (now - heard.at_).count()});
+        state.usage_.push_back({markOf(account), static_cast<float>(tokens)});
+    if (++statesSent_ % echoEvery == 0) {
+        for (const auto &[vm, heard] : heardPeers_)
+            state.echoes_.push_back({markOf(vm), heard.stampMicros_, (now - heard.at_).count()});
+    }
     for (const auto &[hash, suspect] : suspects_.requests_) {
         if (suspect.seen_ > 0)
             state.suspects_.push_back({hash, suspect.seen_});
@@ -156,36 +169,41 @@
 
 void Edge::takeEntryState(EntryState &&state)
 {
-    if (!peers_.contains(state.vm_))
+    const auto peer = vmOfMark_.find(state.vm_);
+    if (peer == vmOfMark_.end())
         return;
+    const std::string &vm = peer->second;
     const Time now = bootNow();
-    HeardPeer &heard = heardPeers_[state.vm_];
+    HeardPeer &heard = heardPeers_[vm];
     if (state.stampMicros_ <= heard.stampMicros_)
         return;
-    heard = {state.stampMicros_, now};
-    bool mutual = false;
+    heard.stampMicros_ = state.stampMicros_;
+    heard.at_ = now;
     for (const PeerEcho &echo : state.echoes_) {
-        if (echo.vm_ != settings_.vm_)
+        if (echo.vm_ != markOf(settings_.vm_))
             continue;
         // The peer spoke after my stamp and its holding time, by my own clock; however late its
         // message comes, it is taken for no fresher than that.
         const Time spokeAfter = Time(Duration(echo.stampMicros_ + echo.heldMicros_));
-        mutual = now - spokeAfter <= allowance_.settings_.heardWithin_ * 2;
+        heard.heardUs_ = std::max(heard.heardUs_, spokeAfter);
         if (rules_ && state.rulesVersion_ == rules_->rules().version_
             && state.rulesAgeMicros_ >= 0) {
             const Time confirmed = spokeAfter - Duration(state.rulesAgeMicros_);
             peerConfirmedAt_ = std::max(peerConfirmedAt_.value_or(confirmed), confirmed);
         }
     }
+    const bool mutual = now - heard.heardUs_ <= allowance_.settings_.heardWithin_ * 2;
     PeerUsage usage{state.startedMicros_,
                     Duration(state.stampMicros_ - state.startedMicros_),
                     now,
                     mutual,
-                    {},
+
                     {}};
-    for (const AccountUsage &account : state.usage_)
-        usage.tokens_[account.account_] = account.tokens_;
-    hearUsage(allowance_, state.vm_, std::move(usage));
+    for (const AccountUsage &account : state.usage_) {
+        if (const auto name = accountOfMark_.find(account.account_); name != accountOfMark_.end())
+            usage.tokens_[name->second] = account.tokens_;
+    }
+    hearUsage(allowance_, vm, std::move(usage));
     for (const SuspectCount &suspect : state.suspects_)
         hearCrashes(suspects_, suspect.request_, suspect.crashes_, now);
 }
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -209,7 +209,7 @@
         refuse(request, 503, "other entries not known yet", leastRetryAfter);
         return false;
     }
-    if (!mayTake(allowance_, *account, request.tokens_, request.draw_, now)) {
+    if (!mayTake(allowance_, *account, request.tokens_, now)) {
         eventLog().note("allowance.used", "id", request.id_, "account", account->name_, "tokens",
                         request.tokens_, "level", allowance_.buckets_[account->name_].level_,
                         "per_second", account->tokensPerSecond_, "burst", account->burstTokens_,
@@ -363,8 +363,8 @@
         belief.aliveAt_ = now;
     ++belief.outstanding_;
     if (!request->adapter_.empty()) {
-        target->usedAdapters_.insert(request->adapter_);
-        ++target->runningAdapters_[request->adapter_];
+        target->usedAdapters_.insert(markOf(request->adapter_));
+        ++target->runningAdapters_[markOf(request->adapter_)];
     }
     countMetric("eelgrasscove_sends_total");
     request->connection_ = target->pool_.send(
@@ -407,7 +407,7 @@
         appendHeader(text, wire::priorityHeader,
                      std::to_string(std::clamp(request.priority_, leastPriority, mostPriority)));
     }
-    const auto held = target.adapters_.find(request.adapter_);
+    const auto held = target.adapters_.find(markOf(request.adapter_));
     if (!request.adapter_.empty() && held != target.adapters_.end()
         && versions_.contains(request.adapter_)) {
         // Guards against a replacement, or a late order, between this belief and the run.
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -48,15 +48,15 @@
     return cost;
 }
 
-bool hasAdapter(const TargetBelief &target, const PlaceQuery &query)
+bool hasAdapter(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
 {
-    const auto held = target.adapters_.find(query.adapter_);
+    const auto held = target.adapters_.find(adapter);
     return held != target.adapters_.end() && held->second >= query.leastVersion_;
 }
 
-bool awaitsAdapter(const TargetBelief &target, const PlaceQuery &query)
+bool awaitsAdapter(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
 {
-    const auto coming = target.incoming_.find(query.adapter_);
+    const auto coming = target.incoming_.find(adapter);
     return coming != target.incoming_.end()
         && (coming->second == 0 || coming->second >= query.leastVersion_);
 }
@@ -71,24 +71,25 @@
         / static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
 }
 
-/// Weight of the home rank beside a target's load where an adapter is to be loaded. An adapter that its
-/// engine has had before comes from that VM's memory, ten times as fast, so it moves only away from a
-/// target that is clearly fuller than the next.
+/// Weight of the home rank beside a target's load where an adapter is to be loaded. An adapter that
+/// its engine has had before comes from that VM's memory, ten times as fast, so it moves only away
+/// from a target that is clearly fuller than the next.
 constexpr double homeWeight = 4.0;
 
 TargetBelief *bestToLoad(const std::vector<TargetBelief *> &targets, const PlaceQuery &query,
                          Time now)
 {
+    const NameMark adapter = markOf(query.adapter_);
     TargetBelief *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : targets) {
-        if (!target->agentHeard_ || hasAdapter(*target, query) || awaitsAdapter(*target, query))
+        if (!target->agentHeard_ || hasAdapter(*target, query, adapter)
+            || awaitsAdapter(*target, query, adapter))
             continue;
         const double pending = target->loadsWaiting_;
         // Without the distance, on which entries in different data centres wouldn't agree.
-        const double cost = loadPart(*target, query, now)
-            + distrustCost * distrustOf(*target, now) + pendingLoadCost * pending
-            + homeWeight * homeRank(*target, query.adapter_);
+        const double cost = loadPart(*target, query, now) + distrustCost * distrustOf(*target, now)
+            + pendingLoadCost * pending + homeWeight * homeRank(*target, query.adapter_);
         if (cost < least) {
             least = cost;
             best = target;
@@ -108,15 +109,17 @@
                         Time now)
 {
     Candidates candidates;
+    const NameMark model = markOf(query.model_);
+    const NameMark adapter = markOf(query.adapter_);
     for (TargetBelief *target : targets) {
         if (!isUsable(*target, now) || query.tried_.contains(target->listed_.id_))
             continue;
-        if (!query.model_.empty() && !target->models_.contains(query.model_))
+        if (!query.model_.empty() && !target->models_.contains(model))
             continue;
         candidates.usable_.push_back(target);
-        if (query.adapter_.empty() || hasAdapter(*target, query))
+        if (query.adapter_.empty() || hasAdapter(*target, query, adapter))
             candidates.able_.push_back(target);
-        else if (awaitsAdapter(*target, query))
+        else if (awaitsAdapter(*target, query, adapter))
             candidates.awaited_ = target;
     }
     return candidates;
--- a/Source/Edge/targetbelief.h
+++ b/Source/Edge/targetbelief.h
@@ -4,6 +4,7 @@
 /// own answers.
 
 #include "Net/tcpstream.h"
+#include "Peer/namemark.h"
 
 #include <eelgrasscove/serving.h>
 
@@ -36,9 +37,9 @@
     std::uint64_t residency_ = 0;
 
     // Told by the agent, or by the list and the target's answers where there is none.
-    std::map<std::string, std::uint64_t> adapters_;
-    std::map<std::string, std::uint64_t> incoming_;
-    std::set<std::string> models_;
+    std::map<NameMark, std::uint64_t> adapters_;
+    std::map<NameMark, std::uint64_t> incoming_;
+    std::set<NameMark> models_;
 
     // Told by the agent or by the load in the target's answers.
     std::uint32_t running_ = 0;
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -16,12 +16,6 @@
 /// known.
 constexpr double startPart = 0.25;
 
-/// Entries that are taken to ask for the same account at the same time, where none is known to.
-constexpr double usualAskers = 4;
-
-/// A peer whose use of an account rose within this time is likely to use it now.
-constexpr Duration askedWithin = std::chrono::seconds(2);
-
 /// Part of the operator's slack by which a level may be overdrawn, so that a large request isn't
 /// refused for want of a level that a small account never has. The rest is for requests that
 /// entries take at the same time.
@@ -44,17 +38,15 @@
     return sharers;
 }
 
-/// Entries that are likely to take from the account before they have heard of each other's takes.
-double askersOf(const TokenAllowance &allowance, const std::string &account, Time now)
+/// Part of an account that is left to the entries in contact.
+double partOf(const TokenAllowance &allowance, double sharers)
 {
-    double askers = 1;
-    for (const auto &[vm, peer] : allowance.peers_) {
-        if (!inContact(allowance, peer, now))
-            continue;
-        const auto rose = peer->roseAt_.find(account);
-        askers += rose != peer->roseAt_.end() && now - rose->second <= askedWithin ? 1 : 0;
-    }
-    return askers;
+    return sharers / static_cast<double>(allowance.peers_.size() + 1);
+}
+
+double mostOf(const TokenAllowance &allowance, const ServingAccount &account, double sharers)
+{
+    return account.burstTokens_ * capacityPart * partOf(allowance, sharers);
 }
 
 AccountBucket &filledBucket(TokenAllowance &allowance, const ServingAccount &account,
@@ -80,23 +72,26 @@
 
 } // namespace
 
-bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, double draw,
-             Time now)
+bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now)
 {
     if (account.tokensPerSecond_ <= 0)
         return true;
     const double sharers = sharersOf(allowance, now);
-    const AccountBucket &bucket = filledBucket(allowance, account, sharers, now);
+    AccountBucket &bucket = filledBucket(allowance, account, sharers, now);
+    const double overdraft = allowance.settings_.slackTokens_ * overdraftPart;
     // All entries see the same level until they have told each other, so each takes its part of it.
     const double part = (bucket.level_ + bucket.untold_) / sharers - bucket.untold_;
-    const double overdraft = allowance.settings_.slackTokens_ * overdraftPart;
     if (tokens <= part)
         return true;
-    // A small account's part never holds a request, so one entry takes more than its part, with
-    // such a chance that all together are expected to take what is there.
-    const double askers =
-        std::max(askersOf(allowance, account.name_, now), std::min(sharers, usualAskers));
-    return bucket.untold_ == 0 && draw * tokens * askers < bucket.level_ + overdraft;
+    if (bucket.untold_ > 0)
+        return false;
+    // A small account's part never holds a request, so an entry takes one beyond it, if what the
+    // others are likely to take meanwhile leaves room. A full bucket has room for any single
+    // request.
+    const double unknown = bucket.peersTook_.sum(now)
+        * std::chrono::duration<double>(allowance.settings_.tellPeriod_).count();
+    const bool full = bucket.level_ >= mostOf(allowance, account, sharers);
+    return full || tokens + unknown <= bucket.level_ + overdraft;
 }
 
 Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens)
@@ -136,14 +131,9 @@
         for (const auto &[account, tokens] : usage.tokens_) {
             const bool known = same && peer->second->tokens_.contains(account);
             const double before = known ? peer->second->tokens_.at(account) : 0;
-            allowance.buckets_[account].level_ -= tokens - before;
-        }
-    }
-    if (peer->second) {
-        usage.roseAt_ = std::move(peer->second->roseAt_);
-        for (const auto &[account, tokens] : usage.tokens_) {
-            if (tokens > peer->second->tokens_[account])
-                usage.roseAt_[account] = usage.heardAt_;
+            AccountBucket &bucket = allowance.buckets_[account];
+            bucket.level_ -= tokens - before;
+            bucket.peersTook_.add(tokens - before, usage.heardAt_);
         }
     }
     peer->second = std::move(usage);
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -9,6 +9,8 @@
 /// entries never doubles an allowance. A start begins with a small level, so it needs no memory of
 /// the use before it.
 
+#include "Edge/windowsum.h"
+
 #include <eelgrasscove/serving.h>
 
 #include <map>
@@ -28,6 +30,8 @@
     Duration window_ = std::chrono::seconds(8);
     /// Tokens that may run beyond the limit in a window.
     double slackTokens_ = 0;
+    /// How long takes of peers may be unknown here.
+    Duration tellPeriod_ = std::chrono::milliseconds(200);
 };
 
 /// What a peer has told.
@@ -42,8 +46,6 @@
     bool mutual_ = false;
     /// Tokens let run since its start.
     std::map<std::string, double> tokens_;
-    /// When the figure of an account last rose.
-    std::map<std::string, Time> roseAt_;
 };
 
 struct AccountBucket
@@ -53,6 +55,8 @@
     /// Let run here since the start, and since the peers were last told.
     double used_ = 0;
     double untold_ = 0;
+    /// What peers told that they let run of late.
+    WindowSum peersTook_{std::chrono::seconds(1)};
 };
 
 struct TokenAllowance
@@ -65,10 +69,8 @@
     std::map<std::string, std::optional<PeerUsage>> peers_;
 };
 
-/// Whether the account may let so many tokens run now. draw, in [0, 1), decides where entries that
-/// can't know of each other yet would together take too much.
-bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, double draw,
-             Time now);
+/// Whether the account may let so many tokens run now.
+bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now);
 
 /// Time until that many tokens are there, if nothing else takes them.
 Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens);
--- /dev/null
+++ b/Source/Peer/namemark.cpp
@@ -0,0 +1,12 @@
+#include "Peer/namemark.h"
+
+#include <xxhash.h>
+
+namespace eelgrasscove {
+
+NameMark markOf(std::string_view name)
+{
+    return XXH32(name.data(), name.size(), 0);
+}
+
+} // namespace eelgrasscove
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -3,6 +3,8 @@
 /// Datagrams between the VMs of the serving path. Each is a full statement of its sender, so a lost
 /// one is made good by the next.
 
+#include "Peer/namemark.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,11 +14,11 @@
 
 namespace eelgrasscove {
 
-/// An adapter, "MODEL/NAME", with a version.
-struct VersionedAdapter
+/// An adapter, by the mark of "MODEL/NAME", with a version.
+struct MarkedAdapter
 {
-    std::string adapter_;
-    std::uint64_t version_ = 0;
+    NameMark adapter_ = 0;
+    std::uint32_t version_ = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -28,8 +30,8 @@
 /// From an agent to each entry that it hears: the state of its engine.
 struct EngineState
 {
-    std::string vm_;
-    std::string targetId_;
+    /// 0 where the engine doesn't tell its id.
+    NameMark target_ = 0;
     /// Rises with each message and over restarts of the agent.
     std::uint64_t number_ = 0;
     /// Unix milliseconds of the engine's start.
@@ -47,17 +49,16 @@
     std::uint64_t residency_ = 0;
     /// False where the receiver has said that it knows residency_; the lists are empty then.
     bool hasLists_ = false;
-    std::vector<VersionedAdapter> adapters_;
+    std::vector<MarkedAdapter> adapters_;
     /// On their way, and asked for.
-    std::vector<VersionedAdapter> incoming_;
-    std::vector<std::string> models_;
+    std::vector<MarkedAdapter> incoming_;
+    std::vector<NameMark> models_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, targetId_, number_, startedAt_, up_, draining_, running_, waiting_,
-                usedTokens_, memoryTokens_, loadsWaiting_, residency_, hasLists_, adapters_,
-                incoming_, models_);
+        archive(target_, number_, startedAt_, up_, draining_, running_, waiting_, usedTokens_,
+                memoryTokens_, loadsWaiting_, residency_, hasLists_, adapters_, incoming_, models_);
     }
 };
 
@@ -84,7 +85,7 @@
     std::uint64_t knownResidency_ = 0;
     std::vector<AdapterWish> wishes_;
     /// Adapters sent to this engine since the last message, or still running there.
-    std::vector<std::string> inUse_;
+    std::vector<NameMark> inUse_;
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -95,9 +96,9 @@
 
 struct AccountUsage
 {
-    std::string account_;
+    NameMark account_ = 0;
     /// Since the sender's start.
-    double tokens_ = 0;
+    float tokens_ = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -109,7 +110,7 @@
 /// The newest message of a peer that the sender has, by the peer's own stamp.
 struct PeerEcho
 {
-    std::string vm_;
+    NameMark vm_ = 0;
     std::int64_t stampMicros_ = 0;
     /// How long the sender has had it.
     std::int64_t heldMicros_ = 0;
@@ -137,7 +138,7 @@
 /// From an entry to each other entry.
 struct EntryState
 {
-    std::string vm_;
+    NameMark vm_ = 0;
     /// The sender's boot clock, and its reading at the sender's start.
     std::int64_t stampMicros_ = 0;
     std::int64_t startedMicros_ = 0;
@@ -145,6 +146,7 @@
     /// Age of the sender's last confirmation that no newer rules exist; negative for none.
     std::int64_t rulesAgeMicros_ = -1;
     std::vector<AccountUsage> usage_;
+    /// In some messages only.
     std::vector<PeerEcho> echoes_;
     std::vector<SuspectCount> suspects_;
 
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -15,6 +15,8 @@
 constexpr Duration listTimeout = 1500ms;
 /// What a watch may take beyond its wait before the connection counts as silent.
 constexpr Duration watchSlack = 1000ms;
+/// The least that a watch may wait.
+constexpr std::chrono::milliseconds shortestWait = 1ms;
 /// First and longest pause after a failed call.
 constexpr Duration firstRetry = 100ms;
 constexpr Duration longestRetry = 800ms;
@@ -23,8 +25,8 @@
 
 StoreFeed::StoreFeed(EventLoop &loop, const Endpoint &store, StoreFeedSettings settings,
                      StoreFeedCallbacks callbacks)
-    : loop_(loop), caller_(loop, store), settings_(std::move(settings)),
-      callbacks_(std::move(callbacks))
+    : loop_(loop), caller_(loop, store), confirmCaller_(loop, store),
+      settings_(std::move(settings)), callbacks_(std::move(callbacks))
 { }
 
 void StoreFeed::start()
@@ -84,6 +86,26 @@
                  [this](std::optional<HttpAnswer> answer) { takeWatch(std::move(answer)); });
 }
 
+void StoreFeed::confirmNow()
+{
+    if (!confirmedAt_ || confirmCaller_.pending() > 0)
+        return;
+    // A watch that doesn't wait answers whether there is anything after the revision known here.
+    wire::StoreCall call = wire::watchCall(settings_.keyPrefix_, revision_, shortestWait.count());
+    countMetric("eelgrasscove_store_calls_total", "call=\"confirm\"");
+    const Time sent = bootNow();
+    const std::uint64_t revision = revision_;
+    confirmCaller_.call(std::move(call.method_), std::move(call.target_), "", listTimeout,
+                        [this, sent, revision](const std::optional<HttpAnswer> &answer) {
+                            if (!answer || answer->status_ != 200)
+                                return;
+                            const auto news = wire::decodeItems(answer->body_);
+                            // Changes are left to the watch, so that they are taken in their order.
+                            if (news && news->items_.empty() && revision_ >= revision)
+                                confirm(sent);
+                        });
+}
+
 void StoreFeed::takeWatch(std::optional<HttpAnswer> answer)
 {
     if (!answer || (answer->status_ != 200 && answer->status_ != 410)) {
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -36,6 +36,12 @@
 
     void start();
 
+    /// Sets how long later watches wait.
+    void setWait(Duration wait) { settings_.wait_ = wait; }
+
+    /// Asks at once, beside the watch that waits, whether anything has changed.
+    void confirmNow();
+
     /// All changes acknowledged before this time are known here. Empty before the first list.
     std::optional<Time> confirmedAt() const { return confirmedAt_; }
     bool reachable() const { return reachable_; }
@@ -53,6 +59,7 @@
 
     EventLoop &loop_;
     HttpCaller caller_;
+    HttpCaller confirmCaller_;
     StoreFeedSettings settings_;
     StoreFeedCallbacks callbacks_;
     std::vector<wire::StoreItem> listing_;
--- a/Tests/AgentDecisions/residencyplantest.cpp
+++ b/Tests/AgentDecisions/residencyplantest.cpp
@@ -61,7 +61,7 @@
     takeWish(plan, "base/a9", 0, 1, now);
     wire::EngineReport report = reportWith({"base/a1"});
     report.incoming_.push_back({"base/a2", 1});
-    noteUse(plan, "base/a1", now - 10s);
+    noteUse(plan, markOf("base/a1"), now - 10s);
     const auto order = nextOrder(plan, report, limitsWith(2), now);
     BOOST_REQUIRE(order.has_value());
     BOOST_TEST((order->kind_ == wire::OrderKind::Unload));
@@ -80,9 +80,9 @@
 {
     ResidencyPlan plan;
     takeWish(plan, "base/a9", 0, 1, now);
-    noteUse(plan, "base/a1", now - 100ms);
-    noteUse(plan, "base/a2", now - 5s);
-    noteUse(plan, "base/a3", now - 9s);
+    noteUse(plan, markOf("base/a1"), now - 100ms);
+    noteUse(plan, markOf("base/a2"), now - 5s);
+    noteUse(plan, markOf("base/a3"), now - 9s);
     const auto order =
         nextOrder(plan, reportWith({"base/a1", "base/a2", "base/a3"}), limitsWith(3), now);
     BOOST_REQUIRE(order.has_value());
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -23,7 +23,7 @@
         belief.listed_.dataCentre_ = dataCentre;
         belief.listed_.slots_ = 10;
         belief.agentHeard_ = true;
-        belief.models_ = {"base"};
+        belief.models_ = {markOf("base")};
         belief.aliveAt_ = now;
         belief.loadAt_ = now;
         return belief;
@@ -53,7 +53,7 @@
 {
     Fleet fleet;
     fleet.add("a");
-    fleet.add("b").adapters_["base/x"] = 1;
+    fleet.add("b").adapters_[markOf("base/x")] = 1;
     const Place place = choosePlace(fleet.all(), queryFor("base/x"), now);
     BOOST_TEST((place.kind_ == PlaceKind::Send));
     BOOST_TEST(place.target_->listed_.id_ == "b");
@@ -79,7 +79,7 @@
     Fleet fleet;
     fleet.add("a");
     fleet.add("b");
-    fleet.add("c").incoming_["base/x"] = 0;
+    fleet.add("c").incoming_[markOf("base/x")] = 0;
     const Place place = choosePlace(fleet.all(), queryFor("base/x"), now);
     BOOST_TEST((place.kind_ == PlaceKind::AwaitAdapter));
     BOOST_TEST(place.target_->listed_.id_ == "c");
@@ -89,7 +89,7 @@
 {
     Fleet fleet;
     TargetBelief &full = fleet.add("a");
-    full.adapters_["base/x"] = 1;
+    full.adapters_[markOf("base/x")] = 1;
     full.running_ = 8;
     fleet.add("b").running_ = 1;
     const Place place = choosePlace(fleet.all(), queryFor("base/x"), now);
@@ -101,11 +101,11 @@
 BOOST_AUTO_TEST_CASE(an_older_version_is_not_used_once_a_newer_is_due)
 {
     Fleet fleet;
-    fleet.add("a").adapters_["base/x"] = 1;
+    fleet.add("a").adapters_[markOf("base/x")] = 1;
     PlaceQuery query = queryFor("base/x");
     query.leastVersion_ = 2;
     BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ != PlaceKind::Send));
-    fleet.beliefs_[0].adapters_["base/x"] = 2;
+    fleet.beliefs_[0].adapters_[markOf("base/x")] = 2;
     BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ == PlaceKind::Send));
 }
 
--- a/Tests/EdgeDecisions/tokenallowancetest.cpp
+++ b/Tests/EdgeDecisions/tokenallowancetest.cpp
@@ -101,12 +101,8 @@
             if (to == from || cut_[to] || cut_[from])
                 continue;
             hearUsage(entries_[to], "entry-" + std::to_string(from),
-                      {startedAt_[from].time_since_epoch().count(),
-                       now_ - startedAt_[from],
-                       now_,
-                       true,
-                       tokens,
-                       {}});
+                      {startedAt_[from].time_since_epoch().count(), now_ - startedAt_[from], now_,
+                       true, tokens});
         }
     }
 
@@ -118,8 +114,7 @@
         for (owed_[at] += tokens; owed_[at] > 0;) {
             const double size = std::uniform_real_distribution<double>(300, 4000)(random_);
             owed_[at] -= size;
-            const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-            if (mayTake(entries_[at], account_, size, draw, now_)) {
+            if (mayTake(entries_[at], account_, size, now_)) {
                 takeTokens(entries_[at], account_.name_, size);
                 taken_.emplace_back(now_, size);
             } else {
@@ -200,7 +195,7 @@
 BOOST_AUTO_TEST_CASE(without_a_limit_all_may_run)
 {
     TokenAllowance allowance;
-    BOOST_TEST(mayTake(allowance, accountWith(0, 0), 1e9, 0.5, Time(5s)));
+    BOOST_TEST(mayTake(allowance, accountWith(0, 0), 1e9, Time(5s)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
