--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -22,9 +22,7 @@
 constexpr Duration peerPeriod = 200ms;
 /// Agents forget an entry that they haven't heard for several of these.
 constexpr Duration wishPeriod = 250ms;
-/// Events of streams after the first are passed on together, at most this part of the operator's
-/// bound later; the rest is for a VM that is short of processor time.
-constexpr double holdPart = 0.5;
+
 constexpr Duration logPeriod = 250ms;
 constexpr Duration slowPeriod = 1s;
 
@@ -183,13 +181,7 @@
         if (now - rulesConfirmedAt() > settings_.bounds_.revoke_ * confirmAgePart)
             operatorFeed_->confirmNow();
     });
-    timers.every(std::chrono::duration_cast<Duration>(settings_.bounds_.passOn_ * holdPart),
-                 [this] {
-                     const auto holding = std::move(holding_);
-                     holding_.clear();
-                     for (const EdgeRequestPtr &request : holding)
-                         passHeld(*request);
-                 });
+
     timers.every(wishPeriod, [this] {
         const Time now = bootNow();
         for (const auto &[id, target] : targets_)
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -98,8 +98,6 @@
     std::string answerBody_;
     bool headCame_ = false;
     bool firstEventPassed_ = false;
-    /// Whether events wait to be passed on.
-    bool holding_ = false;
     Time firstEventAt_;
 };
 
@@ -170,7 +168,6 @@
     void onAnswerBody(const EdgeRequestPtr &request, std::string_view bytes);
     void onExchangeEnd(const EdgeRequestPtr &request, ExchangeEnd end, std::string_view reason);
     void passEvents(EdgeRequest &request, ClientSession &session, bool all);
-    void passHeld(EdgeRequest &request);
     void finishAnswer(const EdgeRequestPtr &request);
     void onNotRun(const EdgeRequestPtr &request, std::string_view reason);
     void onFailed(const EdgeRequestPtr &request, unsigned status, std::string_view reason);
@@ -245,8 +242,6 @@
     std::vector<Suspicion> suspicions_;
 
     std::set<EdgeRequestPtr> requests_;
-    /// Streams with events that wait to be passed on.
-    std::vector<EdgeRequestPtr> holding_;
     std::map<std::string, std::list<EdgeRequestPtr>> waiting_;
     /// Answers of a service of late, to predict when there will be room.
     std::map<std::string, WindowSum> completions_;
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -77,22 +77,8 @@
     const bool stream = request->route_.kind_ == RequestKind::Stream
         && succeeded(request->answer_.status_) && request->answer_.hasHeader(wire::signatureHeader);
     const auto session = request->session_.lock();
-    if (!stream || !session)
-        return;
-    if (!request->firstEventPassed_) {
+    if (stream && session)
         passEvents(*request, *session, false);
-    } else if (!request->holding_) {
-        request->holding_ = true;
-        holding_.push_back(request);
-    }
-}
-
-void Edge::passHeld(EdgeRequest &request)
-{
-    request.holding_ = false;
-    const auto session = request.session_.lock();
-    if (session && request.stage_ == RequestStage::Streaming)
-        passEvents(request, *session, false);
 }
 
 void Edge::passEvents(EdgeRequest &request, ClientSession &session, bool all)
@@ -208,11 +194,9 @@
     leaveTarget(*request);
     const auto session = request->session_.lock();
     if (request->firstEventPassed_) {
-        if (session) {
-            passEvents(*request, *session, false);
-            session->abort();
-        }
         end(*request, 0, fmt::format("stream broken: {}", reason));
+        if (session)
+            session->abort();
         return;
     }
     const bool repeatable = request->route_.kind_ == RequestKind::Idempotent
--- a/Source/Vm/servingsettings.cpp
+++ b/Source/Vm/servingsettings.cpp
@@ -26,7 +26,7 @@
     return std::nullopt;
 }
 
-const std::array<Row, 20> rows = {{
+const std::array<Row, 19> rows = {{
     {"vm", "name", [](auto &value, auto &out) { return readIdentifier(value, out.vm_); }, always},
     {"vm", "data_centre",
      [](auto &value, auto &out) { return readIdentifier(value, out.dataCentre_); }, always},
@@ -66,8 +66,6 @@
      [](auto &value, auto &out) {
          return readDecimal(value, 0, 1e9, out.bounds_.allowanceSlack_);
      }},
-    {"bounds", "pass_on",
-     [](auto &value, auto &out) { return readDuration(value, 1ms, 1min, out.bounds_.passOn_); }},
 }};
 
 } // namespace
--- a/Source/Vm/servingsettings.h
+++ b/Source/Vm/servingsettings.h
@@ -31,8 +31,6 @@
     Duration allowanceWindow_ = std::chrono::seconds(8);
     /// Tokens that may run beyond an account's limit in a window.
     double allowanceSlack_ = 0;
-    /// A stream's event may wait here for so long.
-    Duration passOn_ = std::chrono::milliseconds(120);
 };
 
 struct ServingSettings
