--- /dev/null
+++ b/Tests/Net/tcpstreamtest.cpp
@@ -0,0 +1,59 @@
+#include "../Shared/servingstandins.h"
+
+using namespace standins;
+
+BOOST_AUTO_TEST_SUITE(tcpstream)
+
+BOOST_AUTO_TEST_CASE(a_reset_that_comes_with_data_is_no_orderly_end)
+{
+    auto &loop = *new EventLoop;
+    Server server(loop, "127.0.0.1:17301", [&](const auto &from, SeenRequest &&) {
+        from->stream_->write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+        from->stream_->close(true);
+    });
+    Client client(loop, "127.0.0.1:17301");
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return client.ended_; }));
+    BOOST_TEST(client.error_ != 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_close_after_writing_is_an_orderly_end)
+{
+    auto &loop = *new EventLoop;
+    Server server(loop, "127.0.0.1:17302", [&](const auto &from, SeenRequest &&) {
+        from->stream_->write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+        from->stream_->closeAfterWrite();
+    });
+    Client client(loop, "127.0.0.1:17302");
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return client.ended_; }));
+    BOOST_TEST(client.error_ == 0);
+    BOOST_TEST(client.received_.ends_with("whole"));
+}
+
+BOOST_AUTO_TEST_CASE(timers_fire_in_order_and_not_after_they_are_cancelled)
+{
+    auto &loop = *new EventLoop;
+    std::string order;
+    loop.timers().once(30ms, [&] { order += 'c'; });
+    loop.timers().once(10ms, [&] { order += 'a'; });
+    const TimerId cancelled = loop.timers().once(20ms, [&] { order += 'b'; });
+    loop.timers().cancel(cancelled);
+    loop.timers().every(15ms, [&] { order += '.'; });
+    BOOST_TEST(
+        turnUntil(loop, 2s, [&] { return std::count(order.begin(), order.end(), '.') >= 3; }));
+    order.erase(std::remove(order.begin(), order.end(), '.'), order.end());
+    BOOST_TEST(order == "ac");
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_are_read_strictly)
+{
+    Endpoint endpoint;
+    BOOST_TEST(parseEndpoint("10.1.0.9:8080", endpoint));
+    BOOST_TEST(endpoint.text() == "10.1.0.9:8080");
+    for (const char *text : {"", "10.1.0.9", "10.1.0.9:", "10.1.0.9:0", "10.1.0.9:70000", "host:80",
+                             "10.1.0.9:80x", ":80"})
+        BOOST_TEST(!parseEndpoint(text, endpoint), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Shared/servingstandins.h
@@ -0,0 +1,366 @@
+#pragma once
+
+/// Stand-ins for the users' platform, on the event loop of the test: its store, a target, an engine
+/// and a client. They speak the published protocol and make its faults.
+
+#include "Net/httpreader.h"
+#include "Net/tcpstream.h"
+#include "Platform/base64.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/core.h>
+#include <rapidjson/document.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace standins {
+
+using namespace eelgrasscove;
+using namespace std::chrono_literals;
+
+/// Turns the loop until the condition holds; false after the time.
+inline bool turnUntil(EventLoop &loop, Duration most, const std::function<bool()> &condition)
+{
+    const Time end = bootNow() + most;
+    loop.timers().every(5ms, [] {});
+    while (!condition()) {
+        if (bootNow() > end)
+            return false;
+        uv_run(&loop.uv(), UV_RUN_ONCE);
+    }
+    return true;
+}
+
+inline void turnFor(EventLoop &loop, Duration span)
+{
+    turnUntil(loop, span, [] { return false; });
+}
+
+struct SeenRequest
+{
+    HttpHead head_;
+    std::string body_;
+};
+
+/// One connection of a stand-in server.
+struct ServerConnection : std::enable_shared_from_this<ServerConnection>
+{
+    using Handler = std::function<void(const std::shared_ptr<ServerConnection> &, SeenRequest &&)>;
+
+    ServerConnection(std::shared_ptr<TcpStream> stream, const Handler &handler)
+        : stream_(std::move(stream)), handler_(handler),
+          reader_(HttpKind::Request, 64 * 1024,
+                  {[this](HttpHead &&head) { request_.head_ = std::move(head); },
+                   [this](std::string_view bytes) { request_.body_ += bytes; }, [] {}})
+    { }
+
+    void start()
+    {
+        stream_->start({nullptr, [keep = shared_from_this()](auto bytes) { keep->take(bytes); },
+                        [this](int) { ended_ = true; }});
+    }
+
+    void take(std::string_view bytes)
+    {
+        const auto keep = shared_from_this();
+        held_ += bytes;
+        while (!held_.empty() && !stream_->closed()) {
+            held_.erase(0, reader_.feed(held_));
+            if (reader_.state() != HttpReadState::Complete)
+                return;
+            SeenRequest request = std::move(request_);
+            request_ = {};
+            reader_.reset();
+            handler_(keep, std::move(request));
+        }
+    }
+
+    void answer(unsigned status, const std::string &headers, const std::string &body)
+    {
+        stream_->write(fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n\r\n{}", status,
+                                   statusPhrase(status), headers, body.size(), body));
+    }
+
+    /// Ends the connection without a reset, in the middle of whatever was written.
+    void breakOff() { stream_->closeAfterWrite(); }
+
+    std::shared_ptr<TcpStream> stream_;
+    Handler handler_;
+    HttpReader reader_;
+    SeenRequest request_;
+    std::string held_;
+    bool ended_ = false;
+};
+
+/// A server that hands every request to a handler and keeps what it saw.
+class Server
+{
+public:
+    Server(EventLoop &loop, const std::string &address, ServerConnection::Handler handler)
+        : loop_(loop), handler_(std::move(handler))
+    {
+        BOOST_REQUIRE(parseEndpoint(address, address_));
+        listen();
+    }
+
+    void listen()
+    {
+        listener_ = std::make_unique<TcpListener>();
+        BOOST_REQUIRE(listener_->listen(loop_, address_, [this](auto stream) {
+            auto connection = std::make_shared<ServerConnection>(
+                stream, [this](const auto &from, SeenRequest &&request) {
+                    seen_.push_back(request);
+                    handler_(from, std::move(request));
+                });
+            connections_.push_back(connection);
+            connection->start();
+        }) == 0);
+    }
+
+    EventLoop &loop_;
+    Endpoint address_;
+    ServerConnection::Handler handler_;
+    std::unique_ptr<TcpListener> listener_;
+    std::vector<std::shared_ptr<ServerConnection>> connections_;
+    std::vector<SeenRequest> seen_;
+};
+
+enum class StoreFault {
+    None,
+    /// Takes calls and never answers.
+    Silent,
+    /// 503 to every call.
+    Busy,
+    /// Resets every connection.
+    Reset,
+    /// 429 to every call.
+    Many,
+};
+
+/// The platform's store.
+class Store
+{
+public:
+    Store(EventLoop &loop, const std::string &address)
+        : loop_(loop), server_(loop, address, [this](const auto &from, SeenRequest &&request) {
+              handle(from, std::move(request));
+          })
+    { }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        items_[key] = {value, ++revision_};
+        history_.push_back({key, revision_});
+        wake();
+    }
+
+    void remove(const std::string &key)
+    {
+        items_.erase(key);
+        history_.push_back({key, ++revision_});
+        wake();
+    }
+
+    /// Watches that ask for what came before now get 410.
+    void forgetHistory() { forgottenUpTo_ = revision_; }
+
+    /// Ends every waiting watch without an answer.
+    void cutWatches()
+    {
+        for (const Waiting &waiting : waiting_)
+            waiting.from_->stream_->close(true);
+        waiting_.clear();
+    }
+
+    std::size_t calls(const std::string &part) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(server_.seen_.begin(), server_.seen_.end(), [&](const auto &seen) {
+                return seen.head_.target_.find(part) != std::string::npos;
+            }));
+    }
+
+    StoreFault fault_ = StoreFault::None;
+    /// Added before each answer.
+    Duration delay_{};
+    std::map<std::string, std::pair<std::string, std::uint64_t>> items_;
+    std::uint64_t revision_ = 10;
+
+private:
+    struct Waiting
+    {
+        std::shared_ptr<ServerConnection> from_;
+        std::string prefix_;
+        std::uint64_t after_ = 0;
+        Time until_;
+    };
+
+    static std::string queryOf(const std::string &target, const std::string &name)
+    {
+        const std::size_t at = target.find(name + "=");
+        if (at == std::string::npos)
+            return "";
+        const std::size_t begin = at + name.size() + 1;
+        return target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    static std::string itemText(const std::string &key, const std::string &value,
+                                std::uint64_t revision)
+    {
+        return fmt::format(R"({{"key":"{}","value":"{}","revision":{},"created":{},"lease":0}})",
+                           key, encodeBase64(value), revision, revision);
+    }
+
+    void answer(const std::shared_ptr<ServerConnection> &to, unsigned status,
+                const std::string &body)
+    {
+        if (delay_ == Duration::zero()) {
+            to->answer(status, "", body);
+            return;
+        }
+        loop_.timers().once(delay_, [to, status, body] { to->answer(status, "", body); });
+    }
+
+    void handle(const std::shared_ptr<ServerConnection> &from, SeenRequest &&request)
+    {
+        const std::string &target = request.head_.target_;
+        if (fault_ == StoreFault::Silent)
+            return;
+        if (fault_ == StoreFault::Reset) {
+            from->stream_->close(true);
+            return;
+        }
+        if (fault_ != StoreFault::None) {
+            answer(from, fault_ == StoreFault::Busy ? 503 : 429, "");
+            return;
+        }
+        if (target.find("kv-watch") != std::string::npos)
+            watch(from, target);
+        else if (target.find("kv-range") != std::string::npos)
+            range(from, target);
+        else if (target.find("kv-key") != std::string::npos)
+            read(from, target);
+        else if (target.find("kv-txn") != std::string::npos)
+            write(from, request.body_);
+        else
+            answer(from, 200, R"({"lease":77,"ttl_ms":6000})");
+    }
+
+    void read(const std::shared_ptr<ServerConnection> &from, const std::string &target)
+    {
+        const auto item = items_.find(queryOf(target, "key"));
+        if (item == items_.end())
+            answer(from, 404, "");
+        else
+            answer(from, 200, itemText(item->first, item->second.first, item->second.second));
+    }
+
+    void range(const std::shared_ptr<ServerConnection> &from, const std::string &target)
+    {
+        const std::string prefix = queryOf(target, "path_prefix");
+        std::string list;
+        for (const auto &[key, item] : items_) {
+            if (key.starts_with(prefix))
+                list += (list.empty() ? "" : ",") + itemText(key, item.first, item.second);
+        }
+        answer(from, 200,
+               fmt::format(R"({{"items":[{}],"has_more":false,"at":{}}})", list, revision_));
+    }
+
+    void watch(const std::shared_ptr<ServerConnection> &from, const std::string &target)
+    {
+        const std::uint64_t after = std::stoull(queryOf(target, "after"));
+        if (after < forgottenUpTo_) {
+            answer(from, 410, "");
+            return;
+        }
+        const Duration wait = std::chrono::milliseconds(std::stoll(queryOf(target, "wait_ms")));
+        waiting_.push_back({from, queryOf(target, "path_prefix"), after, bootNow() + wait});
+        loop_.timers().once(wait, [this] { wake(); });
+        wake();
+    }
+
+    void write(const std::shared_ptr<ServerConnection> &from, const std::string &body)
+    {
+        rapidjson::Document document;
+        document.Parse(body.data(), body.size());
+        for (const auto &item : document["write"].GetArray())
+            put(item["key"].GetString(), *decodeBase64(item["value"].GetString()));
+        answer(from, 200, fmt::format(R"({{"revision":{}}})", revision_));
+    }
+
+    void wake()
+    {
+        const Time now = bootNow();
+        waiting_.remove_if([&](const Waiting &waiting) {
+            std::string list;
+            for (const auto &[key, revision] : history_) {
+                if (revision <= waiting.after_ || !key.starts_with(waiting.prefix_))
+                    continue;
+                const auto item = items_.find(key);
+                list += list.empty() ? "" : ",";
+                list += item == items_.end()
+                    ? fmt::format(R"({{"key":"{}","revision":{},"deleted":true}})", key, revision)
+                    : itemText(key, item->second.first, item->second.second);
+            }
+            if (list.empty() && now < waiting.until_)
+                return false;
+            answer(waiting.from_, 200,
+                   fmt::format(R"({{"events":[{}],"at":{}}})", list, revision_));
+            return true;
+        });
+    }
+
+    EventLoop &loop_;
+    std::deque<std::pair<std::string, std::uint64_t>> history_;
+    std::list<Waiting> waiting_;
+    std::uint64_t forgottenUpTo_ = 0;
+    Server server_;
+};
+
+/// A client with one connection.
+class Client
+{
+public:
+    Client(EventLoop &loop, const std::string &address)
+    {
+        Endpoint endpoint;
+        BOOST_REQUIRE(parseEndpoint(address, endpoint));
+        stream_ = TcpStream::connect(loop, endpoint,
+                                     {[this] { stream_->write(unsent_); },
+                                      [this](std::string_view bytes) { received_ += bytes; },
+                                      [this](int error) {
+                                          ended_ = true;
+                                          error_ = error;
+                                      }});
+    }
+
+    void send(const std::string &bytes)
+    {
+        if (received_.empty() && unsent_.empty())
+            unsent_ = bytes;
+        else
+            stream_->write(bytes);
+    }
+
+    unsigned status() const
+    {
+        return received_.size() < 12 ? 0
+                                     : static_cast<unsigned>(std::stoul(received_.substr(9, 3)));
+    }
+
+    std::shared_ptr<TcpStream> stream_;
+    std::string unsent_;
+    std::string received_;
+    bool ended_ = false;
+    int error_ = 0;
+};
+
+} // namespace standins
