Judge targets by the ratio of their failures against the others'

Cause: distrust that faded in seconds let targets that lie about their health take requests again and again, while failures that all have alike (one lookup in seven is answered with an error) raised it too. A target that fails by 0.25 more often than half of its service gets a trial each 300 ms.

--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -19,7 +19,8 @@
 constexpr unsigned wrongTargetStatus = 421;
 
 /// A failed answer speaks against its target; one that never came speaks more.
-constexpr double errorWeight = 0.5;
+constexpr double errorWeight = 1.0;
+constexpr double shedWeight = 0.5;
 constexpr double brokenWeight = 1.0;
 
 /// How long a broken run is remembered until its target shows whether it crashed.
@@ -114,7 +115,7 @@
     eventLog().note("send.failed", "id", request->id_, "target", target->belief_.listed_.id_, "end",
                     nameOf(exchangeEndNames, end), "reason", reason, "sent_ms_ago",
                     (now - request->sentAt_).count() / 1000);
-    noteFailure(target->belief_, brokenWeight, now);
+    noteOutcome(target->belief_, brokenWeight);
     if (end == ExchangeEnd::NeverSent) {
         if (reason == "ECONNREFUSED")
             target->crashedAt_ = now;
@@ -129,7 +130,6 @@
 
 void Edge::finishAnswer(const EdgeRequestPtr &request)
 {
-    const Time now = bootNow();
     const auto session = request->session_.lock();
     TargetBelief &belief = request->target_->belief_;
     const unsigned status = request->answer_.status_;
@@ -140,25 +140,25 @@
         else if (status == wrongTargetStatus && !request->adapter_.empty())
             belief.adapters_.erase(markOf(request->adapter_));
         else
-            noteFailure(belief, errorWeight, now);
+            noteOutcome(belief, shedWeight);
         onNotRun(request, fmt::format("target answered {}", status));
         return;
     }
     ++request->runs_;
     if (succeeded(status) && !request->answer_.hasHeader(wire::signatureHeader)) {
-        noteFailure(belief, errorWeight, now);
+        noteOutcome(belief, errorWeight);
         onFailed(request, 502, "answer without signature");
         return;
     }
     if (status >= 500) {
-        noteFailure(belief, errorWeight, now);
+        noteOutcome(belief, errorWeight);
         if (request->route_.kind_ == RequestKind::Idempotent
             && request->runs_ < request->route_.mostTargets_) {
             onFailed(request, status, "error of the target");
             return;
         }
     } else {
-        noteSuccess(belief, now);
+        noteOutcome(belief, 0);
     }
     if (!session) {
         end(*request, status, "client gone");
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -43,6 +43,9 @@
 /// An older version of an adapter may be used until this part of the operator's bound.
 constexpr double olderVersionPart = 0.7;
 
+/// A timeout speaks against its target like a failure.
+constexpr double timeoutWeight = 1.0;
+
 /// Requests placed in one pass after room has come.
 constexpr std::size_t placedInOnePass = 16;
 
@@ -362,6 +365,7 @@
     if (belief.outstanding_ == 0 && !belief.agentHeard_)
         belief.aliveAt_ = now;
     ++belief.outstanding_;
+    belief.lastSentAt_ = now;
     if (!request->adapter_.empty()) {
         target->usedAdapters_.insert(markOf(request->adapter_));
         ++target->runningAdapters_[markOf(request->adapter_)];
@@ -453,7 +457,8 @@
         } else if (now > deadline + answerSlack) {
             const auto session = request->session_.lock();
             const bool streaming = request->stage_ == RequestStage::Streaming;
-            noteFailure(request->target_->belief_, streaming ? 0.0 : 0.3, now);
+            if (!streaming)
+                noteOutcome(request->target_->belief_, timeoutWeight);
             if (streaming && session) {
                 end(*request, 0, "timeout in stream");
                 session->abort();
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -15,8 +15,8 @@
 /// Load, as a part of the slots, that a target in another data centre must be below one at home.
 constexpr double distanceCost = 0.12;
 
-/// Load that one recent failure counts as.
-constexpr double distrustCost = 0.5;
+/// Load that a target counts as that fails always.
+constexpr double failureCost = 2.0;
 
 /// A frequent adapter gets another copy when its best target has more than this load, and a target
 /// without it has less than the part given of that load.
@@ -42,7 +42,7 @@
 
 double costOf(const TargetBelief &target, const PlaceQuery &query, Time now)
 {
-    double cost = loadPart(target, query, now) + distrustCost * distrustOf(target, now);
+    double cost = loadPart(target, query, now) + failureCost * target.failureRatio_;
     if (target.listed_.dataCentre_ != query.dataCentre_)
         cost += distanceCost;
     return cost;
@@ -88,7 +88,7 @@
             continue;
         const double pending = target->loadsWaiting_;
         // Without the distance, on which entries in different data centres wouldn't agree.
-        const double cost = loadPart(*target, query, now) + distrustCost * distrustOf(*target, now)
+        const double cost = loadPart(*target, query, now) + failureCost * target->failureRatio_
             + pendingLoadCost * pending + homeWeight * homeRank(*target, query.adapter_);
         if (cost < least) {
             least = cost;
@@ -98,6 +98,21 @@
     return best;
 }
 
+/// The failure ratio that half of the targets stay below: failures that all have alike, such as
+/// those of the requests themselves, speak against none.
+double usualFailureRatio(const std::vector<TargetBelief *> &targets)
+{
+    if (targets.empty())
+        return 0;
+    std::vector<double> ratios;
+    ratios.reserve(targets.size());
+    for (const TargetBelief *target : targets)
+        ratios.push_back(target->failureRatio_);
+    const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    return *middle;
+}
+
 struct Candidates
 {
     std::vector<TargetBelief *> usable_;
@@ -109,10 +124,12 @@
                         Time now)
 {
     Candidates candidates;
+    const double usualRatio = usualFailureRatio(targets);
     const NameMark model = markOf(query.model_);
     const NameMark adapter = markOf(query.adapter_);
     for (TargetBelief *target : targets) {
-        if (!isUsable(*target, now) || query.tried_.contains(target->listed_.id_))
+        if (!isUsable(*target, now) || isShunned(*target, usualRatio, now)
+            || query.tried_.contains(target->listed_.id_))
             continue;
         if (!query.model_.empty() && !target->models_.contains(model))
             continue;
--- a/Source/Edge/targetbelief.cpp
+++ b/Source/Edge/targetbelief.cpp
@@ -1,7 +1,6 @@
 #include "Edge/targetbelief.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace eelgrasscove {
 
@@ -22,15 +21,16 @@
 /// A load told longer ago says less than what this entry has there itself.
 constexpr Duration loadGoodFor = 1000ms;
 
-/// Distrust halves in this time, so that a target that was mended is back within seconds.
-constexpr Duration distrustHalfLife = 2000ms;
-
-/// Beyond this distrust a target gets no work but trials, for the time below.
-constexpr double distrustLimit = 3.0;
+/// Time for which a target that stands still is left alone.
 constexpr Duration avoidTime = 1000ms;
 
-/// An answer takes this part of the distrust away.
-constexpr double successFactor = 0.7;
+/// Weight of one answer in the ratio of failures: the last dozen count.
+constexpr double answerWeight = 0.15;
+
+/// A target that fails by this much more often than the others of its service gets a trial at most
+/// this often; a few sound trials bring it back.
+constexpr double shunnedAbove = 0.25;
+constexpr Duration trialPeriod = 300ms;
 
 } // namespace
 
@@ -64,29 +64,15 @@
     return std::max(own, target.running_ + target.waiting_ + sinceLoad);
 }
 
-double distrustOf(const TargetBelief &target, Time now)
-{
-    if (target.distrust_ == 0)
-        return 0;
-    const double halfLives = std::chrono::duration<double>(now - target.distrustAt_)
-        / std::chrono::duration<double>(distrustHalfLife);
-    return target.distrust_ * std::exp2(-halfLives);
-}
-
-void noteFailure(TargetBelief &target, double weight, Time now)
+void noteOutcome(TargetBelief &target, double weight)
 {
-    target.distrust_ = distrustOf(target, now) + weight;
-    target.distrustAt_ = now;
-    if (target.distrust_ >= distrustLimit)
-        target.avoidUntil_ = now + avoidTime;
+    target.failureRatio_ += (weight - target.failureRatio_) * answerWeight;
 }
 
-void noteSuccess(TargetBelief &target, Time now)
+bool isShunned(const TargetBelief &target, double usualRatio, Time now)
 {
-    if (target.distrust_ == 0)
-        return;
-    target.distrust_ = distrustOf(target, now) * successFactor;
-    target.distrustAt_ = now;
+    return target.failureRatio_ > usualRatio + shunnedAbove
+        && now - target.lastSentAt_ < trialPeriod;
 }
 
 void noteLoad(TargetBelief &target, std::uint32_t running, std::uint32_t waiting, Time now)
--- a/Source/Edge/targetbelief.h
+++ b/Source/Edge/targetbelief.h
@@ -51,11 +51,11 @@
     std::uint32_t outstandingAtLoad_ = 0;
     /// When the target or its agent last gave any sign of life.
     Time aliveAt_;
-    /// Rises with each failure and fades; 1 is about one failure just now.
-    double distrust_ = 0;
-    Time distrustAt_;
-    /// No send before this time, but for trials.
+    /// Part of the latest answers that were failures.
+    double failureRatio_ = 0;
+    /// No send before this time.
     Time avoidUntil_;
+    Time lastSentAt_;
 };
 
 /// Whether new requests may be sent to the target at all.
@@ -70,12 +70,12 @@
 /// Requests running and waiting there, from the last load told and what this entry has sent since.
 double estimatedLoad(const TargetBelief &target, std::size_t entries, Time now);
 
-/// The faded distrust.
-double distrustOf(const TargetBelief &target, Time now);
+/// Takes note of an answer, or of a failure that speaks against the target; weight is in [0, 1].
+void noteOutcome(TargetBelief &target, double weight);
 
-/// Takes note of a failure that speaks against the target, or of an answer.
-void noteFailure(TargetBelief &target, double weight, Time now);
-void noteSuccess(TargetBelief &target, Time now);
+/// Whether the target fails so much more often than usual that it gets trials only, and none is
+/// due.
+bool isShunned(const TargetBelief &target, double usualRatio, Time now);
 
 /// Takes a load told by the target or its agent.
 void noteLoad(TargetBelief &target, std::uint32_t running, std::uint32_t waiting, Time now);
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -142,12 +142,30 @@
     BOOST_TEST((choosePlace(fleet.all(), queryFor(""), now).kind_ == PlaceKind::Send));
 }
 
-BOOST_AUTO_TEST_CASE(distrust_fades_so_that_a_mended_target_is_back)
+BOOST_AUTO_TEST_CASE(a_target_that_fails_more_than_the_others_gets_trials_until_it_is_mended)
 {
-    TargetBelief target;
+    Fleet fleet;
+    TargetBelief &grey = fleet.add("a");
+    fleet.add("b").running_ = 9;
+    fleet.add("c").running_ = 9;
     for (int failure = 0; failure < 4; ++failure)
-        noteFailure(target, 1.0, now);
-    BOOST_TEST(!isUsable(target, now));
-    BOOST_TEST(isUsable(target, now + 1500ms));
-    BOOST_TEST(distrustOf(target, now + 10s) < 0.2);
+        noteOutcome(grey, 1);
+    grey.lastSentAt_ = now;
+    BOOST_TEST(choosePlace(fleet.all(), queryFor(""), now).target_ != &grey);
+    BOOST_TEST(!isShunned(grey, 0, now + 400ms));
+    for (int trial = 0; trial < 8; ++trial)
+        noteOutcome(grey, 0);
+    BOOST_TEST(!isShunned(grey, 0, now));
+}
+
+BOOST_AUTO_TEST_CASE(failures_that_all_targets_have_alike_shut_none_out)
+{
+    Fleet fleet;
+    for (const char *id : {"a", "b", "c"}) {
+        TargetBelief &target = fleet.add(id);
+        for (int failure = 0; failure < 10; ++failure)
+            noteOutcome(target, 1);
+        target.lastSentAt_ = now;
+    }
+    BOOST_TEST((choosePlace(fleet.all(), queryFor(""), now).kind_ == PlaceKind::Send));
 }
