Ask engines that still load their model for adapters, and choose homes by address

Cause: after a loss of all power the first engine with its model was asked for every adapter that anyone waited for, and 25 requests were refused at once for its long queue; and an engine's new id moved every home.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -61,16 +61,24 @@
         && (coming->second == 0 || coming->second >= query.leastVersion_);
 }
 
-/// The order in which targets are home to an adapter; all entries compute the same.
+/// The order in which targets are home to an adapter; all entries compute the same. By address, as
+/// a target that starts anew has another id and the same copies on its disk.
 double homeRank(const TargetBelief &target, const std::string &adapter)
 {
-    const std::string &id = target.listed_.id_;
-    const XXH64_hash_t hash =
-        XXH3_64bits_withSeed(id.data(), id.size(), XXH3_64bits(adapter.data(), adapter.size()));
+    const std::string &place = target.listed_.address_;
+    const XXH64_hash_t hash = XXH3_64bits_withSeed(place.data(), place.size(),
+                                                   XXH3_64bits(adapter.data(), adapter.size()));
     return static_cast<double>(hash)
         / static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
 }
 
+/// Load that an engine counts as that is still loading its model: most adapters find another home,
+/// but where all start at once their requests are spread over all of them from the first.
+constexpr double startingCost = 1.0;
+
+/// An agent that was silent for longer can't be asked to load anything.
+constexpr Duration agentGoodFor = std::chrono::milliseconds(2500);
+
 /// Weight of the home rank beside a target's load where an adapter is to be loaded. An adapter that
 /// its engine has had before comes from that VM's memory, ten times as fast, so it moves only away
 /// from a target that is clearly fuller than the next.
@@ -80,16 +88,18 @@
                          Time now)
 {
     const NameMark adapter = markOf(query.adapter_);
+    const NameMark model = markOf(query.model_);
     TargetBelief *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : targets) {
-        if (!target->agentHeard_ || hasAdapter(*target, query, adapter)
-            || awaitsAdapter(*target, query, adapter))
+        if (hasAdapter(*target, query, adapter) || awaitsAdapter(*target, query, adapter))
             continue;
+        const double starting = target->models_.contains(model) ? 0 : startingCost;
         const double pending = target->loadsWaiting_;
         // Without the distance, on which entries in different data centres wouldn't agree.
-        const double cost = loadPart(*target, query, now) + failureCost * target->failureRatio_
-            + pendingLoadCost * pending + homeWeight * homeRank(*target, query.adapter_);
+        const double cost = starting + loadPart(*target, query, now)
+            + failureCost * target->failureRatio_ + pendingLoadCost * pending
+            + homeWeight * homeRank(*target, query.adapter_);
         if (cost < least) {
             least = cost;
             best = target;
@@ -115,6 +125,8 @@
 
 struct Candidates
 {
+    /// Those that may be asked to load the adapter, also while they load the model.
+    std::vector<TargetBelief *> loaders_;
     std::vector<TargetBelief *> usable_;
     std::vector<TargetBelief *> able_;
     TargetBelief *awaited_ = nullptr;
@@ -131,8 +143,13 @@
         if (!isUsable(*target, now) || isShunned(*target, usualRatio, now)
             || query.tried_.contains(target->listed_.id_))
             continue;
-        if (!query.model_.empty() && !target->models_.contains(model))
+        if (target->agentHeard_ && now - target->heardAt_ < agentGoodFor)
+            candidates.loaders_.push_back(target);
+        if (!query.model_.empty() && !target->models_.contains(model)) {
+            if (awaitsAdapter(*target, query, adapter))
+                candidates.awaited_ = target;
             continue;
+        }
         candidates.usable_.push_back(target);
         if (query.adapter_.empty() || hasAdapter(*target, query, adapter))
             candidates.able_.push_back(target);
@@ -153,7 +170,7 @@
 {
     const Candidates candidates = candidatesOf(targets, query, now);
     Place place;
-    if (candidates.usable_.empty()) {
+    if (candidates.usable_.empty() && (query.adapter_.empty() || candidates.loaders_.empty())) {
         const bool any = std::any_of(targets.begin(), targets.end(), [](const auto *target) {
             return !target->replaced_ && !target->listed_.draining_ && !target->draining_;
         });
@@ -175,13 +192,13 @@
         place.kind_ = room ? PlaceKind::Send : PlaceKind::AwaitRoom;
         if (query.adapter_.empty() || place.load_ <= copyAbove || candidates.awaited_ != nullptr)
             return place;
-        TargetBelief *copy = bestToLoad(candidates.usable_, query, now);
+        TargetBelief *copy = bestToLoad(candidates.loaders_, query, now);
         if (copy != nullptr && loadPart(*copy, query, now) < copyBelowPart * place.load_)
             place.copyAt_ = copy;
         return place;
     }
     place.target_ = candidates.awaited_ != nullptr ? candidates.awaited_
-                                                   : bestToLoad(candidates.usable_, query, now);
+                                                   : bestToLoad(candidates.loaders_, query, now);
     place.kind_ = place.target_ != nullptr ? PlaceKind::AwaitAdapter : PlaceKind::None;
     return place;
 }
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -23,6 +23,8 @@
         belief.listed_.dataCentre_ = dataCentre;
         belief.listed_.slots_ = 10;
         belief.agentHeard_ = true;
+        belief.heardAt_ = now;
+        belief.listed_.address_ = "10.0.0.1:" + id;
         belief.models_ = {markOf("base")};
         belief.aliveAt_ = now;
         belief.loadAt_ = now;
@@ -98,6 +100,24 @@
     BOOST_TEST(place.copyAt_->listed_.id_ == "b");
 }
 
+BOOST_AUTO_TEST_CASE(adapters_are_spread_over_engines_that_start_at_once)
+{
+    Fleet fleet;
+    for (int number = 0; number < 8; ++number)
+        fleet.add("t" + std::to_string(number)).models_.clear();
+    std::map<std::string, int> homes;
+    for (int number = 0; number < 80; ++number) {
+        const Place place =
+            choosePlace(fleet.all(), queryFor("base/a" + std::to_string(number)), now);
+        BOOST_REQUIRE(place.target_ != nullptr);
+        ++homes[place.target_->listed_.id_];
+    }
+    BOOST_TEST(homes.size() == 8);
+    // Once one of them is up, an adapter that isn't asked for anywhere goes there.
+    fleet.beliefs_[3].models_ = {markOf("base")};
+    BOOST_TEST(choosePlace(fleet.all(), queryFor("base/b"), now).target_->listed_.id_ == "t3");
+}
+
 BOOST_AUTO_TEST_CASE(an_older_version_is_not_used_once_a_newer_is_due)
 {
     Fleet fleet;
@@ -127,7 +147,9 @@
 {
     Fleet fleet;
     fleet.add("a").models_.clear();
-    BOOST_TEST((choosePlace(fleet.all(), queryFor("base/x"), now).kind_ == PlaceKind::AwaitTarget));
+    BOOST_TEST((choosePlace(fleet.all(), queryFor(""), now).kind_ == PlaceKind::AwaitTarget));
+    BOOST_TEST(
+        (choosePlace(fleet.all(), queryFor("base/x"), now).kind_ == PlaceKind::AwaitAdapter));
     BOOST_TEST((choosePlace({}, queryFor("base/x"), now).kind_ == PlaceKind::None));
 }
 
