--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -98,6 +98,8 @@
     std::string answerBody_;
     bool headCame_ = false;
     bool firstEventPassed_ = false;
+    /// The id of the last event passed on; a resumed run goes on after it.
+    std::string lastEventId_;
     Time firstEventAt_;
 };
 
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -26,6 +26,26 @@
 /// How long a broken run is remembered until its target shows whether it crashed.
 constexpr Duration suspicionTime = 2s;
 
+/// How long a stream that is to be resumed may wait for a target: its client leaves after two
+/// seconds without an event.
+constexpr Duration resumeTime = 1500ms;
+
+/// The id of the last event that has one; empty where none has.
+std::string lastIdOf(std::string_view events)
+{
+    constexpr std::string_view field = "id:";
+    std::size_t at = events.rfind(field);
+    while (at != std::string_view::npos && at > 0 && events[at - 1] != '\n')
+        at = events.rfind(field, at - 1);
+    if (at == std::string_view::npos)
+        return {};
+    std::string_view id = events.substr(at + field.size());
+    id = id.substr(0, id.find('\n'));
+    while (!id.empty() && id.front() == ' ')
+        id.remove_prefix(1);
+    return std::string(id);
+}
+
 bool succeeded(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -91,12 +111,14 @@
     if (whole == 0)
         return;
     const std::string_view events = std::string_view(bytes).substr(0, whole);
+    if (std::string id = lastIdOf(events); !id.empty())
+        request.lastEventId_ = std::move(id);
+    request.stage_ = RequestStage::Streaming;
     if (request.firstEventPassed_) {
         session.streamBytes(events);
     } else {
         request.firstEventPassed_ = true;
         request.firstEventAt_ = bootNow();
-        request.stage_ = RequestStage::Streaming;
         session.beginStream(request.answer_.status_, answerHeaders(request.answer_), events);
     }
     bytes.erase(0, whole);
@@ -150,6 +172,11 @@
         onFailed(request, 502, "answer without signature");
         return;
     }
+    if (request->firstEventPassed_ && !succeeded(status)) {
+        noteOutcome(belief, errorWeight);
+        onFailed(request, 502, fmt::format("resumed run answered {}", status));
+        return;
+    }
     if (status >= 500) {
         noteOutcome(belief, errorWeight);
         if (request->route_.kind_ == RequestKind::Idempotent
@@ -193,15 +220,22 @@
 {
     leaveTarget(*request);
     const auto session = request->session_.lock();
+    const bool resumable =
+        request->route_.kind_ == RequestKind::Stream && request->route_.resumable_;
+    const bool repeatable = request->route_.kind_ == RequestKind::Idempotent || resumable;
+    const bool again = repeatable && request->runs_ < request->route_.mostTargets_;
     if (request->firstEventPassed_) {
-        end(*request, 0, fmt::format("stream broken: {}", reason));
-        if (session)
-            session->abort();
-        return;
+        if (!again || request->lastEventId_.empty()) {
+            end(*request, 0, fmt::format("stream broken: {}", reason));
+            if (session)
+                session->abort();
+            return;
+        }
+        request->waitUntil_ = bootNow() + resumeTime;
+        eventLog().note("stream.resumes", "id", request->id_, "after", request->lastEventId_,
+                        "reason", reason);
     }
-    const bool repeatable = request->route_.kind_ == RequestKind::Idempotent
-        || (request->route_.kind_ == RequestKind::Stream && request->route_.resumable_);
-    if (repeatable && request->runs_ < request->route_.mostTargets_) {
+    if (again) {
         request->stage_ = RequestStage::Waiting;
         request->headCame_ = false;
         request->answerBody_.clear();
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -392,7 +392,9 @@
         const bool ours = header.name_.size() > wire::headerPrefix.size()
             && equalIgnoringCase(header.name_.substr(0, wire::headerPrefix.size()),
                                  wire::headerPrefix);
-        if (isConnectionHeader(header.name_) || isSystemHeader(header.name_)
+        const bool older =
+            !request.lastEventId_.empty() && equalIgnoringCase(header.name_, wire::lastEventHeader);
+        if (isConnectionHeader(header.name_) || isSystemHeader(header.name_) || older
             || equalIgnoringCase(header.name_, "Expect")
             || (!ours && namedByConnection(request.head_, header.name_)))
             continue;
@@ -404,6 +406,8 @@
         appendHeader(text, header.name_, header.value_);
     }
     appendHeader(text, wire::timeLeftHeader, std::to_string(left));
+    if (!request.lastEventId_.empty())
+        appendHeader(text, wire::lastEventHeader, request.lastEventId_);
     appendHeader(text, wire::expectTargetHeader, target.listed_.id_);
     if (!request.account_.empty())
         appendHeader(text, wire::accountHeader, request.account_);
@@ -479,9 +483,14 @@
         takeTokens(allowance_, request.account_, -request.tokens_);
         request.charged_ = false;
     }
-    end(request, status, reason);
+    end(request, request.firstEventPassed_ ? 0 : status, reason);
     if (!session)
         return;
+    if (request.firstEventPassed_) {
+        // The answer has begun, so there is only one way left to say that it isn't whole.
+        session->abort();
+        return;
+    }
     std::string headers;
     if (!request.id_.empty())
         appendHeader(headers, wire::requestIdHeader, request.id_);
--- a/Tests/Net/tcpstreamtest.cpp
+++ b/Tests/Net/tcpstreamtest.cpp
@@ -1,5 +1,7 @@
 #include "../Shared/servingstandins.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace standins;
 
 BOOST_AUTO_TEST_SUITE(tcpstream)
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -3,6 +3,8 @@
 
 #include "../Shared/servingstandins.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace standins;
 
 namespace {
@@ -14,6 +16,8 @@
  "timeout_ms":1000,"target_latency_ms":300,"service":"ledger","max_attempts":1}},
 {{"name":"open","host":"desk.example","path_prefix":"/open/","kind":"idempotent","timeout_ms":2000,
  "service":"ledger","max_attempts":1,"public":true}},
+{{"name":"tell","host":"desk.example","path_prefix":"/tell/","kind":"streaming",
+ "timeout_ms":4000,"service":"ledger","max_attempts":2,"resumable":true}},
 {{"name":"ask","host":"desk.example","path_prefix":"/ask/","kind":"streaming","timeout_ms":4000,
  "target_latency_ms":500,"service":"ledger","max_attempts":1,"target_gap_ms":300}}],
 "services":[{{"name":"ledger","max_connections":96}}],
@@ -261,6 +265,35 @@
     BOOST_TEST(client->received_.find("id: 2\n\n") > first);
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_that_may_be_resumed_goes_on_at_another_target)
+{
+    Path path(14);
+    path.ready();
+    int runs = 0;
+    for (auto &handler : path.handlers_) {
+        handler = [&runs](const auto &from, SeenRequest &&request) {
+            const std::string head = "HTTP/1.1 200 OK\r\n" + Path::idOf(request) + seal
+                + "Transfer-Encoding: chunked\r\n\r\n";
+            if (runs++ == 0) {
+                from->stream_->write(head + "10\r\nid: 1\n\nid: 2\n\nid\r\n");
+                from->loop_.timers().once(50ms, [from] { from->stream_->close(true); });
+            } else {
+                BOOST_TEST(request.head_.header("Last-Event-Id") == "2");
+                from->stream_->write(head + "7\r\nid: 3\n\n\r\n0\r\n\r\n");
+            }
+        };
+    }
+    const auto client = path.begin("POST", "/tell/a");
+    BOOST_TEST(turnUntil(path.loop_, 3s, [&] {
+        return client->received_.find("\r\n0\r\n\r\n") != std::string::npos;
+    }));
+    BOOST_TEST(runs == 2);
+    for (const char *event : {"id: 1\n\n", "id: 2\n\n", "id: 3\n\n"})
+        BOOST_TEST(client->received_.find(event) != std::string::npos, event);
+    // The piece of an event that had come is not passed on.
+    BOOST_TEST(client->received_.find("idid") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_another_request_is_passed_to_nobody)
 {
     Path path(8);
--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -7,7 +7,6 @@
 #include "Net/tcpstream.h"
 #include "Platform/base64.h"
 
-#include <boost/test/unit_test.hpp>
 #include <fmt/core.h>
 #include <rapidjson/document.h>
 
@@ -17,6 +16,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -25,6 +25,12 @@
 using namespace eelgrasscove;
 using namespace std::chrono_literals;
 
+inline void require(bool condition, const char *what)
+{
+    if (!condition)
+        throw std::runtime_error(std::string("the stand-in needs ") + what);
+}
+
 /// Turns the loop until the condition holds; false after the time.
 inline bool turnUntil(EventLoop &loop, Duration most, const std::function<bool()> &condition)
 {
@@ -54,8 +60,8 @@
 {
     using Handler = std::function<void(const std::shared_ptr<ServerConnection> &, SeenRequest &&)>;
 
-    ServerConnection(std::shared_ptr<TcpStream> stream, const Handler &handler)
-        : stream_(std::move(stream)), handler_(handler),
+    ServerConnection(EventLoop &loop, std::shared_ptr<TcpStream> stream, const Handler &handler)
+        : loop_(loop), stream_(std::move(stream)), handler_(handler),
           reader_(HttpKind::Request, 64 * 1024,
                   {[this](HttpHead &&head) { request_.head_ = std::move(head); },
                    [this](std::string_view bytes) { request_.body_ += bytes; }, [] {}})
@@ -91,6 +97,7 @@
     /// Ends the connection without a reset, in the middle of whatever was written.
     void breakOff() { stream_->closeAfterWrite(); }
 
+    EventLoop &loop_;
     std::shared_ptr<TcpStream> stream_;
     Handler handler_;
     HttpReader reader_;
@@ -106,22 +113,23 @@
     Server(EventLoop &loop, const std::string &address, ServerConnection::Handler handler)
         : loop_(loop), handler_(std::move(handler))
     {
-        BOOST_REQUIRE(parseEndpoint(address, address_));
+        require(parseEndpoint(address, address_), "an address");
         listen();
     }
 
     void listen()
     {
         listener_ = std::make_unique<TcpListener>();
-        BOOST_REQUIRE(listener_->listen(loop_, address_, [this](auto stream) {
+        const int listening = listener_->listen(loop_, address_, [this](auto stream) {
             auto connection = std::make_shared<ServerConnection>(
-                stream, [this](const auto &from, SeenRequest &&request) {
+                loop_, stream, [this](const auto &from, SeenRequest &&request) {
                     seen_.push_back(request);
                     handler_(from, std::move(request));
                 });
             connections_.push_back(connection);
             connection->start();
-        }) == 0);
+        });
+        require(listening == 0, "the address to be free");
     }
 
     EventLoop &loop_;
@@ -332,7 +340,7 @@
     Client(EventLoop &loop, const std::string &address)
     {
         Endpoint endpoint;
-        BOOST_REQUIRE(parseEndpoint(address, endpoint));
+        require(parseEndpoint(address, endpoint), "an address");
         stream_ = TcpStream::connect(loop, endpoint,
                                      {[this] { stream_->write(unsent_); },
                                       [this](std::string_view bytes) { received_ += bytes; },
--- /dev/null
+++ b/Tests/Soak/record.h
@@ -0,0 +1,123 @@
+#pragma once
+
+/// What clients and targets saw in a soak, and the promises that it is checked against. Pure.
+
+#include <eelgrasscove/time.h>
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace soak {
+
+using eelgrasscove::Duration;
+using eelgrasscove::Time;
+using namespace std::chrono_literals;
+
+/// A request as its client saw it.
+struct Asked
+{
+    std::string key_;
+    bool once_ = false;
+    bool stream_ = false;
+    Time sentAt_;
+    Time endedAt_;
+    /// 0 for a connection that ended without an answer.
+    unsigned status_ = 0;
+    bool signed_ = false;
+    /// The answer looked complete to the client.
+    bool complete_ = false;
+    std::string body_;
+};
+
+/// A run at a target.
+struct Ran
+{
+    std::string target_;
+    std::string account_;
+    bool keyPassedOn_ = false;
+    Time at_;
+    /// The body that the target answered with; a stream's events joined.
+    std::string body_;
+};
+
+struct Record
+{
+    std::map<std::string, Asked> asked_;
+    std::map<std::string, std::vector<Ran>> ran_;
+    std::map<std::string, std::string> accountOfKey_;
+    /// When a key's withdrawal was acknowledged.
+    std::map<std::string, Time> withdrawnAt_;
+    /// When a target's leaving was acknowledged, while the store was sound.
+    std::map<std::string, Time> leftAt_;
+    Duration revoke_ = 2s;
+    Duration drain_ = 2s;
+    /// Longest time that a client is to wait for any answer.
+    Duration timeout_ = 3s;
+    /// No fault from here on.
+    Time calmAt_;
+    Duration recovery_ = 4s;
+};
+
+/// One line for each promise that was broken.
+inline std::vector<std::string> brokenPromises(const Record &record)
+{
+    std::vector<std::string> broken;
+    const auto breaks = [&](const std::string &promise, const std::string &id) {
+        broken.push_back(fmt::format("{}: request {}", promise, id));
+    };
+    std::size_t calm = 0;
+    std::size_t calmServed = 0;
+    for (const auto &[id, asked] : record.asked_) {
+        const auto found = record.ran_.find(id);
+        const std::vector<Ran> none;
+        const std::vector<Ran> &runs = found == record.ran_.end() ? none : found->second;
+        if (asked.once_ && runs.size() > 1)
+            breaks("at most once", id);
+        const bool saysNotRun = asked.status_ == 503 || asked.status_ == 429;
+        if (asked.once_ && saysNotRun && !runs.empty())
+            breaks("\"not run\" is true", id);
+        if (asked.status_ == 200 && asked.complete_) {
+            const bool sound = asked.signed_
+                && std::any_of(runs.begin(), runs.end(),
+                               [&](auto &run) { return run.body_ == asked.body_; });
+            if (!sound)
+                breaks("whole answers of the right request", id);
+        }
+        for (const Ran &run : runs) {
+            if (run.keyPassedOn_)
+                breaks("keys end at the entry", id);
+            if (run.account_ != record.accountOfKey_.at(asked.key_))
+                breaks("the key's account", id);
+            const auto withdrawn = record.withdrawnAt_.find(asked.key_);
+            if (withdrawn != record.withdrawnAt_.end()
+                && asked.sentAt_ > withdrawn->second + record.revoke_)
+                breaks("withdrawn keys", id);
+            const auto left = record.leftAt_.find(run.target_);
+            if (left != record.leftAt_.end()
+                && asked.sentAt_ > left->second + record.drain_ + 500ms)
+                breaks("leaving targets", id);
+        }
+        const bool answered = asked.endedAt_ != Time{};
+        if (asked.sentAt_ > record.calmAt_ + record.recovery_
+            && !record.withdrawnAt_.contains(asked.key_) && answered) {
+            ++calm;
+            calmServed += asked.status_ == 200 ? 1 : 0;
+            if (asked.endedAt_ - asked.sentAt_ > record.timeout_ + 500ms)
+                breaks("an answer in time", id);
+        }
+    }
+    for (const auto &[id, runs] : record.ran_) {
+        if (!record.asked_.contains(id))
+            breaks("nothing that no client sent", id);
+    }
+    if (calm > 0 && calmServed * 10 < calm * 9)
+        broken.push_back(fmt::format("recovery: {} of {} served", calmServed, calm));
+    return broken;
+}
+
+} // namespace soak
--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -4,6 +4,8 @@
 
 #include "../Shared/servingstandins.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace standins;
 
 namespace {
