Wait for replacements to be done, and name the engine on orders

Two holes were found by reading: a replacement waits for its runs, was ordered again every 20 ms meanwhile, and could be crossed by an unload of the same adapter; and orders named no instance, as the report tells none. Both are closed, with tests that fail without it.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -207,9 +207,11 @@
     }
     failedPolls_ = 0;
     up_ = true;
+    if (report->startedAt_ != report_.startedAt_)
+        targetId_.clear();
     if (!wasUp || report->startedAt_ != report_.startedAt_) {
-        eventLog().note("engine.found", "engine", settings_.engine_, "target", report->id_,
-                        "started", report->startedAt_, "orders", report->orders_, "adapters",
+        eventLog().note("engine.found", "engine", settings_.engine_, "fence", fence_, "started",
+                        report->startedAt_, "orders", report->orders_, "adapters",
                         report->adapters_.size(), "models", report->models_.size());
     }
     if (report->models_ != report_.models_) {
@@ -219,8 +221,6 @@
     const bool loadChanged = report->running_ != report_.running_
         || report->waiting_ != report_.waiting_ || report->draining_ != report_.draining_;
     report_ = std::move(*report);
-    if (!report_.id_.empty())
-        targetId_ = report_.id_;
     expirePlan(plan_, report_, bootNow());
     const std::size_t hash = hashOf(report_, plan_.wishes_);
     if (hash != listsHash_) {
@@ -264,7 +264,7 @@
         order.model_, "adapter", order.adapter_, "version", order.version_, "expected_orders",
         order.expectedOrders_, "fence", order.fence_, "status", answer ? answer->status_ : 0);
     if (answer && answer->status_ == 202)
-        noteAccepted(plan_, order, bootNow());
+        noteAccepted(plan_, order, report_, bootNow());
     // The next order depends on what this one did.
     loop_.timers().cancel(pollTimer_);
     poll();
@@ -285,6 +285,9 @@
     entry->second.address_ = from;
     entry->second.at_ = now;
     entry->second.knownResidency_ = wishes->knownResidency_;
+    // The report tells no id; entries have it from the list, for the same start.
+    if (targetId_.empty() && up_ && wishes->targetStartedAt_ == report_.startedAt_)
+        targetId_ = wishes->target_;
     for (const NameMark adapter : wishes->inUse_)
         noteUse(plan_, adapter, now);
     bool wished = false;
--- a/Source/Agent/residencyplan.cpp
+++ b/Source/Agent/residencyplan.cpp
@@ -66,6 +66,7 @@
     const wire::HeldAdapter *least = nullptr;
     for (const wire::HeldAdapter &held : report.adapters_) {
         if (plan.wishes_.contains(held.adapter_) || plan.unloading_.contains(held.adapter_)
+            || plan.replacing_.contains(held.adapter_)
             || now - lastUseOf(plan, held.adapter_) < keepAfterUse)
             continue;
         if (least == nullptr || lastUseOf(plan, held.adapter_) < lastUseOf(plan, least->adapter_))
@@ -108,10 +109,16 @@
     plan.lastUsed_[adapter] = now;
 }
 
-void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order, Time now)
+void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order,
+                  const wire::EngineReport &report, Time now)
 {
-    if (order.kind_ == wire::OrderKind::Unload && !order.adapter_.empty())
-        plan.unloading_[order.model_ + "/" + order.adapter_] = now;
+    if (order.adapter_.empty())
+        return;
+    const std::string adapter = order.model_ + "/" + order.adapter_;
+    if (order.kind_ == wire::OrderKind::Unload)
+        plan.unloading_[adapter] = now;
+    else if (holds(report.adapters_, adapter, 0))
+        plan.replacing_[adapter] = now;
 }
 
 void expirePlan(ResidencyPlan &plan, const wire::EngineReport &report, Time now)
@@ -126,6 +133,13 @@
     std::erase_if(plan.unloading_, [&](const auto &unload) {
         return !holds(report.adapters_, unload.first, 0) || now - unload.second > unloadLife;
     });
+    std::erase_if(plan.replacing_, [&](const auto &replacement) {
+        const auto wish = plan.wishes_.find(replacement.first);
+        const bool done = wish == plan.wishes_.end()
+            ? !holds(report.adapters_, replacement.first, 0)
+            : holds(report.adapters_, replacement.first, wish->second.version_);
+        return done || now - replacement.second > unloadLife;
+    });
     std::erase_if(plan.lastUsed_, [&](const auto &use) { return now - use.second > useLife; });
 }
 
@@ -144,6 +158,11 @@
     for (const auto &wish : plan.wishes_) {
         if (holds(report.incoming_, wish.first, wish.second.version_))
             continue;
+        // An adapter that goes, or is being replaced, is not touched until that is done: both
+        // orders would be carried out when its runs end, and together they could need a place more
+        // than there is.
+        if (plan.unloading_.contains(wish.first) || plan.replacing_.contains(wish.first))
+            continue;
         if (next == nullptr || comesBefore(wish.second, next->second))
             next = &wish;
     }
--- a/Source/Agent/residencyplan.h
+++ b/Source/Agent/residencyplan.h
@@ -33,6 +33,9 @@
     std::map<NameMark, Time> lastUsed_;
     /// Adapters whose unload was accepted and waits for their runs, since when.
     std::map<std::string, Time> unloading_;
+    /// Adapters whose replacement by a newer version was accepted and waits for their runs, since
+    /// when.
+    std::map<std::string, Time> replacing_;
 };
 
 /// Places for adapters beside the models held, by the engine's slots and its memory for weights.
@@ -42,8 +45,9 @@
               std::uint32_t requests, Time now);
 void noteUse(ResidencyPlan &plan, NameMark adapter, Time now);
 
-/// Takes note of an order that the engine accepted.
-void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order, Time now);
+/// Takes note of an order that the engine accepted; report is the one that it was decided by.
+void noteAccepted(ResidencyPlan &plan, const wire::EngineOrder &order,
+                  const wire::EngineReport &report, Time now);
 
 /// Forgets wishes that no entry repeats or that are fulfilled, and uses long past.
 void expirePlan(ResidencyPlan &plan, const wire::EngineReport &report, Time now);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -147,9 +147,10 @@
 
     // edgerequests.cpp: taking and placing requests.
     void onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest &&request);
-    bool resolve(EdgeRequest &request, ClientSession &session);
-    bool checkKey(EdgeRequest &request, ClientSession &session, Time now);
-    bool checkAllowance(EdgeRequest &request, ClientSession &session, Time now);
+    /// Finds route, service and account by the present rules; false where it refused the request.
+    bool resolve(EdgeRequest &request);
+    bool checkKey(EdgeRequest &request, Time now);
+    bool checkAllowance(EdgeRequest &request, Time now);
     void place(const EdgeRequestPtr &request);
     PlaceQuery placeQuery(const EdgeRequest &request) const;
     void await(const EdgeRequestPtr &request, const Place &place);
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -105,6 +105,8 @@
         return;
     EntryWishes wishes;
     wishes.vm_ = settings_.vm_;
+    wishes.target_ = belief.listed_.id_;
+    wishes.targetStartedAt_ = belief.listed_.startedAt_;
     wishes.knownResidency_ = belief.residency_;
     std::map<std::string, std::uint32_t> wanted;
     for (const EdgeRequestPtr &request : waiting_[belief.listed_.service_]) {
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -130,7 +130,7 @@
         refuse(*request, 400, "no request id", {});
         return;
     }
-    if (!resolve(*request, *session))
+    if (!resolve(*request))
         return;
     const Duration left = timeLeftOf(request->head_, request->route_.timeout_);
     request->clientDeadline_ = request->arrivedAt_ + left;
@@ -145,13 +145,13 @@
         refuse(*request, 503, "crashes targets", 30s);
         return;
     }
-    if (!checkAllowance(*request, *session, now))
+    if (!checkAllowance(*request, now))
         return;
     countRequest(retryBudget_, request->service_, now);
     place(request);
 }
 
-bool Edge::resolve(EdgeRequest &request, ClientSession &)
+bool Edge::resolve(EdgeRequest &request)
 {
     if (!rules_) {
         refuse(request, 503, "no rules yet", leastRetryAfter);
@@ -177,10 +177,10 @@
         if (slash != std::string::npos)
             request.adapter_ = model;
     }
-    return checkKey(request, *request.session_.lock(), bootNow());
+    return checkKey(request, bootNow());
 }
 
-bool Edge::checkKey(EdgeRequest &request, ClientSession &, Time now)
+bool Edge::checkKey(EdgeRequest &request, Time now)
 {
     if (request.route_.open_ || rules_->rules().accounts_.empty())
         return true;
@@ -202,7 +202,7 @@
     return true;
 }
 
-bool Edge::checkAllowance(EdgeRequest &request, ClientSession &, Time now)
+bool Edge::checkAllowance(EdgeRequest &request, Time now)
 {
     if (request.account_.empty())
         return true;
@@ -268,7 +268,7 @@
     const Time now = bootNow();
     // The rules may have changed, and the key may have been withdrawn, while the request waited.
     const bool outdated = request->rulesVersion_ != rules_->rules().version_;
-    if (outdated ? !resolve(*request, *session) : !checkKey(*request, *session, now))
+    if (outdated ? !resolve(*request) : !checkKey(*request, now))
         return;
     const Place place = choosePlace(beliefsOf(request->service_), placeQuery(*request), now);
     if (place.copyAt_ != nullptr) {
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -81,6 +81,9 @@
 struct EntryWishes
 {
     std::string vm_;
+    /// The id of the engine in the list of targets, and its start there.
+    std::string target_;
+    std::uint64_t targetStartedAt_ = 0;
     /// The newest residency_ of the agent that the entry holds.
     std::uint64_t knownResidency_ = 0;
     std::vector<AdapterWish> wishes_;
@@ -90,7 +93,7 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, knownResidency_, wishes_, inUse_);
+        archive(vm_, target_, targetStartedAt_, knownResidency_, wishes_, inUse_);
     }
 };
 
--- a/Tests/AgentDecisions/residencyplantest.cpp
+++ b/Tests/AgentDecisions/residencyplantest.cpp
@@ -96,7 +96,7 @@
     const wire::EngineReport report = reportWith({"base/a1", "base/a2"});
     const auto first = nextOrder(plan, report, limitsWith(2), now);
     BOOST_REQUIRE(first.has_value());
-    noteAccepted(plan, *first, now);
+    noteAccepted(plan, *first, report, now);
     BOOST_TEST(!nextOrder(plan, report, limitsWith(2), now + 20ms).has_value());
 }
 
@@ -112,6 +112,39 @@
     BOOST_TEST(order->version_ == 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_replacement_that_waits_is_neither_repeated_nor_crossed_by_an_unload)
+{
+    ResidencyPlan plan;
+    takeWish(plan, "base/a1", 2, 1, now);
+    const wire::EngineReport report = reportWith({"base/a1", "base/a2"});
+    const auto replacement = nextOrder(plan, report, limitsWith(2), now);
+    BOOST_REQUIRE(replacement.has_value());
+    noteAccepted(plan, *replacement, report, now);
+    BOOST_TEST(!nextOrder(plan, report, limitsWith(2), now + 20ms).has_value());
+    // Its wish is no longer repeated and another adapter needs a place: the other one has to give
+    // it.
+    takeWish(plan, "base/a9", 0, 1, now + 900ms);
+    noteUse(plan, markOf("base/a2"), now);
+    expirePlan(plan, report, now + 900ms);
+    const auto unload = nextOrder(plan, report, limitsWith(2), now + 900ms);
+    BOOST_REQUIRE(unload.has_value());
+    BOOST_TEST(unload->adapter_ == "a2");
+}
+
+BOOST_AUTO_TEST_CASE(an_adapter_that_is_being_unloaded_is_not_replaced_meanwhile)
+{
+    ResidencyPlan plan;
+    takeWish(plan, "base/a9", 0, 1, now);
+    const wire::EngineReport report = reportWith({"base/a1", "base/a2"});
+    noteUse(plan, markOf("base/a2"), now);
+    const auto unload = nextOrder(plan, report, limitsWith(2), now);
+    BOOST_REQUIRE(unload.has_value());
+    BOOST_TEST(unload->adapter_ == "a1");
+    noteAccepted(plan, *unload, report, now);
+    takeWish(plan, "base/a1", 2, 5, now);
+    BOOST_TEST(!nextOrder(plan, report, limitsWith(2), now + 20ms).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(at_most_four_are_on_their_way)
 {
     ResidencyPlan plan;
--- a/Tests/PlatformWire/enginewiretest.cpp
+++ b/Tests/PlatformWire/enginewiretest.cpp
@@ -9,7 +9,7 @@
 BOOST_AUTO_TEST_CASE(a_report_is_read)
 {
     const auto report = wire::decodeReport(
-        R"({"stage":"unified","id":"i-1","born":17,"models":[{"name":"base","version":1,
+        R"({"stage":"unified","born":17,"models":[{"name":"base","version":1,
         "adapters":["a1@1","a2@4"]}],"incoming":["base/a3@1"],"busy":true,"sequence":2,
         "queue_depth":1,"in_flight":12,"kv_used":41000,"kv_total":90000,"state":"draining"})");
     BOOST_REQUIRE(report.has_value());
