--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -14,7 +14,7 @@
 
 /// Part of the capacity that an account has at a start, as what its requests used just before isn't
 /// known.
-constexpr double startPart = 0.25;
+constexpr double startPart = 0.5;
 
 /// Part of the operator's slack by which a level may be overdrawn, so that a large request isn't
 /// refused for want of a level that a small account never has. The rest is for requests that
--- a/Utilities/manpages.sh
+++ b/Utilities/manpages.sh
@@ -66,7 +66,7 @@
 for page in *.md; do
     name=$(sed -n '1s/^# //p' "$page" | tr ' ' '-')
     section=1
-    [[ $name == eelgrasscoved ]] && section=8
+    [[ $name =~ ^(eelgrasscoved|eelgrasscove-edge|eelgrasscove-agent)$ ]] && section=8
     toMan "$page" "$name" "$section" >"$wanted/$name.$section"
 done
 
