--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -36,12 +36,13 @@
     Time crashedAt_;
     /// Wishes for copies in advance, with the time until which they are repeated.
     std::map<std::string, Time> copyWishes_;
-    /// Adapters sent to since the last message to its agent, and when each was last wished for.
+    /// When each adapter was last wished for.
+    std::map<std::string, Time> wishedAt_;
+    /// Adapters sent to since the last message to its agent, and when that was.
     std::set<NameMark> usedAdapters_;
+    Time toldAt_;
     /// Requests of this entry that run there, by adapter.
     std::map<NameMark, std::uint32_t> runningAdapters_;
-    Time toldAt_;
-    std::map<std::string, Time> wishedAt_;
 };
 
 enum class RequestStage {
@@ -65,11 +66,9 @@
     Time arrivedAt_;
     /// When the client gives up, and when the route's timeout ends.
     Time clientDeadline_;
+    Time routeDeadline_;
     /// It is refused if it still waits for room or an adapter then.
     Time waitUntil_;
-    /// When a client of a stream leaves that has had no event.
-    Time firstEventDeadline_;
-    Time routeDeadline_;
     std::uint64_t rulesVersion_ = 0;
     ServingRoute route_;
     std::string account_;
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -268,6 +268,10 @@
     const Time now = bootNow();
     // The rules may have changed, and the key may have been withdrawn, while the request waited.
     const bool outdated = request->rulesVersion_ != rules_->rules().version_;
+    if (outdated) {
+        // It may go to another service now, and waits in the queue of the one before.
+        unwait(*request);
+    }
     if (outdated ? !resolve(*request) : !checkKey(*request, now))
         return;
     const Place place = choosePlace(beliefsOf(request->service_), placeQuery(*request), now);
@@ -478,6 +482,9 @@
                   Duration retryAfter)
 {
     const auto session = request.session_.lock();
+    // These statuses promise that the request has not run.
+    if ((status == 503 || status == 429) && request.runs_ > 0)
+        status = 502;
     const bool notRun = status == 503 || status == 429;
     if (notRun && request.charged_) {
         takeTokens(allowance_, request.account_, -request.tokens_);
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -226,6 +226,23 @@
         BOOST_TEST(path.ask("POST", "/book/a")->status() == 200);
 }
 
+BOOST_AUTO_TEST_CASE(what_may_have_run_is_never_said_not_to_have)
+{
+    Path path(15);
+    path.ready();
+    int sends = 0;
+    for (auto &handler : path.handlers_) {
+        handler = [&sends](const auto &from, SeenRequest &&request) {
+            if (sends++ == 0)
+                from->stream_->close(true);
+            else
+                from->answer(503, Path::idOf(request) + "X-Eelgrasscove-Not-Executed: 1\r\n", "");
+        };
+    }
+    BOOST_TEST(path.ask("GET", "/look/a")->status() == 502);
+    BOOST_TEST(sends >= 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_that_breaks_off_never_looks_complete)
 {
     Path path(6);
