--- a/Tests/EdgeDecisions/tokenallowancetest.cpp
+++ b/Tests/EdgeDecisions/tokenallowancetest.cpp
@@ -111,7 +111,8 @@
         // Clients ask at any moment, not all entries at the same one.
         while (owed_.size() < entries_.size())
             owed_.push_back(-std::uniform_real_distribution<double>(0, 4000)(random_));
-        for (owed_[at] += tokens; owed_[at] > 0;) {
+        owed_[at] += tokens;
+        while (owed_[at] > 0) {
             const double size = std::uniform_real_distribution<double>(300, 4000)(random_);
             owed_[at] -= size;
             if (mayTake(entries_[at], account_, size, now_)) {
--- a/Tests/LoadPlay/loadplaytest.cpp
+++ b/Tests/LoadPlay/loadplaytest.cpp
@@ -113,7 +113,8 @@
             owed += now_ < begin + load_.span_
                 ? load_.perSecond_ * std::chrono::duration<double>(tick).count()
                 : 0;
-            for (; owed >= 1; owed -= 1) {
+            while (owed >= 1) {
+                owed -= 1;
                 const std::size_t moved = now_ > begin + load_.span_ / 2 ? load_.shift_ : 0;
                 waiting_.push_back(
                     {"base/a" + std::to_string((ranks(random_) + moved) % load_.adapters_), now_, 0,
--- a/Tests/Soak/record.h
+++ b/Tests/Soak/record.h
@@ -63,6 +63,12 @@
     Duration recovery_ = 4s;
 };
 
+/// Whether one of the runs answered with the body.
+inline bool gave(const std::vector<Ran> &runs, const std::string &body)
+{
+    return std::any_of(runs.begin(), runs.end(), [&](const Ran &run) { return run.body_ == body; });
+}
+
 /// One line for each promise that was broken.
 inline std::vector<std::string> brokenPromises(const Record &record)
 {
@@ -82,10 +88,7 @@
         if (asked.once_ && saysNotRun && !runs.empty())
             breaks("\"not run\" is true", id);
         if (asked.status_ == 200 && asked.complete_) {
-            const bool sound = asked.signed_
-                && std::any_of(runs.begin(), runs.end(),
-                               [&](auto &run) { return run.body_ == asked.body_; });
-            if (!sound)
+            if (!asked.signed_ || !gave(runs, asked.body_))
                 breaks("whole answers of the right request", id);
         }
         for (const Ran &run : runs) {
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -148,7 +148,7 @@
             "[bounds]\nrevoke = 2s\ndrain = 2s\ngrace = 4s\n",
             number_, number_ + 1);
         const std::string log = fmt::format("{}/edge-{}.log", folder_, number_);
-        log_ = uv_fs_open_sync(log);
+        log_ = openLog(log);
         uv_stdio_container_t streams[3] = {};
         streams[0].flags = UV_IGNORE;
         for (int out = 1; out < 3; ++out) {
@@ -179,7 +179,7 @@
     bool running() const { return running_; }
 
 private:
-    static int uv_fs_open_sync(const std::string &file)
+    static int openLog(const std::string &file)
     {
         uv_fs_t request;
         const int opened = uv_fs_open(nullptr, &request, file.c_str(),
