--- a/Utilities/fuzz.sh
+++ b/Utilities/fuzz.sh
@@ -15,7 +15,7 @@
     local name=$1 seeds=$2 fault
     shift 2
     clang++ -std=c++20 -O1 -g -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined \
-        -Iinclude -ISource "Tests/Fuzz/$name.cpp" "$@" -o "$build/$name" -lfmt -lcrypto -linih
+        -Iinclude -ISource "Tests/Fuzz/$name.cpp" "$@" -o "$build/$name" -lfmt -lcrypto -lsodium -linih
     mkdir "$scratch/$name"
     if ! "$build/$name" -runs="$inputs" -seed="$seed" -max_len=4096 -rss_limit_mb=1024 \
         -print_final_stats=1 -artifact_prefix="$build/$name-" "$scratch/$name" "$seeds" \
