Fail a soak whose processes end by themselves

Their logs have EADDRINUSE: edges of an interrupted soak held the addresses; those edges also answered clients in an earlier run, which passed for that reason. Now a process that ends with an error counts as a broken promise; shown on a doctored record.

--- a/Tests/Soak/record.h
+++ b/Tests/Soak/record.h
@@ -54,6 +54,8 @@
     std::map<std::string, Time> withdrawnAt_;
     /// When a target's leaving was acknowledged, while the store was sound.
     std::map<std::string, Time> leftAt_;
+    /// Processes that ended with an error of their own, as when an address was taken.
+    int endedThemselves_ = 0;
     Duration revoke_ = 2s;
     Duration drain_ = 2s;
     /// Longest time that a client is to wait for any answer.
@@ -69,6 +71,32 @@
     return std::any_of(runs.begin(), runs.end(), [&](const Ran &run) { return run.body_ == body; });
 }
 
+/// What the runs of one request broke.
+inline void addBrokenByRuns(const Record &record, const std::string &id,
+                            std::vector<std::string> &broken)
+{
+    const Asked &asked = record.asked_.at(id);
+    const auto found = record.ran_.find(id);
+    if (found == record.ran_.end())
+        return;
+    const auto breaks = [&](const std::string &promise) {
+        broken.push_back(fmt::format("{}: request {}", promise, id));
+    };
+    for (const Ran &run : found->second) {
+        if (run.keyPassedOn_)
+            breaks("keys end at the entry");
+        if (run.account_ != record.accountOfKey_.at(asked.key_))
+            breaks("the key's account");
+        const auto withdrawn = record.withdrawnAt_.find(asked.key_);
+        if (withdrawn != record.withdrawnAt_.end()
+            && asked.sentAt_ > withdrawn->second + record.revoke_)
+            breaks("withdrawn keys");
+        const auto left = record.leftAt_.find(run.target_);
+        if (left != record.leftAt_.end() && asked.sentAt_ > left->second + record.drain_ + 500ms)
+            breaks("leaving targets");
+    }
+}
+
 /// One line for each promise that was broken.
 inline std::vector<std::string> brokenPromises(const Record &record)
 {
@@ -91,20 +119,7 @@
             if (!asked.signed_ || !gave(runs, asked.body_))
                 breaks("whole answers of the right request", id);
         }
-        for (const Ran &run : runs) {
-            if (run.keyPassedOn_)
-                breaks("keys end at the entry", id);
-            if (run.account_ != record.accountOfKey_.at(asked.key_))
-                breaks("the key's account", id);
-            const auto withdrawn = record.withdrawnAt_.find(asked.key_);
-            if (withdrawn != record.withdrawnAt_.end()
-                && asked.sentAt_ > withdrawn->second + record.revoke_)
-                breaks("withdrawn keys", id);
-            const auto left = record.leftAt_.find(run.target_);
-            if (left != record.leftAt_.end()
-                && asked.sentAt_ > left->second + record.drain_ + 500ms)
-                breaks("leaving targets", id);
-        }
+        addBrokenByRuns(record, id, broken);
         const bool answered = asked.endedAt_ != Time{};
         if (asked.sentAt_ > record.calmAt_ + record.recovery_
             && !record.withdrawnAt_.contains(asked.key_) && answered) {
@@ -118,6 +133,8 @@
         if (!record.asked_.contains(id))
             breaks("nothing that no client sent", id);
     }
+    if (record.endedThemselves_ > 0)
+        broken.push_back(fmt::format("processes stay: {} ended", record.endedThemselves_));
     if (calm > 0 && calmServed * 10 < calm * 9)
         broken.push_back(fmt::format("recovery: {} of {} served", calmServed, calm));
     return broken;
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -161,8 +161,10 @@
         options.args = arguments;
         options.stdio = streams;
         options.stdio_count = 3;
-        options.exit_cb = [](uv_process_t *process, std::int64_t, int) {
-            static_cast<EdgeProcess *>(process->data)->running_ = false;
+        options.exit_cb = [](uv_process_t *process, std::int64_t status, int) {
+            auto *edge = static_cast<EdgeProcess *>(process->data);
+            edge->running_ = false;
+            edge->endedThemselves_ += status != 0 ? 1 : 0;
         };
         process_ = new uv_process_t{};
         process_->data = this;
@@ -177,6 +179,8 @@
     }
 
     bool running() const { return running_; }
+    /// How often it ended with an error of its own.
+    int endedThemselves() const { return endedThemselves_; }
 
 private:
     static int openLog(const std::string &file)
@@ -194,6 +198,7 @@
     int number_;
     int log_ = -1;
     uv_process_t *process_ = nullptr;
+    int endedThemselves_ = 0;
     bool running_ = false;
 };
 
@@ -244,6 +249,8 @@
             return std::none_of(edges_.begin(), edges_.end(),
                                 [](const auto &edge) { return edge->running(); });
         });
+        for (const auto &edge : edges_)
+            record_.endedThemselves_ += edge->endedThemselves();
         return soak::brokenPromises(record_);
     }
 
--- a/Tests/SoakCheck/soakchecktest.cpp
+++ b/Tests/SoakCheck/soakchecktest.cpp
@@ -58,6 +58,7 @@
                [](Record &record) { record.asked_["r1"].endedAt_ = begun + 20s; });
     breaksWhen("nothing that no client sent",
                [](Record &record) { record.ran_["forged"] = record.ran_["r1"]; });
+    breaksWhen("processes stay", [](Record &record) { record.endedThemselves_ = 1; });
     breaksWhen("recovery", [](Record &record) {
         for (auto &[id, asked] : record.asked_)
             asked.status_ = 502;
