Probe silent connections, and leave targets alone that the list lost

By then a plain target had left without saying so. Its removal came with the first answer after the watch was regained and was taken for an entry that lapsed in an outage, so the target was used for 2.2 s more (removed at 28.207 s, used at 31.245 s, bound 3 s).

Ruled out: the pause that gathers news of targets (0.55 of the bound; no news came before the end of the watch); a late answer of the store (other entries had the removal 0.4 s after it).

Change: keep-alive on every connection, noticed within 3 s; a target that is missing from the list is used only while most targets of its service are missing, as in an outage in which entries lapse.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -123,6 +123,16 @@
     return *middle;
 }
 
+/// Whether the list has lost most targets of a service: their entries lapsed together in an outage
+/// of the store, and come back. A few that are missing have left.
+bool hasListLapsed(const std::vector<TargetBelief *> &targets)
+{
+    const auto missing = std::count_if(targets.begin(), targets.end(), [](const auto *target) {
+        return target->missingSince_.has_value();
+    });
+    return static_cast<std::size_t>(missing) * 2 > targets.size();
+}
+
 struct Candidates
 {
     /// Those that may be asked to load the adapter, also while they load the model.
@@ -137,9 +147,12 @@
 {
     Candidates candidates;
     const double usualRatio = usualFailureRatio(targets);
+    const bool lapsed = hasListLapsed(targets);
     const NameMark model = markOf(query.model_);
     const NameMark adapter = markOf(query.adapter_);
     for (TargetBelief *target : targets) {
+        if (target->missingSince_ && !lapsed)
+            continue;
         if (!isUsable(*target, now) || isShunned(*target, usualRatio, now)
             || query.tried_.contains(target->listed_.id_))
             continue;
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -33,26 +33,41 @@
     std::string bytes_;
 };
 
+int descriptorOf(const uv_tcp_t &handle)
+{
+    uv_os_fd_t descriptor = -1;
+    return uv_fileno(reinterpret_cast<const uv_handle_t *>(&handle), &descriptor) == 0 ? descriptor
+                                                                                       : -1;
+}
+
 /// The error behind an end that libuv reports as orderly: where data and a reset arrive together,
 /// it reports an end of file.
-int errorBehindEnd(uv_tcp_t &handle)
+int errorBehindEnd(const uv_tcp_t &handle)
 {
-    uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t *>(&handle), &descriptor) != 0)
+    const int descriptor = descriptorOf(handle);
+    if (descriptor < 0)
         return 0;
     char byte = 0;
     const ssize_t got = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return got < 0 && errno != EAGAIN ? uv_translate_sys_error(errno) : 0;
 }
 
-void setUserTimeout(uv_tcp_t &handle)
+/// Makes a link that goes silent show, with data on its way and without.
+void watchForSilence(uv_tcp_t &handle)
 {
-    uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t *>(&handle), &descriptor) != 0)
+    const int descriptor = descriptorOf(handle);
+    if (descriptor < 0)
         return;
-    const auto millis = static_cast<unsigned>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(TcpStream::userTimeout).count());
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
+    const auto set = [descriptor](int level, int name, int value) {
+        setsockopt(descriptor, level, name, &value, sizeof value);
+    };
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT,
+        static_cast<int>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(TcpStream::userTimeout).count()));
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, TcpStream::probeAfterSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, TcpStream::probePauseSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, TcpStream::probes);
 }
 
 } // namespace
@@ -102,7 +117,7 @@
                                return;
                            }
                            uv_tcp_nodelay(&connecting->handle_, 1);
-                           setUserTimeout(connecting->handle_);
+                           watchForSilence(connecting->handle_);
                            connecting->beginRead();
                            if (connecting->callbacks_.connected_) {
                                const auto connected = connecting->callbacks_.connected_;
@@ -129,7 +144,7 @@
         return nullptr;
     }
     uv_tcp_nodelay(&stream->handle_, 1);
-    setUserTimeout(stream->handle_);
+    watchForSilence(stream->handle_);
     return stream;
 }
 
@@ -169,6 +184,11 @@
         ended(error);
 }
 
+int TcpStream::descriptor() const
+{
+    return descriptorOf(handle_);
+}
+
 void TcpStream::write(std::string_view bytes)
 {
     if (closed_ || lingering_ || bytes.empty())
--- a/Source/Net/tcpstream.h
+++ b/Source/Net/tcpstream.h
@@ -41,6 +41,12 @@
     /// goes silent without a reset shows only by this.
     static constexpr Duration userTimeout = std::chrono::milliseconds(2500);
 
+    /// The same where nothing is on its way to the peer, as on a watch that waits: probes begin
+    /// after a second, the shortest that the kernel knows, and one of two may be lost.
+    static constexpr int probeAfterSeconds = 1;
+    static constexpr int probePauseSeconds = 1;
+    static constexpr int probes = 2;
+
     static std::shared_ptr<TcpStream> connect(EventLoop &loop, const Endpoint &peer,
                                               TcpCallbacks callbacks);
     static std::shared_ptr<TcpStream> accept(EventLoop &loop, uv_stream_t *listener);
@@ -66,6 +72,9 @@
 
     bool closed() const { return closed_; }
 
+    /// The socket, to read its options; -1 once it is closed.
+    int descriptor() const;
+
 private:
     explicit TcpStream(EventLoop &loop);
 
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -129,6 +129,34 @@
     BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ == PlaceKind::Send));
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_the_list_lost_is_left_alone_while_most_others_are_listed)
+{
+    Fleet fleet;
+    for (const char *id : {"a", "b", "c", "d"})
+        fleet.add(id).outstanding_ = 5;
+    fleet.beliefs_.front().outstanding_ = 0;
+    fleet.beliefs_.front().missingSince_ = now - 100ms;
+    const Place place = choosePlace(fleet.all(), queryFor(""), now);
+    BOOST_TEST((place.kind_ == PlaceKind::Send));
+    BOOST_TEST(place.target_->listed_.id_ != "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_list_that_lost_most_targets_is_not_believed)
+{
+    Fleet fleet;
+    for (const char *id : {"a", "b", "c", "d"}) {
+        TargetBelief &belief = fleet.add(id);
+        belief.missingSince_ = now - 100ms;
+        belief.outstanding_ = 5;
+    }
+    // One is back; the others' entries lapsed with its own and are on their way back.
+    fleet.beliefs_.back().missingSince_.reset();
+    fleet.beliefs_.back().outstanding_ = 9;
+    const Place place = choosePlace(fleet.all(), queryFor(""), now);
+    BOOST_TEST((place.kind_ == PlaceKind::Send));
+    BOOST_TEST(place.target_->listed_.id_ != "d");
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_to_targets_that_leave_are_down_or_were_replaced)
 {
     for (int fault = 0; fault < 4; ++fault) {
--- a/Tests/Net/tcpstreamtest.cpp
+++ b/Tests/Net/tcpstreamtest.cpp
@@ -1,6 +1,9 @@
 #include "../Shared/servingstandins.h"
 
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 using namespace standins;
 
@@ -33,6 +36,28 @@
     BOOST_TEST(client.received_.ends_with("whole"));
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_probed_within_the_time_that_beliefs_may_be_old)
+{
+    auto &loop = *new EventLoop;
+    Server server(loop, "127.0.0.1:17303", [](const auto &, SeenRequest &&) {});
+    Client client(loop, "127.0.0.1:17303");
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return !server.connections_.empty(); }));
+    for (const std::shared_ptr<TcpStream> &stream :
+         {client.stream_, server.connections_.front()->stream_}) {
+        const auto option = [&](int level, int name) {
+            int value = 0;
+            socklen_t size = sizeof value;
+            BOOST_TEST(getsockopt(stream->descriptor(), level, name, &value, &size) == 0);
+            return value;
+        };
+        BOOST_TEST(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+        const int seconds = option(IPPROTO_TCP, TCP_KEEPIDLE)
+            + option(IPPROTO_TCP, TCP_KEEPINTVL) * option(IPPROTO_TCP, TCP_KEEPCNT);
+        BOOST_TEST(seconds <= 3);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(timers_fire_in_order_and_not_after_they_are_cancelled)
 {
     auto &loop = *new EventLoop;
