Load newer versions of adapters beside the older ones

Ruled out: a wrong number of orders in the precondition (the same number is accepted once the runs have ended).

Change: where the newest version isn't held, it is loaded at an engine that doesn't hold the older one, which serves meanwhile within its bound; agents replace only what isn't in use; a refused order is repeated after 100 ms.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -38,6 +38,10 @@
 /// A model's load isn't ordered again before this, as its order may be carried out late.
 constexpr Duration modelOrderAgain = 3s;
 
+/// Pause after a refused order: what stands in its way, such as an order that waits for runs, takes
+/// longer than a report.
+constexpr Duration refusalPause = 100ms;
+
 constexpr std::string_view fencePrefix = "eelgrasscove/fence/";
 
 std::size_t hashOf(const wire::EngineReport &report,
@@ -236,6 +240,8 @@
     if (ordering_ || fence_ == 0 || !limits_ || !up_ || report_.draining_)
         return;
     const Time now = bootNow();
+    if (now - refusedAt_ < refusalPause)
+        return;
     std::optional<wire::EngineOrder> next = nextOrder(plan_, report_, *limits_, now);
     if (!next || (next->adapter_.empty() && now - modelOrderedAt_ < modelOrderAgain))
         return;
@@ -265,6 +271,8 @@
         order.expectedOrders_, "fence", order.fence_, "status", answer ? answer->status_ : 0);
     if (answer && answer->status_ == 202)
         noteAccepted(plan_, order, report_, bootNow());
+    else if (answer && answer->status_ != 200)
+        refusedAt_ = bootNow();
     // The next order depends on what this one did.
     loop_.timers().cancel(pollTimer_);
     poll();
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -68,6 +68,8 @@
     std::size_t listsHash_ = 0;
     TimerId pollTimer_ = 0;
     Time modelOrderedAt_;
+    /// The engine's last refusal of an order.
+    Time refusedAt_;
     std::uint32_t failedPolls_ = 0;
     bool up_ = false;
     bool polling_ = false;
--- a/Source/Agent/residencyplan.cpp
+++ b/Source/Agent/residencyplan.cpp
@@ -163,6 +163,11 @@
         // than there is.
         if (plan.unloading_.contains(wish.first) || plan.replacing_.contains(wish.first))
             continue;
+        // A replacement waits for the runs of the older version, and until then the engine takes no
+        // other order.
+        if (holds(report.adapters_, wish.first, 0)
+            && now - lastUseOf(plan, wish.first) < keepAfterUse)
+            continue;
         if (next == nullptr || comesBefore(wish.second, next->second))
             next = &wish;
     }
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -307,13 +307,6 @@
     known = named.version_;
     versionHeardAt_[named.adapter_] = bootNow();
     eventLog().note("version.adopted", "adapter", named.adapter_, "version", named.version_);
-    // Whoever holds the older version is to replace it before the bound, not when it is asked for.
-    const Time now = bootNow();
-    for (const auto &[id, target] : targets_) {
-        const auto held = target->belief_.adapters_.find(markOf(named.adapter_));
-        if (held != target->belief_.adapters_.end() && held->second < named.version_)
-            wish(*target, named.adapter_, now);
-    }
 }
 
 void Edge::takeRules(const std::string &text)
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -121,12 +121,6 @@
         if (at == now)
             wanted.try_emplace(adapter, 1);
     }
-    // Newer versions of what is held there.
-    for (const auto &[adapter, version] : versions_) {
-        const auto held = belief.adapters_.find(markOf(adapter));
-        if (held != belief.adapters_.end() && held->second < version)
-            wanted.try_emplace(adapter, 1);
-    }
     for (const auto &[adapter, requests] : wanted) {
         const auto version = versions_.find(adapter);
         wishes.wishes_.push_back(
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -236,6 +236,7 @@
     query.entries_ = peers_.size() + 1;
     const auto version = versions_.find(request.adapter_);
     if (version != versions_.end()) {
+        query.newestVersion_ = version->second;
         const Duration age = bootNow() - versionHeardAt_.at(request.adapter_);
         if (age > settings_.bounds_.version_ * olderVersionPart)
             query.leastVersion_ = version->second;
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -54,11 +54,19 @@
     return held != target.adapters_.end() && held->second >= query.leastVersion_;
 }
 
+bool hasNewest(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
+{
+    const auto held = target.adapters_.find(adapter);
+    return held != target.adapters_.end()
+        && held->second >= std::max(query.leastVersion_, query.newestVersion_);
+}
+
 bool awaitsAdapter(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
 {
     const auto coming = target.incoming_.find(adapter);
     return coming != target.incoming_.end()
-        && (coming->second == 0 || coming->second >= query.leastVersion_);
+        && (coming->second == 0
+            || coming->second >= std::max(query.leastVersion_, query.newestVersion_));
 }
 
 /// The order in which targets are home to an adapter; all entries compute the same. By address, as
@@ -76,6 +84,14 @@
 /// but where all start at once their requests are spread over all of them from the first.
 constexpr double startingCost = 1.0;
 
+/// Load that an engine counts as that holds an older version of the adapter: a replacement waits
+/// for the runs of the older one, and meanwhile the engine loads nothing else. More than all else
+/// together, so that it is chosen only where every engine holds the older one.
+constexpr double replacementCost = 20.0;
+
+/// Load that an engine with an older version counts as while another has the newest.
+constexpr double olderVersionCost = 0.5;
+
 /// An agent that was silent for longer can't be asked to load anything.
 constexpr Duration agentGoodFor = std::chrono::milliseconds(2500);
 
@@ -92,12 +108,13 @@
     TargetBelief *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : targets) {
-        if (hasAdapter(*target, query, adapter) || awaitsAdapter(*target, query, adapter))
+        if (hasNewest(*target, query, adapter) || awaitsAdapter(*target, query, adapter))
             continue;
         const double starting = target->models_.contains(model) ? 0 : startingCost;
         const double pending = target->loadsWaiting_;
         // Without the distance, on which entries in different data centres wouldn't agree.
-        const double cost = starting + loadPart(*target, query, now)
+        const double replacing = target->adapters_.contains(adapter) ? replacementCost : 0;
+        const double cost = starting + replacing + loadPart(*target, query, now)
             + failureCost * target->failureRatio_ + pendingLoadCost * pending
             + homeWeight * homeRank(*target, query.adapter_);
         if (cost < least) {
@@ -166,7 +183,7 @@
         candidates.usable_.push_back(target);
         if (query.adapter_.empty() || hasAdapter(*target, query, adapter))
             candidates.able_.push_back(target);
-        else if (awaitsAdapter(*target, query, adapter))
+        if (awaitsAdapter(*target, query, adapter))
             candidates.awaited_ = target;
     }
     return candidates;
@@ -190,9 +207,19 @@
         place.kind_ = any ? PlaceKind::AwaitTarget : PlaceKind::None;
         return place;
     }
+    const NameMark adapter = markOf(query.adapter_);
+    const bool newestServes = query.adapter_.empty()
+        || std::any_of(candidates.able_.begin(), candidates.able_.end(),
+                       [&](const auto *target) { return hasNewest(*target, query, adapter); });
+    if (!newestServes && candidates.awaited_ == nullptr && !candidates.able_.empty())
+        place.copyAt_ = bestToLoad(candidates.loaders_, query, now);
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : candidates.able_) {
-        const double cost = costOf(*target, query, now);
+        double cost = costOf(*target, query, now);
+        const bool older =
+            newestServes && !query.adapter_.empty() && !hasNewest(*target, query, adapter);
+        if (older || target == place.copyAt_)
+            cost += olderVersionCost;
         if (cost < least) {
             least = cost;
             place.target_ = target;
@@ -203,7 +230,8 @@
         const bool room =
             estimatedLoad(*place.target_, query.entries_, now) < roomOf(*place.target_);
         place.kind_ = room ? PlaceKind::Send : PlaceKind::AwaitRoom;
-        if (query.adapter_.empty() || place.load_ <= copyAbove || candidates.awaited_ != nullptr)
+        if (query.adapter_.empty() || place.load_ <= copyAbove || candidates.awaited_ != nullptr
+            || place.copyAt_ != nullptr)
             return place;
         TargetBelief *copy = bestToLoad(candidates.loaders_, query, now);
         if (copy != nullptr && loadPart(*copy, query, now) < copyBelowPart * place.load_)
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -24,6 +24,8 @@
     std::string adapter_;
     /// The oldest adapter version that may still be used.
     std::uint64_t leastVersion_ = 0;
+    /// The newest adapter version; 0 where none was named.
+    std::uint64_t newestVersion_ = 0;
     /// Targets that this request has been sent to.
     std::set<std::string> tried_;
     std::size_t entries_ = 1;
@@ -54,7 +56,8 @@
 {
     PlaceKind kind_ = PlaceKind::None;
     TargetBelief *target_ = nullptr;
-    /// Where another copy of the adapter is to be loaded in advance; null for nowhere.
+    /// Where another copy of the adapter, or its newer version, is to be loaded in advance; null
+    /// for nowhere.
     TargetBelief *copyAt_ = nullptr;
     /// The best target's load, as a part of its slots.
     double load_ = 0;
--- a/Tests/AgentDecisions/residencyplantest.cpp
+++ b/Tests/AgentDecisions/residencyplantest.cpp
@@ -112,6 +112,22 @@
     BOOST_TEST(order->version_ == 2);
 }
 
+BOOST_AUTO_TEST_CASE(an_adapter_in_use_is_not_replaced_as_that_would_hold_up_the_others)
+{
+    ResidencyPlan plan;
+    takeWish(plan, "base/a1", 2, 9, now);
+    takeWish(plan, "base/a9", 0, 1, now);
+    const wire::EngineReport report = reportWith({"base/a1"});
+    noteUse(plan, markOf("base/a1"), now - 100ms);
+    const auto order = nextOrder(plan, report, limitsWith(26), now);
+    BOOST_REQUIRE(order.has_value());
+    BOOST_TEST(order->adapter_ == "a9");
+    // Its last run ended a while ago.
+    const auto later = nextOrder(plan, report, limitsWith(26), now + 1s);
+    BOOST_REQUIRE(later.has_value());
+    BOOST_TEST(later->adapter_ == "a1");
+}
+
 BOOST_AUTO_TEST_CASE(a_replacement_that_waits_is_neither_repeated_nor_crossed_by_an_unload)
 {
     ResidencyPlan plan;
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -129,6 +129,49 @@
     BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ == PlaceKind::Send));
 }
 
+BOOST_AUTO_TEST_CASE(a_newer_version_is_loaded_beside_the_one_that_serves)
+{
+    Fleet fleet;
+    for (const char *id : {"a", "b", "c"})
+        fleet.add(id);
+    TargetBelief &older = fleet.beliefs_[0];
+    TargetBelief &newer = fleet.beliefs_[1];
+    older.adapters_[markOf("base/x")] = 1;
+    older.outstanding_ = 1;
+    PlaceQuery query = queryFor("base/x");
+    query.newestVersion_ = 2;
+    // A replacement would wait for the runs there, and hold up every other load meanwhile.
+    const Place first = choosePlace(fleet.all(), query, now);
+    BOOST_TEST((first.kind_ == PlaceKind::Send));
+    BOOST_TEST(first.target_ == &older);
+    BOOST_REQUIRE(first.copyAt_ != nullptr);
+    BOOST_TEST(first.copyAt_ != &older);
+    // It is asked for once.
+    newer.incoming_[markOf("base/x")] = 2;
+    BOOST_TEST((choosePlace(fleet.all(), query, now).copyAt_ == nullptr));
+    // All go to it once it is there, also where it is the fuller one.
+    newer.incoming_.clear();
+    newer.adapters_[markOf("base/x")] = 2;
+    newer.outstanding_ = 3;
+    const Place then = choosePlace(fleet.all(), query, now);
+    BOOST_TEST(then.target_ == &newer);
+    BOOST_TEST((then.copyAt_ == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_version_replaces_the_older_only_where_all_hold_that)
+{
+    Fleet fleet;
+    for (const char *id : {"a", "b"})
+        fleet.add(id).adapters_[markOf("base/x")] = 1;
+    PlaceQuery query = queryFor("base/x");
+    query.newestVersion_ = 2;
+    const Place place = choosePlace(fleet.all(), query, now);
+    BOOST_TEST((place.kind_ == PlaceKind::Send));
+    BOOST_REQUIRE(place.copyAt_ != nullptr);
+    // Its runs have to end before it can be replaced.
+    BOOST_TEST(place.target_ != place.copyAt_);
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_the_list_lost_is_left_alone_while_most_others_are_listed)
 {
     Fleet fleet;
