Close the connection of a client that another entry could serve

Cause: an entry without confirmed rules goes out of rotation, but a kept connection stays with it, so its clients came back to it after each 503 until the contact was back.

Ruled out: routing, which follows the readiness answer within two seconds.

Change: where an entry refuses for want of rules, of their confirmation or of the other entries' list, its answer says that it closes the connection. Each change of the list of entries is logged with its name.

--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -52,7 +52,7 @@
     /// Ends the connection so that no answer looks complete.
     void abort();
 
-    /// The VM stops: no request is taken after the present one.
+    /// No request is taken after the present one, whose answer says so.
     void leave() { leaving_ = true; }
 
     /// Closes the connection where no byte of a request has come.
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -451,8 +451,11 @@
         const auto peer = peers_.find(vm);
         if (peer != peers_.end())
             peer->second.leftAt_ = bootNow();
+        eventLog().note("peer.left", "peer", vm, "revision", item.revision_);
     } else if (parseEndpoint(item.value_, endpoint)) {
         peers_[vm] = {endpoint, std::nullopt};
+        eventLog().note("peer.listed", "peer", vm, "address", item.value_, "revision",
+                        item.revision_);
     } else {
         eventLog().note("peer.ignored", "peer", vm, "reason", "its address can't be read");
     }
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -170,6 +170,8 @@
     void checkRequests(Time now);
     void refuse(EdgeRequest &request, unsigned status, std::string_view reason,
                 Duration retryAfter);
+    /// Refuses what another entry could serve, and sends the client there.
+    void refuseHere(EdgeRequest &request, std::string_view reason);
     void end(EdgeRequest &request, unsigned status, std::string_view outcome);
     void unwait(const EdgeRequest &request);
     std::vector<TargetBelief *> beliefsOf(const std::string &service);
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -157,7 +157,7 @@
 bool Edge::resolve(EdgeRequest &request)
 {
     if (!rules_) {
-        refuse(request, 503, "no rules yet", leastRetryAfter);
+        refuseHere(request, "no rules yet");
         return false;
     }
     const ServingRoute *route =
@@ -188,7 +188,7 @@
     if (request.route_.open_ || rules_->rules().accounts_.empty())
         return true;
     if (!rulesAreFresh(now)) {
-        refuse(request, 503, "rules not confirmed", leastRetryAfter);
+        refuseHere(request, "rules not confirmed");
         return false;
     }
     const std::string_view authorization = request.head_.header(wire::authorizationHeader);
@@ -212,7 +212,7 @@
     const ServingAccount *account = rules_->accountOfKey(request.key_);
     request.tokens_ = tokensOf(request.head_, account->plainTokens_);
     if (!peerFeed_->confirmedAt()) {
-        refuse(request, 503, "other entries not known yet", leastRetryAfter);
+        refuseHere(request, "other entries not known yet");
         return false;
     }
     if (!mayTake(allowance_, *account, request.tokens_, now)) {
@@ -534,6 +534,14 @@
     countCrashes(now);
 }
 
+void Edge::refuseHere(EdgeRequest &request, std::string_view reason)
+{
+    // A connection stays with its entry, so its client would come here again.
+    if (const auto session = request.session_.lock())
+        session->leave();
+    refuse(request, 503, reason, leastRetryAfter);
+}
+
 void Edge::refuse(EdgeRequest &request, unsigned status, std::string_view reason,
                   Duration retryAfter)
 {
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -181,7 +181,11 @@
     path.store_.fault_ = StoreFault::Silent;
     path.store_.cutWatches();
     turnFor(path.loop_, 1600ms);
-    BOOST_TEST(path.ask("GET", "/look/a", newKey)->status() == 503);
+    const auto refused = path.ask("GET", "/look/a", newKey);
+    BOOST_TEST(refused->status() == 503);
+    // Another entry may have contact, and a kept connection would lead back here.
+    BOOST_TEST(refused->received_.find("Connection: close\r\n") != std::string::npos);
+    BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return refused->ended_; }));
     BOOST_TEST(path.ask("GET", "/open/a", "")->status() == 200);
 }
 
--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -350,6 +350,10 @@
                                       }});
     }
 
+    ~Client() { stream_->close(); }
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
     void send(const std::string &bytes)
     {
         if (received_.empty() && unsent_.empty())
