--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -478,22 +478,12 @@
 void Edge::dropLeftPeers(Time now)
 {
     const std::size_t before = peers_.size();
-    // One whose place lapsed and that isn't heard here hears less than half of the entries if this
-    // one hears most, and knows by its own clock that its place has lapsed: it has no share of any
-    // allowance.
-    const bool takesOver = registration_->isHeld(now) && hearsMost(allowance_, now);
     std::erase_if(peers_, [&](const auto &each) {
-        if (!each.second.leftAt_)
-            return false;
         const auto heard = heardPeers_.find(each.first);
         const Time heardAt = heard == heardPeers_.end() ? Time{} : heard->second.at_;
-        const Duration unheard = now - heardAt;
-        if (takesOver && unheard > allowance_.settings_.heardWithin_ * 2) {
-            eventLog().note("peer.dropped", "peer", each.first, "unheard_ms", unheard / 1ms);
-            return true;
-        }
         // One that was cut off honours keys for this time.
-        return std::min(unheard, now - *each.second.leftAt_) > settings_.bounds_.revoke_;
+        return each.second.leftAt_
+            && now - std::max(*each.second.leftAt_, heardAt) > settings_.bounds_.revoke_;
     });
     if (peers_.size() != before)
         setPeerList();
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -215,7 +215,6 @@
         refuseHere(request, "other entries not known yet");
         return false;
     }
-    allowance_.listed_ = registration_->isHeld(now);
     if (!mayTake(allowance_, *account, request.tokens_, now)) {
         eventLog().note("allowance.used", "id", request.id_, "account", account->name_, "tokens",
                         request.tokens_, "level", allowance_.buckets_[account->name_].level_,
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -41,10 +41,7 @@
 /// Part of an account that is left to the entries in contact.
 double partOf(const TokenAllowance &allowance, double sharers)
 {
-    const auto entries = static_cast<double>(allowance.peers_.size() + 1);
-    if (!allowance.listed_ && sharers * 2 < entries)
-        return 0;
-    return sharers / entries;
+    return sharers / static_cast<double>(allowance.peers_.size() + 1);
 }
 
 double mostOf(const TokenAllowance &allowance, const ServingAccount &account, double sharers)
@@ -55,18 +52,19 @@
 AccountBucket &filledBucket(TokenAllowance &allowance, const ServingAccount &account,
                             double sharers, Time now)
 {
+    const double part = sharers / static_cast<double>(allowance.peers_.size() + 1);
     const double windowSeconds = std::chrono::duration<double>(allowance.settings_.window_).count();
     const double perSecond =
         account.tokensPerSecond_ + account.burstTokens_ * burstRefilled / windowSeconds;
-    const double most = mostOf(allowance, account, sharers);
+    const double most = account.burstTokens_ * capacityPart * part;
     const auto [found, isNew] = allowance.buckets_.try_emplace(account.name_);
     AccountBucket &bucket = found->second;
     if (isNew || bucket.filledAt_ == Time{}) {
         bucket.level_ += most * startPart;
         bucket.filledAt_ = allowance.startedAt_;
     }
-    bucket.level_ += perSecond * partOf(allowance, sharers)
-        * std::chrono::duration<double>(now - bucket.filledAt_).count();
+    bucket.level_ +=
+        perSecond * part * std::chrono::duration<double>(now - bucket.filledAt_).count();
     bucket.level_ = std::min(bucket.level_, most);
     bucket.filledAt_ = now;
     return bucket;
@@ -80,8 +78,6 @@
         return true;
     const double sharers = sharersOf(allowance, now);
     AccountBucket &bucket = filledBucket(allowance, account, sharers, now);
-    if (partOf(allowance, sharers) <= 0)
-        return false;
     const double overdraft = allowance.settings_.slackTokens_ * overdraftPart;
     // All entries see the same level until they have told each other, so each takes its part of it.
     const double part = (bucket.level_ + bucket.untold_) / sharers - bucket.untold_;
@@ -98,11 +94,6 @@
     return full || tokens + unknown <= bucket.level_ + overdraft;
 }
 
-bool hearsMost(const TokenAllowance &allowance, Time now)
-{
-    return sharersOf(allowance, now) * 2 > static_cast<double>(allowance.peers_.size() + 1);
-}
-
 Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens)
 {
     const auto bucket = allowance.buckets_.find(account.name_);
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -6,10 +6,8 @@
 /// An account has one bucket, of which each entry keeps its own picture: it takes out what it lets
 /// run and what its peers tell that they did. For a peer that is not in mutual contact the bucket
 /// fills slower by an equal share, and that peer in turn keeps to its share, so a cut between
-/// entries never doubles an allowance. An entry whose place in the list of entries has lapsed and
-/// that hears less than half of them has no share at all, so that most of them may take it as soon
-/// as they see the lapse. A start begins with a small level, so it needs no memory of the use
-/// before it.
+/// entries never doubles an allowance. A start begins with a small level, so it needs no memory of
+/// the use before it.
 
 #include "Edge/windowsum.h"
 
@@ -66,8 +64,6 @@
     AllowanceSettings settings_;
     /// Start of the process: buckets begin to fill then.
     Time startedAt_;
-    /// The entry is certain to be in the list of entries still.
-    bool listed_ = true;
     std::map<std::string, AccountBucket> buckets_;
     /// Peers by VM; empty for one that was never heard.
     std::map<std::string, std::optional<PeerUsage>> peers_;
@@ -76,9 +72,6 @@
 /// Whether the account may let so many tokens run now.
 bool mayTake(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now);
 
-/// Whether this entry hears more than half of all entries, itself included, and is heard by them.
-bool hearsMost(const TokenAllowance &allowance, Time now);
-
 /// Time until that many tokens are there, if nothing else takes them.
 Duration timeUntil(const TokenAllowance &allowance, const ServingAccount &account, double tokens);
 
--- a/Source/Store/registration.cpp
+++ b/Source/Store/registration.cpp
@@ -10,19 +10,12 @@
 
 using namespace std::chrono_literals;
 
-/// Life of the key after its process has died. The others keep its share of every allowance for so
-/// long.
-constexpr Duration life = 3s;
-/// A third of the life, so that a renewal may be lost, or answered as late as the timeout, and be
-/// repeated.
-constexpr Duration renewPeriod = 1s;
-constexpr Duration retryPause = 300ms;
-constexpr Duration callTimeout = 800ms;
-
-std::int64_t lifeMillis()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(life).count();
-}
+/// Life of the key after its process has died.
+constexpr std::int64_t lifeMillis = 6000;
+/// A third of the life, so that two renewals may be lost.
+constexpr Duration renewPeriod = 2s;
+constexpr Duration retryPause = 500ms;
+constexpr Duration callTimeout = 1500ms;
 
 } // namespace
 
@@ -36,18 +29,12 @@
     acquire();
 }
 
-bool Registration::isHeld(Time now) const
-{
-    return lease_ != 0 && written_ && now - renewedAt_ < life;
-}
-
 void Registration::acquire()
 {
-    wire::StoreCall call = wire::leaseCall(lifeMillis());
+    wire::StoreCall call = wire::leaseCall(lifeMillis);
     countMetric("eelgrasscove_store_calls_total", "call=\"lease\"");
-    const Time sent = bootNow();
     caller_.call(std::move(call.method_), std::move(call.target_), std::move(call.body_),
-                 callTimeout, [this, sent](std::optional<HttpAnswer> answer) {
+                 callTimeout, [this](std::optional<HttpAnswer> answer) {
                      const auto lease = answer && answer->status_ == 200
                          ? wire::decodeLease(answer->body_)
                          : std::nullopt;
@@ -58,7 +45,6 @@
                          return;
                      }
                      lease_ = *lease;
-                     renewedAt_ = sent;
                      written_ = false;
                      write();
                  });
@@ -83,15 +69,12 @@
 {
     wire::StoreCall call = wire::renewCall(lease_);
     countMetric("eelgrasscove_store_calls_total", "call=\"renew\"");
-    const Time sent = bootNow();
     caller_.call(std::move(call.method_), std::move(call.target_), "", callTimeout,
-                 [this, sent](std::optional<HttpAnswer> answer) {
+                 [this](std::optional<HttpAnswer> answer) {
                      if (answer && answer->status_ == 404) {
                          eventLog().note("registration.lapsed", "lease", lease_);
                          lease_ = 0;
                      }
-                     if (answer && answer->status_ == 200)
-                         renewedAt_ = sent;
                      again(answer && answer->status_ == 200 ? renewPeriod : retryPause);
                  });
 }
--- a/Source/Store/registration.h
+++ b/Source/Store/registration.h
@@ -13,9 +13,6 @@
 
     void start();
 
-    /// Whether the key is certain to be there still: others can't have seen it lapse.
-    bool isHeld(Time now) const;
-
     /// Ends the lease, so that the key goes at once; calls back when it has, or has failed.
     void end(std::function<void()> ended);
 
@@ -30,8 +27,6 @@
     std::string key_;
     std::string value_;
     std::uint64_t lease_ = 0;
-    /// When the newest call was sent that the store answered by a whole life of the lease.
-    Time renewedAt_;
     bool written_ = false;
     bool ending_ = false;
 };
--- a/Tests/EdgeDecisions/tokenallowancetest.cpp
+++ b/Tests/EdgeDecisions/tokenallowancetest.cpp
@@ -55,27 +55,6 @@
 
     void cut(std::size_t at, bool off) { cut_[at] = off; }
 
-    /// The entry's place in the list lapses; it knows so, and the others see it.
-    void lapse(std::size_t at)
-    {
-        entries_[at].listed_ = false;
-        for (std::size_t other = 0; other < entries_.size(); ++other) {
-            std::set<std::string> peers;
-            for (const auto &[vm, usage] : entries_[other].peers_) {
-                if (vm != "entry-" + std::to_string(at))
-                    peers.insert(vm);
-            }
-            setPeers(entries_[other], peers);
-        }
-    }
-
-    /// All entries' places lapse in an outage of the store, and nobody sees it.
-    void outage()
-    {
-        for (TokenAllowance &entry : entries_)
-            entry.listed_ = false;
-    }
-
     /// Plays so long; each entry is asked for so many tokens a second in requests of random size.
     void play(Duration span, const std::vector<double> &asked)
     {
@@ -191,45 +170,6 @@
     BOOST_TEST(entries.mostInWindow() <= boundOf(130000, 130000));
 }
 
-BOOST_AUTO_TEST_CASE(the_others_take_the_share_of_an_entry_whose_place_lapsed)
-{
-    constexpr double rate = 130000;
-    Entries entries(4, accountWith(rate, rate));
-    const std::vector<double> asked(4, 2 * rate);
-    entries.play(3s, asked);
-    entries.cut(2, true);
-    entries.play(3s, asked);
-    entries.lapse(2);
-    const double before = entries.taken();
-    entries.play(9s, asked);
-    BOOST_TEST(entries.mostInWindow() <= boundOf(rate, rate));
-    BOOST_TEST(entries.taken() - before >= rate * 9);
-}
-
-BOOST_AUTO_TEST_CASE(in_an_outage_of_the_store_entries_that_hear_each_other_go_on)
-{
-    constexpr double rate = 100000;
-    Entries entries(4, accountWith(rate, rate));
-    const std::vector<double> asked = {16000, 11000, 11000, 17000};
-    entries.play(5s, asked);
-    entries.outage();
-    // One of them is killed meanwhile.
-    entries.cut(3, true);
-    entries.play(9s, {16000, 11000, 11000, 0});
-    BOOST_TEST(entries.refused_ <= 3);
-    BOOST_TEST(entries.mostInWindow() <= boundOf(rate, rate));
-}
-
-BOOST_AUTO_TEST_CASE(an_entry_that_is_alone_without_a_place_lets_nothing_run)
-{
-    TokenAllowance allowance;
-    setPeers(allowance, {"entry-1", "entry-2"});
-    const ServingAccount account = accountWith(1000, 1000);
-    BOOST_TEST(mayTake(allowance, account, 10, Time(5s)));
-    allowance.listed_ = false;
-    BOOST_TEST(!mayTake(allowance, account, 10, Time(6s)));
-}
-
 BOOST_AUTO_TEST_CASE(a_start_of_all_entries_gives_no_new_allowance)
 {
     Entries entries(4, accountWith(100000, 100000));
