--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -93,17 +93,16 @@
 
 void Edge::onAnswerBody(const EdgeRequestPtr &request, std::string_view bytes)
 {
-    const Time now = bootNow();
     request->answerBody_ += bytes;
-    request->target_->belief_.aliveAt_ = now;
+    request->target_->belief_.aliveAt_ = bootNow();
     const bool stream = request->route_.kind_ == RequestKind::Stream
         && succeeded(request->answer_.status_) && request->answer_.hasHeader(wire::signatureHeader);
     const auto session = request->session_.lock();
     if (stream && session)
-        passEvents(*request, *session, false, now);
+        passEvents(*request, *session, false);
 }
 
-void Edge::passEvents(EdgeRequest &request, ClientSession &session, bool all, Time now)
+void Edge::passEvents(EdgeRequest &request, ClientSession &session, bool all)
 {
     // A target may stop within an event, so only whole ones go on.
     std::string &bytes = request.answerBody_;
@@ -116,14 +115,12 @@
         request.lastEventId_ = std::move(id);
     request.stage_ = RequestStage::Streaming;
     if (request.firstEventPassed_) {
-        request.longestPause_ = std::max(request.longestPause_, now - request.lastEventAt_);
         session.streamBytes(events);
     } else {
         request.firstEventPassed_ = true;
-        request.firstEventAt_ = now;
+        request.firstEventAt_ = bootNow();
         session.beginStream(request.answer_.status_, answerHeaders(request.answer_), events);
     }
-    request.lastEventAt_ = now;
     bytes.erase(0, whole);
 }
 
@@ -153,18 +150,6 @@
     onFailed(request, 502, reason);
 }
 
-void Edge::noteStream(const EdgeRequest &request)
-{
-    EdgeTarget &target = *request.target_;
-    const ServingRoute &route = request.route_;
-    const bool begunLate = route.objective_ > Duration::zero()
-        && request.firstEventAt_ - request.sentAt_ > route.objective_;
-    const bool paused =
-        route.pauseObjective_ > Duration::zero() && request.longestPause_ > route.pauseObjective_;
-    ++target.streams_;
-    target.lateStreams_ += begunLate || paused ? 1 : 0;
-}
-
 void Edge::finishAnswer(const EdgeRequestPtr &request)
 {
     const auto session = request->session_.lock();
@@ -208,9 +193,7 @@
         return;
     }
     if (request->firstEventPassed_) {
-        passEvents(*request, *session, true, bootNow());
-        if (request->runs_ == 1)
-            noteStream(*request);
+        passEvents(*request, *session, true);
         end(*request, status, "served");
         session->endStream();
     } else {
