End the parts of a serving program before its loop

Cause of an entry that ran without an end: the entry outlived the event loop, which was a local of the function that ran it. An entry that stopped with requests in hand cancelled their timers in the destroyed loop and searched its freed tree for ever.

Change: the start of a program returns its parts, which the run ends before the loop.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -368,12 +368,11 @@
 
 int runAgent(int argc, char **argv)
 {
-    std::unique_ptr<Agent> agent;
     return runServingProgram(
         "eelgrasscove-agent", argc, argv,
-        [&](EventLoop &loop, const ServingSettings &settings, const std::string &) {
-            agent = std::make_unique<Agent>(loop, settings);
-            return agent->start();
+        [](EventLoop &loop, const ServingSettings &settings, const std::string &) {
+            auto agent = std::make_shared<Agent>(loop, settings);
+            return agent->start() ? agent : nullptr;
         });
 }
 
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -519,12 +519,11 @@
 
 int runEdge(int argc, char **argv)
 {
-    std::unique_ptr<Edge> edge;
     return runServingProgram(
         "eelgrasscove-edge", argc, argv,
-        [&](EventLoop &loop, const ServingSettings &settings, const std::string &file) {
-            edge = std::make_unique<Edge>(loop, settings, file);
-            return edge->start();
+        [](EventLoop &loop, const ServingSettings &settings, const std::string &file) {
+            auto edge = std::make_shared<Edge>(loop, settings, file);
+            return edge->start() ? edge : nullptr;
         });
 }
 
--- a/Source/Vm/servingprogram.cpp
+++ b/Source/Vm/servingprogram.cpp
@@ -53,11 +53,11 @@
         return ExitStopped;
     eventLog().open(valueOf(settings).vm_);
     EventLoop loop;
-    const bool started = start(loop, valueOf(settings), file);
-    if (started)
+    const std::shared_ptr<void> parts = start(loop, valueOf(settings), file);
+    if (parts)
         loop.run();
     eventLog().flush();
-    return started ? ExitStopped : ExitAddress;
+    return parts ? ExitStopped : ExitAddress;
 }
 
 } // namespace eelgrasscove
