--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -8,6 +8,7 @@
 #include "platform/wirenames.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace eelgrasscove {
 
@@ -61,6 +62,17 @@
     return std::hash<std::string>{}(text);
 }
 
+/// Weight of one stream in the part that was late: the last twenty count.
+constexpr double streamWeight = 0.05;
+
+double ratioAfter(double ratio, std::uint32_t streams, std::uint32_t late)
+{
+    if (streams == 0)
+        return ratio;
+    const double part = static_cast<double>(late) / streams;
+    return part + (ratio - part) * std::pow(1 - streamWeight, streams);
+}
+
 MarkedAdapter marked(const std::string &adapter, std::uint64_t version)
 {
     return {markOf(adapter), static_cast<std::uint32_t>(version)};
@@ -296,6 +308,7 @@
     // The report tells no id; entries have it from the list, for the same start.
     if (targetId_.empty() && up_ && wishes->targetStartedAt_ == report_.startedAt_)
         targetId_ = wishes->target_;
+    lateRatio_ = ratioAfter(lateRatio_, wishes->streams_, wishes->lateStreams_);
     for (const NameMark adapter : wishes->inUse_)
         noteUse(plan_, adapter, now);
     bool wished = false;
@@ -321,6 +334,7 @@
     state.waiting_ = report_.waiting_;
     state.usedTokens_ = report_.usedTokens_;
     state.memoryTokens_ = report_.memoryTokens_;
+    state.lateRatio_ = static_cast<float>(lateRatio_);
     state.residency_ = residency_;
     state.hasLists_ = entry.knownResidency_ != residency_;
     for (const auto &[adapter, wish] : plan_.wishes_) {
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -63,6 +63,8 @@
     wire::EngineReport report_;
     ResidencyPlan plan_;
     std::map<std::string, HeardEntry> entries_;
+    /// Part of the latest streams of all entries that were late.
+    double lateRatio_ = 0;
     std::uint64_t number_ = 0;
     std::uint64_t residency_ = 0;
     std::size_t listsHash_ = 0;
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -3,6 +3,7 @@
 /// An entry VM's program: takes clients' requests and forwards them to targets. The decisions are
 /// free functions in the files beside it; this class does the I/O around them.
 
+#include "Edge/adapterdemand.h"
 #include "Edge/clientsession.h"
 #include "Edge/placement.h"
 #include "Edge/retrybudget.h"
@@ -44,6 +45,9 @@
     Time toldAt_;
     /// Requests of this entry that run there, by adapter.
     std::map<NameMark, std::uint32_t> runningAdapters_;
+    /// Streams of this entry since the last message to its agent, and how many of them were late.
+    std::uint32_t streams_ = 0;
+    std::uint32_t lateStreams_ = 0;
 };
 
 enum class RequestStage {
@@ -105,6 +109,9 @@
     /// The id of the last event passed on; a resumed run goes on after it.
     std::string lastEventId_;
     Time firstEventAt_;
+    Time lastEventAt_;
+    /// Between two events, as they were passed on.
+    Duration longestPause_{};
 };
 
 using EdgeRequestPtr = std::shared_ptr<EdgeRequest>;
@@ -183,8 +190,10 @@
     void onAnswerHead(const EdgeRequestPtr &request, HttpHead &&head);
     void onAnswerBody(const EdgeRequestPtr &request, std::string_view bytes);
     void onExchangeEnd(const EdgeRequestPtr &request, ExchangeEnd end, std::string_view reason);
-    void passEvents(EdgeRequest &request, ClientSession &session, bool all);
+    void passEvents(EdgeRequest &request, ClientSession &session, bool all, Time now);
     void finishAnswer(const EdgeRequestPtr &request);
+    /// Counts a whole stream of a target, and whether the target made it late.
+    void noteStream(const EdgeRequest &request);
     void onNotRun(const EdgeRequestPtr &request, std::string_view reason);
     void onFailed(const EdgeRequestPtr &request, unsigned status, std::string_view reason);
     void onClientGone(ClientSession &session);
@@ -246,6 +255,7 @@
     /// Confirmation of the rules by a peer.
     std::optional<Time> peerConfirmedAt_;
 
+    AdapterDemand demand_;
     TokenAllowance allowance_;
     RetryBudget retryBudget_;
     Suspects suspects_;
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -93,16 +93,17 @@
 
 void Edge::onAnswerBody(const EdgeRequestPtr &request, std::string_view bytes)
 {
+    const Time now = bootNow();
     request->answerBody_ += bytes;
-    request->target_->belief_.aliveAt_ = bootNow();
+    request->target_->belief_.aliveAt_ = now;
     const bool stream = request->route_.kind_ == RequestKind::Stream
         && succeeded(request->answer_.status_) && request->answer_.hasHeader(wire::signatureHeader);
     const auto session = request->session_.lock();
     if (stream && session)
-        passEvents(*request, *session, false);
+        passEvents(*request, *session, false, now);
 }
 
-void Edge::passEvents(EdgeRequest &request, ClientSession &session, bool all)
+void Edge::passEvents(EdgeRequest &request, ClientSession &session, bool all, Time now)
 {
     // A target may stop within an event, so only whole ones go on.
     std::string &bytes = request.answerBody_;
@@ -115,12 +116,14 @@
         request.lastEventId_ = std::move(id);
     request.stage_ = RequestStage::Streaming;
     if (request.firstEventPassed_) {
+        request.longestPause_ = std::max(request.longestPause_, now - request.lastEventAt_);
         session.streamBytes(events);
     } else {
         request.firstEventPassed_ = true;
-        request.firstEventAt_ = bootNow();
+        request.firstEventAt_ = now;
         session.beginStream(request.answer_.status_, answerHeaders(request.answer_), events);
     }
+    request.lastEventAt_ = now;
     bytes.erase(0, whole);
 }
 
@@ -150,6 +153,18 @@
     onFailed(request, 502, reason);
 }
 
+void Edge::noteStream(const EdgeRequest &request)
+{
+    EdgeTarget &target = *request.target_;
+    const ServingRoute &route = request.route_;
+    const bool begunLate = route.objective_ > Duration::zero()
+        && request.firstEventAt_ - request.sentAt_ > route.objective_;
+    const bool paused =
+        route.pauseObjective_ > Duration::zero() && request.longestPause_ > route.pauseObjective_;
+    ++target.streams_;
+    target.lateStreams_ += begunLate || paused ? 1 : 0;
+}
+
 void Edge::finishAnswer(const EdgeRequestPtr &request)
 {
     const auto session = request->session_.lock();
@@ -193,7 +208,9 @@
         return;
     }
     if (request->firstEventPassed_) {
-        passEvents(*request, *session, true);
+        passEvents(*request, *session, true, bootNow());
+        if (request->runs_ == 1)
+            noteStream(*request);
         end(*request, status, "served");
         session->endStream();
     } else {
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -2,6 +2,7 @@
 #include "Observe/eventlog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrasscove {
 
@@ -70,6 +71,7 @@
     belief.usedTokens_ = state.usedTokens_;
     belief.memoryTokens_ = state.memoryTokens_;
     belief.loadsWaiting_ = state.loadsWaiting_;
+    belief.lateRatio_ = state.lateRatio_;
     noteLoad(belief, state.running_, state.waiting_, now);
     if (state.hasLists_) {
         belief.residency_ = state.residency_;
@@ -136,6 +138,8 @@
     target.toldAt_ = now;
     wishes.inUse_.assign(target.usedAdapters_.begin(), target.usedAdapters_.end());
     target.usedAdapters_.clear();
+    wishes.streams_ = std::exchange(target.streams_, 0);
+    wishes.lateStreams_ = std::exchange(target.lateStreams_, 0);
     peersSocket_.send(encodePeerMessage(wishes), {belief.endpoint_.host_, peersAddress_.port_});
 }
 
@@ -153,6 +157,8 @@
     if (++statesSent_ % echoEvery == 0) {
         for (const auto &[vm, heard] : heardPeers_)
             state.echoes_.push_back({markOf(vm), heard.stampMicros_, (now - heard.at_).count()});
+        state.mostAsked_ = mostAsked(demand_, now);
+        forgetSilentPeers(demand_, now);
     }
     for (const auto &[hash, suspect] : suspects_.requests_) {
         if (suspect.seen_ > 0)
@@ -188,6 +194,8 @@
             peerConfirmedAt_ = std::max(peerConfirmedAt_.value_or(confirmed), confirmed);
         }
     }
+    if (state.mostAsked_)
+        hearMostAsked(demand_, vm, std::move(*state.mostAsked_), now);
     const bool mutual = now - heard.heardUs_ <= allowance_.settings_.heardWithin_ * 2;
     PeerUsage usage{state.startedMicros_,
                     Duration(state.stampMicros_ - state.startedMicros_),
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -151,6 +151,8 @@
     if (!checkAllowance(*request, now))
         return;
     countRequest(retryBudget_, request->service_, now);
+    if (!request->adapter_.empty())
+        noteAsked(demand_, markOf(request->adapter_), now);
     place(request);
 }
 
@@ -237,6 +239,8 @@
     query.adapter_ = request.adapter_;
     query.tried_ = request.tried_;
     query.entries_ = peers_.size() + 1;
+    if (!request.adapter_.empty())
+        query.askedPerSecond_ = askedPerSecond(demand_, markOf(request.adapter_), bootNow());
     const auto version = versions_.find(request.adapter_);
     if (version != versions_.end()) {
         query.newestVersion_ = version->second;
@@ -593,7 +597,8 @@
     eventLog().note("request.ended", "id", request.id_, "route", request.route_.name_, "account",
                     request.account_, "adapter", request.adapter_, "status", status, "outcome",
                     outcome, "target", target, "sends", request.sends_, "runs", request.runs_,
-                    "first_ms", first.count() / 1000, "total_ms", total.count() / 1000, "rules",
+                    "first_ms", first.count() / 1000, "pause_ms",
+                    request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "rules",
                     request.rulesVersion_, "rules_age_ms",
                     (now - rulesConfirmedAt()).count() / 1000);
     countMetric("eelgrasscove_requests_total", fmt::format("status=\"{}\"", status));
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -21,17 +21,57 @@
 /// Load that a target counts as that fails always.
 constexpr double failureCost = 2.0;
 
-/// A frequent adapter gets another copy when its best target has more than this load, and a target
-/// without it has less than the part given of that load.
-constexpr double copyAbove = 0.45;
+/// An adapter has as many copies as keep its requests below this part of each one's slots. A copy
+/// more costs a load from the store of weights; one less, and prompts read one after the other hold
+/// up the streams beside them.
+constexpr double copyLoad = 0.3;
+/// A run of average length in a batch of that size.
+constexpr double runSeconds = 2.0;
+
+/// Whatever an adapter's own demand, it gets another copy when its best target has more than this
+/// load, and a target without it has less than the part given of that load.
+constexpr double copyAbove = 0.75;
 constexpr double copyBelowPart = 0.6;
 
-/// Load that one adapter load waiting at a target counts as.
-constexpr double pendingLoadCost = 0.15;
+/// Load that each adapter counts as that is on its way to a target beyond what it loads at once:
+/// the next one waits for a load to end, and its request is late then.
+constexpr double pendingLoadCost = 0.5;
+constexpr std::size_t loadsAtOnce = 4;
 
 /// Used memory beyond which a target counts as full: what runs there would soon be preempted.
 constexpr double memoryFull = 0.92;
 
+/// Load that a target counts as whose streams are always late, beyond what is usual at present: a
+/// slow one pauses every stream while it reads prompts, at a load that others carry with ease.
+constexpr double lateCost = 1.5;
+
+/// Ratios that half of the targets stay below: what all have alike, such as failures of the
+/// requests themselves or streams late by overload, speaks against none.
+struct UsualRatios
+{
+    double failures_ = 0;
+    double late_ = 0;
+};
+
+double medianOf(const std::vector<TargetBelief *> &targets, double TargetBelief::*ratio)
+{
+    if (targets.empty())
+        return 0;
+    std::vector<double> ratios;
+    ratios.reserve(targets.size());
+    for (const TargetBelief *target : targets)
+        ratios.push_back(target->*ratio);
+    const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    return *middle;
+}
+
+UsualRatios usualRatiosOf(const std::vector<TargetBelief *> &targets)
+{
+    return {medianOf(targets, &TargetBelief::failureRatio_),
+            medianOf(targets, &TargetBelief::lateRatio_)};
+}
+
 double loadPart(const TargetBelief &target, const PlaceQuery &query, Time now)
 {
     double load = estimatedLoad(target, query.entries_, now) / target.listed_.slots_;
@@ -43,9 +83,17 @@
     return load;
 }
 
-double costOf(const TargetBelief &target, const PlaceQuery &query, Time now)
+/// Load that what is known against the target counts as.
+double faultCost(const TargetBelief &target, const UsualRatios &usual)
 {
-    double cost = loadPart(target, query, now) + failureCost * target.failureRatio_;
+    return failureCost * target.failureRatio_
+        + lateCost * std::max(target.lateRatio_ - usual.late_, 0.0);
+}
+
+double costOf(const TargetBelief &target, const PlaceQuery &query, const UsualRatios &usual,
+              Time now)
+{
+    double cost = loadPart(target, query, now) + faultCost(target, usual);
     if (target.listed_.dataCentre_ != query.dataCentre_)
         cost += distanceCost;
     return cost;
@@ -90,7 +138,7 @@
 /// Load that an engine counts as that holds an older version of the adapter: a replacement waits
 /// for the runs of the older one, and meanwhile the engine loads nothing else. More than all else
 /// together, so that it is chosen only where every engine holds the older one.
-constexpr double replacementCost = 20.0;
+constexpr double replacementCost = 1000.0;
 
 /// Load that an engine with an older version counts as while another has the newest.
 constexpr double olderVersionCost = 0.5;
@@ -98,13 +146,14 @@
 /// An agent that was silent for longer can't be asked to load anything.
 constexpr Duration agentGoodFor = std::chrono::milliseconds(2500);
 
-/// Weight of the home rank beside a target's load where an adapter is to be loaded. An adapter that
-/// its engine has had before comes from that VM's memory, ten times as fast, so it moves only away
-/// from a target that is clearly fuller than the next.
-constexpr double homeWeight = 4.0;
+/// Weight of the home rank beside a target's load where an adapter is to be loaded, for each
+/// target: the next home is then a third of a full load behind, however many targets there are. An
+/// adapter that its engine has had before comes from that VM's memory, ten times as fast, so it
+/// moves only away from a target that is clearly fuller than the next.
+constexpr double homeWeight = 1.0 / 3;
 
 TargetBelief *bestToLoad(const std::vector<TargetBelief *> &targets, const PlaceQuery &query,
-                         Time now)
+                         const UsualRatios &usual, Time now)
 {
     const NameMark adapter = markOf(query.adapter_);
     const NameMark model = markOf(query.model_);
@@ -114,12 +163,13 @@
         if (hasNewest(*target, query, adapter) || awaitsAdapter(*target, query, adapter))
             continue;
         const double starting = target->models_.contains(model) ? 0 : startingCost;
-        const double pending = target->loadsWaiting_;
+        const double pending = static_cast<double>(
+            target->incoming_.size() - std::min(target->incoming_.size(), loadsAtOnce - 1));
         // Without the distance, on which entries in different data centres wouldn't agree.
         const double replacing = target->adapters_.contains(adapter) ? replacementCost : 0;
         const double cost = starting + replacing + loadPart(*target, query, now)
-            + failureCost * target->failureRatio_ + pendingLoadCost * pending
-            + homeWeight * homeRank(*target, query.adapter_);
+            + faultCost(*target, usual) + pendingLoadCost * pending
+            + homeWeight * static_cast<double>(targets.size()) * homeRank(*target, query.adapter_);
         if (cost < least) {
             least = cost;
             best = target;
@@ -128,21 +178,6 @@
     return best;
 }
 
-/// The failure ratio that half of the targets stay below: failures that all have alike, such as
-/// those of the requests themselves, speak against none.
-double usualFailureRatio(const std::vector<TargetBelief *> &targets)
-{
-    if (targets.empty())
-        return 0;
-    std::vector<double> ratios;
-    ratios.reserve(targets.size());
-    for (const TargetBelief *target : targets)
-        ratios.push_back(target->failureRatio_);
-    const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
-    std::nth_element(ratios.begin(), middle, ratios.end());
-    return *middle;
-}
-
 /// Whether the list has lost most targets of a service: their entries lapsed together in an outage
 /// of the store, and come back. A few that are missing have left.
 bool hasListLapsed(const std::vector<TargetBelief *> &targets)
@@ -159,39 +194,53 @@
     std::vector<TargetBelief *> loaders_;
     std::vector<TargetBelief *> usable_;
     std::vector<TargetBelief *> able_;
+    UsualRatios usual_;
     TargetBelief *awaited_ = nullptr;
+    /// How many targets await the adapter.
+    std::size_t awaiting_ = 0;
 };
 
 Candidates candidatesOf(const std::vector<TargetBelief *> &targets, const PlaceQuery &query,
                         Time now)
 {
     Candidates candidates;
-    const double usualRatio = usualFailureRatio(targets);
+    candidates.usual_ = usualRatiosOf(targets);
     const bool lapsed = hasListLapsed(targets);
     const NameMark model = markOf(query.model_);
     const NameMark adapter = markOf(query.adapter_);
     for (TargetBelief *target : targets) {
         if (target->missingSince_ && !lapsed)
             continue;
-        if (!isUsable(*target, now) || isShunned(*target, usualRatio, now)
+        if (!isUsable(*target, now) || isShunned(*target, candidates.usual_.failures_, now)
             || query.tried_.contains(target->listed_.id_))
             continue;
         if (target->agentHeard_ && now - target->heardAt_ < agentGoodFor)
             candidates.loaders_.push_back(target);
-        if (!query.model_.empty() && !target->models_.contains(model)) {
-            if (awaitsAdapter(*target, query, adapter))
-                candidates.awaited_ = target;
-            continue;
+        if (awaitsAdapter(*target, query, adapter)) {
+            candidates.awaited_ = target;
+            ++candidates.awaiting_;
         }
+        if (!query.model_.empty() && !target->models_.contains(model))
+            continue;
         candidates.usable_.push_back(target);
         if (query.adapter_.empty() || hasAdapter(*target, query, adapter))
             candidates.able_.push_back(target);
-        if (awaitsAdapter(*target, query, adapter))
-            candidates.awaited_ = target;
     }
     return candidates;
 }
 
+/// Whether the adapter of a request that can be placed needs another copy.
+bool needsCopy(const Candidates &candidates, const PlaceQuery &query, const Place &place)
+{
+    if (query.adapter_.empty())
+        return false;
+    const double running = query.askedPerSecond_ * runSeconds;
+    const double copies = running / (place.target_->listed_.slots_ * copyLoad);
+    if (static_cast<double>(candidates.able_.size() + candidates.awaiting_) < copies)
+        return true;
+    return place.load_ > copyAbove && candidates.awaited_ == nullptr;
+}
+
 } // namespace
 
 double roomOf(const TargetBelief &target)
@@ -215,10 +264,10 @@
         || std::any_of(candidates.able_.begin(), candidates.able_.end(),
                        [&](const auto *target) { return hasNewest(*target, query, adapter); });
     if (!newestServes && candidates.awaited_ == nullptr && !candidates.able_.empty())
-        place.copyAt_ = bestToLoad(candidates.loaders_, query, now);
+        place.copyAt_ = bestToLoad(candidates.loaders_, query, candidates.usual_, now);
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : candidates.able_) {
-        double cost = costOf(*target, query, now);
+        double cost = costOf(*target, query, candidates.usual_, now);
         const bool older =
             newestServes && !query.adapter_.empty() && !hasNewest(*target, query, adapter);
         if (older || target == place.copyAt_)
@@ -233,16 +282,16 @@
         const bool room =
             estimatedLoad(*place.target_, query.entries_, now) < roomOf(*place.target_);
         place.kind_ = room ? PlaceKind::Send : PlaceKind::AwaitRoom;
-        if (query.adapter_.empty() || place.load_ <= copyAbove || candidates.awaited_ != nullptr
-            || place.copyAt_ != nullptr)
-            return place;
-        TargetBelief *copy = bestToLoad(candidates.loaders_, query, now);
-        if (copy != nullptr && loadPart(*copy, query, now) < copyBelowPart * place.load_)
-            place.copyAt_ = copy;
+        if (place.copyAt_ == nullptr && needsCopy(candidates, query, place)) {
+            TargetBelief *copy = bestToLoad(candidates.loaders_, query, candidates.usual_, now);
+            if (copy != nullptr && loadPart(*copy, query, now) < copyBelowPart * place.load_)
+                place.copyAt_ = copy;
+        }
         return place;
     }
-    place.target_ = candidates.awaited_ != nullptr ? candidates.awaited_
-                                                   : bestToLoad(candidates.loaders_, query, now);
+    place.target_ = candidates.awaited_ != nullptr
+        ? candidates.awaited_
+        : bestToLoad(candidates.loaders_, query, candidates.usual_, now);
     place.kind_ = place.target_ != nullptr ? PlaceKind::AwaitAdapter : PlaceKind::None;
     return place;
 }
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -26,6 +26,8 @@
     std::uint64_t leastVersion_ = 0;
     /// The newest adapter version; 0 where none was named.
     std::uint64_t newestVersion_ = 0;
+    /// Requests for the adapter a second, at all entries.
+    double askedPerSecond_ = 0;
     /// Targets that this request has been sent to.
     std::set<std::string> tried_;
     std::size_t entries_ = 1;
--- a/Source/Edge/targetbelief.h
+++ b/Source/Edge/targetbelief.h
@@ -35,6 +35,8 @@
     std::uint64_t memoryTokens_ = 0;
     std::uint32_t loadsWaiting_ = 0;
     std::uint64_t residency_ = 0;
+    /// Part of the latest streams of all entries there that were late.
+    double lateRatio_ = 0;
 
     // Told by the agent, or by the list and the target's answers where there is none.
     std::map<NameMark, std::uint64_t> adapters_;
--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -1,6 +1,7 @@
 #include "Peer/peermessages.h"
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstring>
@@ -12,7 +13,7 @@
 namespace {
 
 /// First byte of every datagram: changes with the layout of the messages.
-constexpr char layoutVersion = 1;
+constexpr char layoutVersion = 2;
 
 /// Bytes before the message: layout, kind and check sum.
 constexpr std::size_t headBytes = 2 + sizeof(std::uint32_t);
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -45,6 +45,8 @@
     std::uint64_t memoryTokens_ = 0;
     /// Loads asked for and not begun.
     std::uint32_t loadsWaiting_ = 0;
+    /// Part of the latest streams of all entries there that were late.
+    float lateRatio_ = 0;
     /// Rises whenever the two lists below change.
     std::uint64_t residency_ = 0;
     /// False where the receiver has said that it knows residency_; the lists are empty then.
@@ -58,7 +60,8 @@
     void serialize(Archive &archive)
     {
         archive(target_, number_, startedAt_, up_, draining_, running_, waiting_, usedTokens_,
-                memoryTokens_, loadsWaiting_, residency_, hasLists_, adapters_, incoming_, models_);
+                memoryTokens_, loadsWaiting_, lateRatio_, residency_, hasLists_, adapters_,
+                incoming_, models_);
     }
 };
 
@@ -89,11 +92,15 @@
     std::vector<AdapterWish> wishes_;
     /// Adapters sent to this engine since the last message, or still running there.
     std::vector<NameMark> inUse_;
+    /// Streams of this engine since the last message, and how many of them were late.
+    std::uint32_t streams_ = 0;
+    std::uint32_t lateStreams_ = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, target_, targetStartedAt_, knownResidency_, wishes_, inUse_);
+        archive(vm_, target_, targetStartedAt_, knownResidency_, wishes_, inUse_, streams_,
+                lateStreams_);
     }
 };
 
@@ -125,6 +132,19 @@
     }
 };
 
+/// How often an adapter was asked for at one entry of late.
+struct AdapterRate
+{
+    NameMark adapter_ = 0;
+    float perSecond_ = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(adapter_, perSecond_);
+    }
+};
+
 /// A request that was running when its target broke off.
 struct SuspectCount
 {
@@ -149,15 +169,16 @@
     /// Age of the sender's last confirmation that no newer rules exist; negative for none.
     std::int64_t rulesAgeMicros_ = -1;
     std::vector<AccountUsage> usage_;
-    /// In some messages only.
+    /// The next two are in some messages only.
     std::vector<PeerEcho> echoes_;
+    std::optional<std::vector<AdapterRate>> mostAsked_;
     std::vector<SuspectCount> suspects_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(vm_, stampMicros_, startedMicros_, rulesVersion_, rulesAgeMicros_, usage_, echoes_,
-                suspects_);
+                mostAsked_, suspects_);
     }
 };
 
--- /dev/null
+++ b/Tests/EdgeDecisions/adapterdemandtest.cpp
@@ -0,0 +1,62 @@
+#include "Edge/adapterdemand.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace eelgrasscove;
+using namespace std::chrono_literals;
+
+namespace {
+
+const NameMark frequent = markOf("base/frequent");
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(each_of_many_entries_knows_how_often_a_frequent_adapter_is_asked_for)
+{
+    constexpr std::size_t count = 24;
+    constexpr double perSecond = 48;
+    std::vector<AdapterDemand> entries(count);
+    std::minstd_rand random{5};
+    Time now = Time(100s);
+    for (int tick = 0; tick < 1500; ++tick, now += 10ms) {
+        if (std::bernoulli_distribution(perSecond / 100)(random))
+            noteAsked(entries[random() % count], frequent, now);
+        // Others, each asked for now and then.
+        noteAsked(entries[random() % count], random() % 5000, now);
+        if (tick % 60 != 0)
+            continue;
+        for (std::size_t from = 0; from < count; ++from) {
+            const std::vector<AdapterRate> rates = mostAsked(entries[from], now);
+            for (std::size_t to = 0; to < count; ++to) {
+                if (to != from)
+                    hearMostAsked(entries[to], std::to_string(from), rates, now);
+            }
+        }
+    }
+    for (const AdapterDemand &entry : entries) {
+        const double seen = askedPerSecond(entry, frequent, now);
+        BOOST_TEST(seen > perSecond * 0.7);
+        BOOST_TEST(seen < perSecond * 1.3);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(demand_that_ends_is_forgotten)
+{
+    AdapterDemand demand;
+    Time now = Time(100s);
+    for (int request = 0; request < 90; ++request, now += 100ms)
+        noteAsked(demand, frequent, now);
+    hearMostAsked(demand, "peer", {{frequent, 7}}, now);
+    BOOST_TEST(askedPerSecond(demand, frequent, now) > 15);
+    // The peer tells that it is no longer asked for there, and another falls silent.
+    hearMostAsked(demand, "silent", {{frequent, 5}}, now);
+    hearMostAsked(demand, "peer", {}, now + 1s);
+    forgetSilentPeers(demand, now + 3s);
+    BOOST_TEST(demand.peers_.size() == 1);
+    BOOST_TEST(askedPerSecond(demand, frequent, now + 12s) < 0.3);
+    BOOST_TEST(mostAsked(demand, now + 30s).empty());
+    BOOST_TEST(demand.own_.empty());
+    BOOST_TEST(demand.told_.empty());
+}
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -129,6 +129,49 @@
     BOOST_TEST((choosePlace(fleet.all(), query, now).kind_ == PlaceKind::Send));
 }
 
+BOOST_AUTO_TEST_CASE(an_adapter_has_as_many_copies_as_its_requests_fill)
+{
+    Fleet fleet;
+    for (int number = 0; number < 12; ++number)
+        fleet.add("t" + std::to_string(number)).running_ = 1;
+    fleet.beliefs_[0].adapters_[markOf("base/x")] = 1;
+    fleet.beliefs_[0].running_ = 4;
+    PlaceQuery query = queryFor("base/x");
+    // Rare, whatever else runs beside it.
+    query.askedPerSecond_ = 0.3;
+    BOOST_TEST((choosePlace(fleet.all(), query, now).copyAt_ == nullptr));
+    // Two seconds a run: six run at a time, where a copy is to have three of ten slots.
+    query.askedPerSecond_ = 3.1;
+    std::size_t copies = 1;
+    for (;;) {
+        const Place place = choosePlace(fleet.all(), query, now);
+        if (place.copyAt_ == nullptr)
+            break;
+        place.copyAt_->incoming_[markOf("base/x")] = 1;
+        ++copies;
+        BOOST_REQUIRE(copies < 12);
+    }
+    BOOST_TEST(copies == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_makes_streams_late_gets_less_than_the_others)
+{
+    Fleet fleet;
+    for (int number = 0; number < 3; ++number) {
+        TargetBelief &target = fleet.add("t" + std::to_string(number));
+        target.adapters_[markOf("base/x")] = 1;
+        target.running_ = number == 0 ? 2 : 5;
+    }
+    TargetBelief &slow = fleet.beliefs_[0];
+    BOOST_TEST(choosePlace(fleet.all(), queryFor("base/x"), now).target_ == &slow);
+    slow.lateRatio_ = 0.4;
+    BOOST_TEST(choosePlace(fleet.all(), queryFor("base/x"), now).target_ != &slow);
+    // Where all are late alike, as by overload, that speaks against none.
+    for (TargetBelief &target : fleet.beliefs_)
+        target.lateRatio_ = 0.4;
+    BOOST_TEST(choosePlace(fleet.all(), queryFor("base/x"), now).target_ == &slow);
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_version_is_loaded_beside_the_one_that_serves)
 {
     Fleet fleet;
--- a/Tests/LoadPlay/loadplaytest.cpp
+++ b/Tests/LoadPlay/loadplaytest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE LoadPlay
 #include "Agent/residencyplan.h"
+#include "Edge/adapterdemand.h"
 #include "Edge/placement.h"
 #include "Edge/waitingorder.h"
 #include "Edge/windowsum.h"
@@ -129,6 +130,7 @@
                 waiting_.push_back(
                     {"base/a" + std::to_string((ranks(random_) + moved) % load_.adapters_), now_, 0,
                      false, false});
+                noteAsked(demand_, markOf(waiting_.back().adapter_), now_);
                 ++outcome_.asked_;
             }
             for (Engine &engine : engines_)
@@ -262,6 +264,7 @@
             PlaceQuery query;
             query.model_ = "base";
             query.adapter_ = request.adapter_;
+            query.askedPerSecond_ = askedPerSecond(demand_, markOf(request.adapter_), now_);
             std::vector<TargetBelief *> targets;
             for (Engine &engine : engines_)
                 targets.push_back(&engine.belief_);
@@ -338,6 +341,7 @@
     EngineLimits limits_;
     std::list<Request> waiting_;
     Outcome outcome_;
+    AdapterDemand demand_;
     WindowSum ended_{endedSpan};
     std::minstd_rand random_{11};
     std::size_t next_ = 0;
