Say once what placing and waiting had said several times

Found by reading the whole change. How many adapters an engine loads at once stood in three files under two names; the window of answers was made in two places, with its span as a constant in one and a literal in the other; the newest version of a query and what a target holds were worked out three times; choosePlace had grown two more nested parts, now functions of their own. A placing read the clock twice more than its caller, and hashed the adapter's name for each target. waitingorder.h, which is pure, included the event loop for two type names. Two comments used the users' words.

--- a/Source/Agent/residencyplan.cpp
+++ b/Source/Agent/residencyplan.cpp
@@ -20,9 +20,6 @@
 /// Uses are remembered for as long as they may decide between two adapters.
 constexpr Duration useLife = 120s;
 
-/// Adapters on their way to one engine; more are refused by it.
-constexpr std::size_t incomingAtOnce = 4;
-
 bool holds(const std::vector<wire::HeldAdapter> &list, const std::string &adapter,
            std::uint64_t version)
 {
@@ -152,7 +149,7 @@
             return std::nullopt;
         return orderFor(wire::OrderKind::Load, limits.models_.front().name_, 0, report.orders_);
     }
-    if (report.incoming_.size() >= incomingAtOnce)
+    if (report.incoming_.size() >= adapterLoadsAtOnce)
         return std::nullopt;
     const std::pair<const std::string, WishedAdapter> *next = nullptr;
     for (const auto &wish : plan.wishes_) {
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -163,7 +163,7 @@
     bool checkKey(EdgeRequest &request, Time now);
     bool checkAllowance(EdgeRequest &request, Time now);
     void place(const EdgeRequestPtr &request);
-    PlaceQuery placeQuery(const EdgeRequest &request) const;
+    PlaceQuery placeQuery(const EdgeRequest &request, Time now) const;
     void await(const EdgeRequestPtr &request, const Place &place);
     void send(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target);
     std::string requestText(const EdgeRequest &request, const TargetBelief &target, Time now) const;
@@ -183,7 +183,9 @@
     void unwait(const EdgeRequest &request);
     std::vector<TargetBelief *> beliefsOf(const std::string &service);
     std::shared_ptr<EdgeTarget> targetOf(const TargetBelief *belief);
-    /// Answers of a service a second, of late.
+    /// The answers of a service, of late.
+    WindowSum &answersOf(const std::string &service);
+    /// The same, a second.
     double answersPerSecond(const std::string &service, Time now);
 
     // edgeanswers.cpp: what targets answer.
--- a/Source/Edge/edgeanswers.cpp
+++ b/Source/Edge/edgeanswers.cpp
@@ -133,7 +133,7 @@
     const std::shared_ptr<EdgeTarget> target = request->target_;
     request->connection_.reset();
     if (end == ExchangeEnd::Complete) {
-        completions_.try_emplace(request->service_, WindowSum(2s)).first->second.add(1, now);
+        answersOf(request->service_).add(1, now);
         finishAnswer(request);
         return;
     }
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -18,7 +18,6 @@
 /// An adapter is loaded in about this time where its engine is not loading others; then each four
 /// that are asked for before it add as much.
 constexpr Duration adapterLoadTime = 300ms;
-constexpr std::uint32_t loadsAtOnce = 4;
 
 /// A target that crashed, or is avoided, is back in about this time; an engine that started also
 /// loads its model from its disk first.
@@ -231,7 +230,7 @@
     return true;
 }
 
-PlaceQuery Edge::placeQuery(const EdgeRequest &request) const
+PlaceQuery Edge::placeQuery(const EdgeRequest &request, Time now) const
 {
     PlaceQuery query;
     query.dataCentre_ = settings_.dataCentre_;
@@ -240,11 +239,11 @@
     query.tried_ = request.tried_;
     query.entries_ = peers_.size() + 1;
     if (!request.adapter_.empty())
-        query.askedPerSecond_ = askedPerSecond(demand_, markOf(request.adapter_), bootNow());
+        query.askedPerSecond_ = askedPerSecond(demand_, markOf(request.adapter_), now);
     const auto version = versions_.find(request.adapter_);
     if (version != versions_.end()) {
         query.newestVersion_ = version->second;
-        const Duration age = bootNow() - versionHeardAt_.at(request.adapter_);
+        const Duration age = now - versionHeardAt_.at(request.adapter_);
         if (age > settings_.bounds_.version_ * olderVersionPart)
             query.leastVersion_ = version->second;
     }
@@ -282,7 +281,7 @@
     }
     if (outdated ? !resolve(*request) : !checkKey(*request, now))
         return;
-    const Place place = choosePlace(beliefsOf(request->service_), placeQuery(*request), now);
+    const Place place = choosePlace(beliefsOf(request->service_), placeQuery(*request, now), now);
     if (place.copyAt_ != nullptr) {
         if (const auto copyAt = targetOf(place.copyAt_)) {
             copyAt->copyWishes_[request->adapter_] = now + 500ms;
@@ -304,11 +303,14 @@
     await(request, place);
 }
 
+WindowSum &Edge::answersOf(const std::string &service)
+{
+    return completions_.try_emplace(service, WindowSum(completionSpan)).first->second;
+}
+
 double Edge::answersPerSecond(const std::string &service, Time now)
 {
-    WindowSum &completed =
-        completions_.try_emplace(service, WindowSum(completionSpan)).first->second;
-    return completed.sum(now) / std::chrono::duration<double>(completionSpan).count();
+    return answersOf(service).sum(now) / std::chrono::duration<double>(completionSpan).count();
 }
 
 WaitingRequest waitingOf(const EdgeRequest &request)
@@ -323,7 +325,7 @@
     const bool fresh = std::find(queue.begin(), queue.end(), request) == queue.end();
     Duration wait{};
     if (place.kind_ == PlaceKind::AwaitAdapter) {
-        wait = adapterLoadTime * (1 + place.target_->loadsWaiting_ / loadsAtOnce);
+        wait = adapterLoadTime * (1 + place.target_->loadsWaiting_ / adapterLoadsAtOnce);
         if (const auto target = targetOf(place.target_)) {
             request->awaitedTarget_ = place.target_->listed_.id_;
             wish(*target, request->adapter_, now);
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -36,7 +36,6 @@
 /// Load that each adapter counts as that is on its way to a target beyond what it loads at once:
 /// the next one waits for a load to end, and its request is late then.
 constexpr double pendingLoadCost = 0.5;
-constexpr std::size_t loadsAtOnce = 4;
 
 /// Used memory beyond which a target counts as full: what runs there would soon be preempted.
 constexpr double memoryFull = 0.92;
@@ -99,34 +98,41 @@
     return cost;
 }
 
-bool hasAdapter(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
+bool holds(const TargetBelief &target, NameMark adapter, std::uint64_t leastVersion)
 {
     const auto held = target.adapters_.find(adapter);
-    return held != target.adapters_.end() && held->second >= query.leastVersion_;
+    return held != target.adapters_.end() && held->second >= leastVersion;
+}
+
+/// The version that new loads are for.
+std::uint64_t newestOf(const PlaceQuery &query)
+{
+    return std::max(query.leastVersion_, query.newestVersion_);
+}
+
+bool hasAdapter(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
+{
+    return holds(target, adapter, query.leastVersion_);
 }
 
 bool hasNewest(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
 {
-    const auto held = target.adapters_.find(adapter);
-    return held != target.adapters_.end()
-        && held->second >= std::max(query.leastVersion_, query.newestVersion_);
+    return holds(target, adapter, newestOf(query));
 }
 
 bool awaitsAdapter(const TargetBelief &target, const PlaceQuery &query, NameMark adapter)
 {
     const auto coming = target.incoming_.find(adapter);
     return coming != target.incoming_.end()
-        && (coming->second == 0
-            || coming->second >= std::max(query.leastVersion_, query.newestVersion_));
+        && (coming->second == 0 || coming->second >= newestOf(query));
 }
 
 /// The order in which targets are home to an adapter; all entries compute the same. By address, as
 /// a target that starts anew has another id and the same copies on its disk.
-double homeRank(const TargetBelief &target, const std::string &adapter)
+double homeRank(const TargetBelief &target, XXH64_hash_t adapterHash)
 {
     const std::string &place = target.listed_.address_;
-    const XXH64_hash_t hash = XXH3_64bits_withSeed(place.data(), place.size(),
-                                                   XXH3_64bits(adapter.data(), adapter.size()));
+    const XXH64_hash_t hash = XXH3_64bits_withSeed(place.data(), place.size(), adapterHash);
     return static_cast<double>(hash)
         / static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
 }
@@ -150,13 +156,15 @@
 /// target: the next home is then a third of a full load behind, however many targets there are. An
 /// adapter that its engine has had before comes from that VM's memory, ten times as fast, so it
 /// moves only away from a target that is clearly fuller than the next.
-constexpr double homeWeight = 1.0 / 3;
+constexpr double homeWeightOfEach = 1.0 / 3;
 
 TargetBelief *bestToLoad(const std::vector<TargetBelief *> &targets, const PlaceQuery &query,
                          const UsualRatios &usual, Time now)
 {
     const NameMark adapter = markOf(query.adapter_);
     const NameMark model = markOf(query.model_);
+    const XXH64_hash_t adapterHash = XXH3_64bits(query.adapter_.data(), query.adapter_.size());
+    const double homeWeight = homeWeightOfEach * static_cast<double>(targets.size());
     TargetBelief *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (TargetBelief *target : targets) {
@@ -164,12 +172,12 @@
             continue;
         const double starting = target->models_.contains(model) ? 0 : startingCost;
         const double pending = static_cast<double>(
-            target->incoming_.size() - std::min(target->incoming_.size(), loadsAtOnce - 1));
+            target->incoming_.size() - std::min(target->incoming_.size(), adapterLoadsAtOnce - 1));
         // Without the distance, on which entries in different data centres wouldn't agree.
         const double replacing = target->adapters_.contains(adapter) ? replacementCost : 0;
         const double cost = starting + replacing + loadPart(*target, query, now)
             + faultCost(*target, usual) + pendingLoadCost * pending
-            + homeWeight * static_cast<double>(targets.size()) * homeRank(*target, query.adapter_);
+            + homeWeight * homeRank(*target, adapterHash);
         if (cost < least) {
             least = cost;
             best = target;
@@ -229,6 +237,37 @@
     return candidates;
 }
 
+/// Whether one of the able targets has the newest version of what the request needs.
+bool canServeNewest(const Candidates &candidates, const PlaceQuery &query)
+{
+    const NameMark adapter = markOf(query.adapter_);
+    return query.adapter_.empty()
+        || std::any_of(candidates.able_.begin(), candidates.able_.end(),
+                       [&](const auto *target) { return hasNewest(*target, query, adapter); });
+}
+
+/// The best of the able targets; null where there is none. One that is to replace its older version
+/// counts like one with an older version, as its runs have to end first.
+TargetBelief *cheapestOf(const Candidates &candidates, const PlaceQuery &query, bool newestServes,
+                         const TargetBelief *replacing, Time now)
+{
+    const NameMark adapter = markOf(query.adapter_);
+    TargetBelief *cheapest = nullptr;
+    double least = std::numeric_limits<double>::infinity();
+    for (TargetBelief *target : candidates.able_) {
+        double cost = costOf(*target, query, candidates.usual_, now);
+        const bool older =
+            newestServes && !query.adapter_.empty() && !hasNewest(*target, query, adapter);
+        if (older || target == replacing)
+            cost += olderVersionCost;
+        if (cost < least) {
+            least = cost;
+            cheapest = target;
+        }
+    }
+    return cheapest;
+}
+
 /// Whether the adapter of a request that can be placed needs another copy.
 bool needsCopy(const Candidates &candidates, const PlaceQuery &query, const Place &place)
 {
@@ -259,24 +298,10 @@
         place.kind_ = any ? PlaceKind::AwaitTarget : PlaceKind::None;
         return place;
     }
-    const NameMark adapter = markOf(query.adapter_);
-    const bool newestServes = query.adapter_.empty()
-        || std::any_of(candidates.able_.begin(), candidates.able_.end(),
-                       [&](const auto *target) { return hasNewest(*target, query, adapter); });
+    const bool newestServes = canServeNewest(candidates, query);
     if (!newestServes && candidates.awaited_ == nullptr && !candidates.able_.empty())
         place.copyAt_ = bestToLoad(candidates.loaders_, query, candidates.usual_, now);
-    double least = std::numeric_limits<double>::infinity();
-    for (TargetBelief *target : candidates.able_) {
-        double cost = costOf(*target, query, candidates.usual_, now);
-        const bool older =
-            newestServes && !query.adapter_.empty() && !hasNewest(*target, query, adapter);
-        if (older || target == place.copyAt_)
-            cost += olderVersionCost;
-        if (cost < least) {
-            least = cost;
-            place.target_ = target;
-        }
-    }
+    place.target_ = cheapestOf(candidates, query, newestServes, place.copyAt_, now);
     if (place.target_ != nullptr) {
         place.load_ = loadPart(*place.target_, query, now);
         const bool room =
--- a/Source/Edge/suspects.cpp
+++ b/Source/Edge/suspects.cpp
@@ -10,7 +10,7 @@
 /// Two unrelated crashes on one request are rare; the operator's bound begins at the third.
 constexpr std::uint32_t crashesOfCrasher = 2;
 
-/// Longer than the longest time budget of a client, after which it doesn't repeat a request.
+/// Longer than the longest deadline of a client, after which it doesn't repeat a request.
 constexpr Duration remembered = std::chrono::seconds(60);
 
 } // namespace
--- a/Source/Edge/waitingorder.h
+++ b/Source/Edge/waitingorder.h
@@ -6,7 +6,7 @@
 /// served would make every request late by the same wait. Here those that can still be in time go
 /// first, and those that can't be any more take what is left, so as many as possible are in time.
 
-#include "Net/eventloop.h"
+#include <eelgrasscove/time.h>
 
 #include <cstddef>
 #include <vector>
--- a/include/eelgrasscove/messages.h
+++ b/include/eelgrasscove/messages.h
@@ -103,7 +103,7 @@
     std::int64_t reservedTokens_ = 0;
     /// The prompt's part of them, charged as soon as the attempt runs.
     std::int64_t promptTokens_ = 0;
-    /// Time the entry still waits for the end of the answer, in microseconds from receipt.
+    /// Time the entry still waits for the end of the answer, in microseconds from its arrival.
     std::int64_t timeLeftMicros_ = 0;
     std::string method_;
     /// Path and query as the target shall see them.
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -6,6 +6,7 @@
 #include <eelgrasscove/nametable.h>
 #include <eelgrasscove/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -71,6 +72,9 @@
     std::uint32_t adapters_ = 0;
 };
 
+/// Adapters that may be on their way to one engine at a time, by the users' pages.
+constexpr std::size_t adapterLoadsAtOnce = 4;
+
 /// What the targets of a model service are made of.
 struct EngineLimits
 {
