Log clients that leave with their request's stage, and measure the delay of the event loop

Change: client.left holds the stage and the target's silence; loop.delayed (from 250 ms) and the metric eelgrasscove_loop_delay_seconds (from 10 ms) hold the lateness of a check that is due every 50 ms. No decision changed.

Tests: Net and ServingPath pass.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -32,6 +32,11 @@
 constexpr Duration logFlushPeriod = 250ms;
 constexpr Duration housekeepingPeriod = 1s;
 
+/// Delays of the event loop that are recorded as a metric and as a log line. A client's close has
+/// to reach the target within half a second.
+constexpr Duration minRecordedLoopDelay = 10ms;
+constexpr Duration minLoggedLoopDelay = 250ms;
+
 /// Keys are accepted only if the rules were confirmed within the operator's bound for withdrawn
 /// keys less this margin, which covers the delay between the check and the request's arrival at the
 /// target.
@@ -102,7 +107,7 @@
         return false;
     startFeeds();
     startTimers();
-    loop_.startPauseDetection();
+    loop_.startPauseDetection([this](Duration delay) { recordLoopDelay(delay); });
     eventLog().note("process.started", "role", "edge", "data_centre", settings_.dataCentre_,
                     "callers", settings_.callersListen_);
     return true;
@@ -218,6 +223,15 @@
     });
 }
 
+void Edge::recordLoopDelay(Duration delay)
+{
+    if (delay >= minRecordedLoopDelay)
+        observeDuration("eelgrasscove_loop_delay_seconds", "", delay);
+    if (delay >= minLoggedLoopDelay)
+        eventLog().note("loop.delayed", "delay_ms", delay.count() / 1000, "requests",
+                        requests_.size(), "sessions", sessions_.size());
+}
+
 void Edge::onAccepted(std::shared_ptr<TcpStream> stream)
 {
     countMetric("eelgrasscove_client_connections_total");
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -62,6 +62,13 @@
     Ended,
 };
 
+constexpr NameTable<RequestStage, 4> requestStageNames = {{
+    {RequestStage::Waiting, "waiting"},
+    {RequestStage::Sent, "sent"},
+    {RequestStage::Streaming, "streaming"},
+    {RequestStage::Ended, "ended"},
+}};
+
 /// A client request, from its arrival to the end of its response.
 struct EdgeRequest : std::enable_shared_from_this<EdgeRequest>
 {
@@ -135,6 +142,7 @@
     bool listen();
     void startFeeds();
     void startTimers();
+    void recordLoopDelay(Duration delay);
     void onAccepted(std::shared_ptr<TcpStream> stream);
     void onTerminate();
     void onHangUp();
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -298,6 +298,14 @@
         return;
     if (request->tokensCharged_ && request->sends_ == 0)
         deductTokens(allowance_, request->account_, -request->tokens_);
+    const Duration silence =
+        request->target_ ? bootNow() - request->target_->state_.lastContactAt_ : Duration::zero();
+    eventLog().note("client.left", "id", request->id_, "stage",
+                    nameOf(requestStageNames, request->stage_), "target",
+                    request->target_ ? request->target_->state_.listed_.id_ : "",
+                    "target_silent_ms", silence.count() / 1000);
+    countMetric("eelgrasscove_clients_left_total",
+                fmt::format("stage=\"{}\"", nameOf(requestStageNames, request->stage_)));
     endRequest(*request, 0, "client disconnected");
 }
 
--- a/Source/Net/eventloop.cpp
+++ b/Source/Net/eventloop.cpp
@@ -132,9 +132,16 @@
     uv_run(&loop_, UV_RUN_DEFAULT);
 }
 
-void EventLoop::startPauseDetection()
+void EventLoop::startPauseDetection(std::function<void(Duration delay)> onDelay)
 {
-    timers_.every(awakeUpdatePeriod, [this] { lastActiveAt_ = bootNow(); });
+    lastActiveAt_ = bootNow();
+    timers_.every(awakeUpdatePeriod, [this, onDelay = std::move(onDelay)] {
+        const Time now = bootNow();
+        const Duration delay = now - lastActiveAt_ - awakeUpdatePeriod;
+        lastActiveAt_ = now;
+        if (onDelay)
+            onDelay(std::max(delay, Duration::zero()));
+    });
 }
 
 std::optional<Time> EventLoop::pausedSince() const
--- a/Source/Net/eventloop.h
+++ b/Source/Net/eventloop.h
@@ -71,8 +71,10 @@
     /// Calls terminate on each SIGTERM or SIGINT, and hangUp on each SIGHUP. Ignores SIGPIPE.
     void onSignals(std::function<void()> terminate, std::function<void()> hangUp);
 
-    /// Starts to detect pauses of the process, such as a suspended VM.
-    void startPauseDetection();
+    /// Starts to detect pauses of the process, such as a suspended VM. onDelay, if set, is called
+    /// with the delay of the loop: the time by which a check that is due every 50 ms is late, and
+    /// by which received data waits to be read.
+    void startPauseDetection(std::function<void(Duration delay)> onDelay = {});
 
     /// Returns the time at which the process last ran before a pause that has just ended; empty if
     /// there was none. Data read in this iteration of the loop may have arrived at any time since.
