Place queued requests once per batch of reports, and only those that a report can help

Cause: each report of an agent with new resident adapters placed every queued request of the service. Reports grow with the load, as adapters are loaded for the queued requests, and so does the queue: the work grows with the product of both. Placing a request that is queued already also counted the requests ahead of it, which is used only for a new one.

Change: reports are applied as they come, and one pass follows for all of them. It tries up to 64 requests whose adapter one of the reporting targets holds. The periodic pass still tries the others. New metric: eelgrasscove_placements_total.

--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -180,8 +180,10 @@
     std::string formatRequest(const EdgeRequest &request, const TargetState &target,
                               Time now) const;
     void placeWaitingRequests(const std::string &service, std::size_t maxRequests);
-    /// Places queued requests that the target can serve, after it has completed a request.
-    void placeWaitingRequestsAt(const EdgeTarget &target);
+    /// Places up to maxRequests queued requests of the service that one of the targets can serve.
+    void placeWaitingRequestsAt(const std::string &service,
+                                const std::vector<std::shared_ptr<EdgeTarget>> &targets,
+                                std::size_t maxRequests);
     /// The queued requests of the service, in the order in which placement is tried.
     std::vector<EdgeRequestPtr> sortedWaitingRequests(const std::string &service, Time now);
     /// Refuses queued requests for which no target will have room before they time out.
@@ -219,6 +221,8 @@
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     void applyEngineState(EngineStateMessage &&report, const Endpoint &from);
+    /// Places queued requests at the targets whose resident adapters have changed.
+    void placeAtChangedTargets();
     void applyEntryState(EntryState &&state);
     void sendLoadRequests(EdgeTarget &target, Time now);
     void requestLoad(EdgeTarget &target, const std::string &adapter, Time now);
@@ -292,6 +296,8 @@
     std::map<std::string, std::list<EdgeRequestPtr>> waitingRequests_;
     /// Recently completed requests by service, from which waiting times are predicted.
     std::map<std::string, WindowSum> completions_;
+    /// Targets whose resident adapters have changed since placeAtChangedTargets().
+    std::vector<std::shared_ptr<EdgeTarget>> changedTargets_;
     std::minstd_rand random_;
     bool isPlacing_ = false;
 
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -21,6 +21,9 @@
 /// counts as out of contact only after a longer time.
 constexpr std::uint32_t echoInterval = 3;
 
+/// Maximum number of queued requests tried after reports of new resident adapters.
+constexpr std::size_t maxTriedPerReports = 64;
+
 /// Maximum number of load requests in a message, so that it fits into one datagram on any link.
 constexpr std::size_t maxLoadRequestsPerMessage = 64;
 
@@ -84,10 +87,23 @@
         for (const HashedAdapter &incoming : report.incoming_)
             state.incoming_[incoming.adapter_] = incoming.version_;
         state.models_ = {report.models_.begin(), report.models_.end()};
-        placeWaitingRequests(state.listed_.service_, SIZE_MAX);
+        // Reports arrive in batches, so one pass over the queue follows for all of them.
+        if (changedTargets_.empty())
+            loop_.timers().once(Duration::zero(), [this] { placeAtChangedTargets(); });
+        changedTargets_.push_back(target);
     }
 }
 
+void Edge::placeAtChangedTargets()
+{
+    std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> changed;
+    for (const auto &target : changedTargets_)
+        changed[target->state_.listed_.service_].push_back(target);
+    changedTargets_.clear();
+    for (const auto &[service, targets] : changed)
+        placeWaitingRequestsAt(service, targets, maxTriedPerReports);
+}
+
 void Edge::requestLoad(EdgeTarget &target, const std::string &adapter, Time now)
 {
     if (adapter.empty())
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -48,10 +48,8 @@
 /// Weight of a timeout in the target's failure ratio: the same as that of an error.
 constexpr double timeoutWeight = 1.0;
 
-/// Maximum number of queued requests tried in one pass. The pass after a response is shorter, as a
-/// response frees room for one request.
+/// Maximum number of queued requests tried in one pass.
 constexpr std::size_t maxTriedPerPass = 64;
-constexpr std::size_t maxTriedAfterResponse = 4;
 
 /// Range of the priority header sent to targets.
 constexpr int minPriority = 0;
@@ -287,6 +285,7 @@
     }
     if (rulesChanged ? !resolveRoute(*request) : !checkKey(*request, now))
         return;
+    countMetric("eelgrasscove_placements_total");
     const Placement placement =
         choosePlacement(targetStates(request->service_), makePlaceQuery(*request, now), now);
     if (placement.replicaTarget_ != nullptr) {
@@ -342,7 +341,7 @@
         }
     } else if (placement.kind_ == PlacementKind::AwaitTarget) {
         wait = request->model_.empty() ? targetRecoveryTime : engineStartTime;
-    } else {
+    } else if (isNewInQueue) {
         const WaitingRequest own = waitingRequestOf(*request);
         const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &other) {
             return other->waitReason_ == PlacementKind::AwaitRoom
@@ -483,20 +482,24 @@
     isPlacing_ = false;
 }
 
-void Edge::placeWaitingRequestsAt(const EdgeTarget &target)
+void Edge::placeWaitingRequestsAt(const std::string &service,
+                                  const std::vector<std::shared_ptr<EdgeTarget>> &targets,
+                                  std::size_t maxRequests)
 {
     if (isPlacing_)
         return;
     isPlacing_ = true;
-    const TargetState &state = target.state_;
     std::size_t tried = 0;
-    for (const EdgeRequestPtr &request : sortedWaitingRequests(state.listed_.service_, bootNow())) {
-        const bool fits =
-            request->adapter_.empty() || state.adapters_.contains(nameHash(request->adapter_));
+    for (const EdgeRequestPtr &request : sortedWaitingRequests(service, bootNow())) {
+        const NameHash adapter = nameHash(request->adapter_);
+        const bool fits = request->adapter_.empty()
+            || std::any_of(targets.begin(), targets.end(), [adapter](const auto &target) {
+                              return target->state_.adapters_.contains(adapter);
+                          });
         if (!fits || request->stage_ != RequestStage::Waiting)
             continue;
         placeRequest(request);
-        if (++tried == maxTriedAfterResponse)
+        if (++tried == maxRequests)
             break;
     }
     isPlacing_ = false;
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -31,6 +31,9 @@
 /// after two seconds without an event.
 constexpr Duration maxResumeWait = 1500ms;
 
+/// Maximum number of queued requests tried after a response, which frees room for one request.
+constexpr std::size_t maxTriedAfterResponse = 4;
+
 /// Returns the id of the last event that has one, or an empty string.
 std::string lastEventIdOf(std::string_view events)
 {
@@ -222,7 +225,7 @@
         session->sendResponse(status, formatResponseHeaders(request->response_),
                               request->responseBody_);
     }
-    placeWaitingRequestsAt(*target);
+    placeWaitingRequestsAt(state.listed_.service_, {target}, maxTriedAfterResponse);
 }
 
 void Edge::onRequestNotRun(const EdgeRequestPtr &request, std::string_view reason)
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2,8 +2,12 @@
 #include "Edge/edge.h"
 
 #include "../Shared/servingstandins.h"
+#include "Observe/metrics.h"
 
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace standins;
 
@@ -19,8 +23,12 @@
 {{"name":"tell","host":"desk.example","path_prefix":"/tell/","kind":"streaming",
  "timeout_ms":4000,"service":"ledger","max_attempts":2,"resumable":true}},
 {{"name":"ask","host":"desk.example","path_prefix":"/ask/","kind":"streaming","timeout_ms":4000,
- "target_latency_ms":500,"service":"ledger","max_attempts":1,"target_gap_ms":300}}],
-"services":[{{"name":"ledger","max_connections":96}}],
+ "target_latency_ms":500,"service":"ledger","max_attempts":1,"target_gap_ms":300}},
+{{"name":"advise","host":"desk.example","path_prefix":"/advise/","kind":"streaming",
+ "timeout_ms":12000,"target_latency_ms":500,"service":"mind","max_attempts":1}}],
+"services":[{{"name":"ledger","max_connections":96}},
+{{"name":"mind","engine":{{"weights_mb":1000,"adapter_slots":20,
+ "models":[{{"name":"m","weights_mb":500,"adapters":100,"adapter_mb":1}}]}}}}],
 "limits":{{"max_header_bytes":4096,"max_body_bytes":1000,"header_timeout_ms":3000,
  "idle_timeout_ms":15000}},
 "tenants":[{{"name":"shed","api_keys":[{}],"plain_tokens":200,"rate_per_s":{},"burst":{}}}]}})";
@@ -117,6 +125,36 @@
         return client;
     }
 
+    /// Sends the entry reports of an engine's agent, from the engine's address.
+    void sendEngineStates(int engineNumber, int reports, const std::string &residentAdapter)
+    {
+        const int sender = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        sockaddr_in entry{};
+        uv_ip4_addr("127.0.0.1", basePort_ + 6, &entry);
+        for (int report = 0; report < reports; ++report) {
+            EngineStateMessage state;
+            state.target_ = nameHash("e-" + std::to_string(engineNumber));
+            state.number_ = ++reports_;
+            state.startedAt_ = 1;
+            state.isUp_ = true;
+            state.residencyNumber_ = reports_;
+            state.hasLists_ = true;
+            state.adapters_ = {{nameHash(residentAdapter), 1}};
+            state.models_ = {nameHash("m")};
+            const std::string bytes = encodePeerMessage(state);
+            sendto(sender, bytes.data(), bytes.size(), 0,
+                   reinterpret_cast<const sockaddr *>(&entry), sizeof entry);
+        }
+        close(sender);
+    }
+
+    static std::uint64_t metric(const std::string &name)
+    {
+        const std::string text = metricsText();
+        const std::size_t at = text.find("\n" + name + " ");
+        return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size() + 2));
+    }
+
     std::size_t receivedRequests() const
     {
         return targets_[0]->seen_.size() + targets_[1]->seen_.size();
@@ -129,6 +167,7 @@
     std::vector<ServerConnection::Handler> handlers_;
     Edge *edge_ = nullptr;
     int requests_ = 0;
+    std::uint64_t reports_ = 0;
 };
 
 } // namespace
@@ -420,3 +459,31 @@
     BOOST_TEST(refused >= 10);
     BOOST_TEST(path.receivedRequests() + refused == 20);
 }
+
+BOOST_AUTO_TEST_CASE(reports_of_other_adapters_do_not_place_every_queued_request)
+{
+    ServingPath path(14);
+    path.store_.put(
+        "servers/e-0",
+        fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                    R"("state":"ready","born":1,"models":[{{"name":"m","version":1}}]}})",
+                    path.address(1)));
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/other");
+    turnFor(path.loop_, 100ms);
+    constexpr int queued = 30;
+    std::vector<std::shared_ptr<Client>> clients;
+    for (int request = 0; request < queued; ++request)
+        clients.push_back(path.sendRequest("POST", "/advise/a",
+                                           "Authorization: Bearer k1\r\n"
+                                           "X-Eelgrasscove-Model-Name: m/a1\r\n"));
+    turnFor(path.loop_, 100ms);
+    const std::uint64_t before = ServingPath::metric("eelgrasscove_placements_total");
+    BOOST_REQUIRE(before >= queued);
+    path.sendEngineStates(0, 100, "m/other");
+    turnFor(path.loop_, 100ms);
+    const std::uint64_t placements = ServingPath::metric("eelgrasscove_placements_total") - before;
+    BOOST_TEST(placements <= 10 * queued);
+    path.sendEngineStates(0, 1, "m/a1");
+    BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
+}
