Give the test of reports ports of its own

Cause: reports_of_other_adapters_do_not_place_every_queued_request used the ports of another case; alone it passed, after that case its targets couldn't listen. All 18 cases of ServingPath pass together.

--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -462,7 +462,7 @@
 
 BOOST_AUTO_TEST_CASE(reports_of_other_adapters_do_not_place_every_queued_request)
 {
-    ServingPath path(14);
+    ServingPath path(16);
     path.store_.put(
         "servers/e-0",
         fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
