Call timers after the data that has arrived has been read

Cause: libuv calls timers before it polls. After a long iteration every time limit expired against peers whose data waited in the socket: connects (300 ms), the deadline of a target, the silence of an agent, a call to the store. The wait of 5 ms for closes after a pause had the same hole: the timer came before the read, and the request of a client that had left was sent.

Change: a due timer makes the loop poll once without waiting and is called after that. One more system call for each time at which timers are due, some 60 a second.

Test: time_limit_does_not_expire_before_an_answer_that_has_arrived_is_read; failed before.

--- a/Source/Net/eventloop.cpp
+++ b/Source/Net/eventloop.cpp
@@ -33,6 +33,9 @@
 {
     uv_timer_init(&loop_, &timer_);
     timer_.data = this;
+    uv_idle_init(&loop_, &pollWithoutWait_);
+    uv_check_init(&loop_, &afterPoll_);
+    afterPoll_.data = this;
 }
 
 TimerId LoopTimers::once(Duration delay, std::function<void()> callback)
@@ -80,10 +83,22 @@
     // Rounded up, so that the timer doesn't fire just before the due time and again at once.
     const auto millis = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
     uv_timer_start(
-        &timer_, [](uv_timer_t *timer) { static_cast<LoopTimers *>(timer->data)->callDueTimers(); },
+        &timer_,
+        [](uv_timer_t *timer) { static_cast<LoopTimers *>(timer->data)->callDueTimersAfterPoll(); },
         static_cast<std::uint64_t>(millis), 0);
 }
 
+void LoopTimers::callDueTimersAfterPoll()
+{
+    uv_idle_start(&pollWithoutWait_, [](uv_idle_t *) {});
+    uv_check_start(&afterPoll_, [](uv_check_t *check) {
+        auto *timers = static_cast<LoopTimers *>(check->data);
+        uv_idle_stop(&timers->pollWithoutWait_);
+        uv_check_stop(check);
+        timers->callDueTimers();
+    });
+}
+
 void LoopTimers::callDueTimers()
 {
     const Time now = bootNow();
@@ -146,7 +161,7 @@
 
 std::optional<Time> EventLoop::pausedSince() const
 {
-    // After a pause the loop reads before it calls timers, so lastActiveAt_ still has the old time.
+    // The loop reads before it calls timers, so lastActiveAt_ still has the time before the pause.
     if (bootNow() - lastActiveAt_ < minPause)
         return std::nullopt;
     return lastActiveAt_;
--- a/Source/Net/eventloop.h
+++ b/Source/Net/eventloop.h
@@ -18,7 +18,9 @@
 
 using TimerId = std::uint64_t;
 
-/// One-shot and periodic timers, called on the loop's thread.
+/// One-shot and periodic timers, called on the loop's thread. A timer that is due is called after
+/// the data that has arrived by then has been read, so that a process that was held up doesn't take
+/// its own delay for the silence of a peer.
 class LoopTimers
 {
 public:
@@ -46,10 +48,15 @@
 
     TimerId add(Duration delay, Duration period, std::function<void()> callback);
     void startTimer();
+    void callDueTimersAfterPoll();
     void callDueTimers();
 
     uv_loop_t &loop_;
     uv_timer_t timer_{};
+    /// Active from the time at which a timer is due until the loop has polled once, without
+    /// waiting.
+    uv_idle_t pollWithoutWait_{};
+    uv_check_t afterPoll_{};
     std::multimap<Time, Entry> entries_;
     std::map<TimerId, Time> dueOf_;
     TimerId nextId_ = 1;
--- a/Tests/Net/tcpstreamtest.cpp
+++ b/Tests/Net/tcpstreamtest.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <thread>
 
 using namespace standins;
 
@@ -73,6 +74,30 @@
     BOOST_TEST(order == "ac");
 }
 
+BOOST_AUTO_TEST_CASE(time_limit_does_not_expire_before_an_answer_that_has_arrived_is_read)
+{
+    auto &loop = *new EventLoop;
+    std::shared_ptr<ServerConnection> server;
+    Server listener(loop, "127.0.0.1:17304",
+                    [&](const auto &connection, SeenRequest &&) { server = connection; });
+    Client client(loop, "127.0.0.1:17304");
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return server != nullptr; }));
+    bool hasExpired = false;
+    std::string receivedAtExpiry;
+    loop.timers().once(30ms, [&] {
+        hasExpired = true;
+        receivedAtExpiry = client.received_;
+    });
+    // The answer arrives at once, and the loop is held up beyond the time limit.
+    loop.timers().once(5ms, [&] {
+        server->answer(200, "", "whole");
+        std::this_thread::sleep_for(100ms);
+    });
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return hasExpired; }));
+    BOOST_TEST(receivedAtExpiry.ends_with("whole"));
+}
+
 BOOST_AUTO_TEST_CASE(invalid_endpoints_are_rejected)
 {
     Endpoint endpoint;
