Don't send requests whose clients have left

Cause: an entry learns of a close only by reading it. A request and the close behind it are read in two iterations of the event loop, and a queued request is placed by a timer or by a report before the close is read.

Change: before a request is sent to a target, the entry asks the socket for a close that is still unread (one poll without waiting a send).

--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -109,6 +109,15 @@
     callbacks_.onClosed_(*this);
 }
 
+bool ClientSession::endIfClientLeft()
+{
+    if (!isClosed_ && stream_->hasPeerClosed()) {
+        stream_->close();
+        onEnd();
+    }
+    return isClosed_;
+}
+
 std::string ClientSession::formatHead(unsigned status, std::string_view headers) const
 {
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, statusPhrase(status));
--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -58,6 +58,10 @@
     /// Connection header.
     void closeAfterResponse() { closesAfterResponse_ = true; }
 
+    /// Ends the session if the client has closed the connection and the close has not been read
+    /// yet. Returns whether the session has ended.
+    bool endIfClientLeft();
+
     /// Closes the connection if no byte of a request has been received.
     void closeIfIdle();
 
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -373,6 +373,10 @@
 
 void Edge::sendToTarget(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target)
 {
+    // The request may have been read together with the client's close, or have waited meanwhile.
+    const auto session = request->session_.lock();
+    if (!session || session->endIfClientLeft())
+        return;
     const Time now = bootNow();
     if (request->sends_ > 0 && !tryAcquireRetry(retryBudget_, request->service_, now)) {
         refuse(*request, request->runs_ > 0 ? 502 : 503, "retry budget of the service exhausted",
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace eelgrasscove {
@@ -191,6 +192,15 @@
     return descriptorOf(handle_);
 }
 
+bool TcpStream::hasPeerClosed() const
+{
+    const int socket = descriptor();
+    if (isClosed_ || socket < 0)
+        return false;
+    pollfd state{socket, POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void TcpStream::write(std::string_view bytes)
 {
     if (isClosed_ || isLingering_ || bytes.empty())
--- a/Source/Net/tcpstream.h
+++ b/Source/Net/tcpstream.h
@@ -76,6 +76,10 @@
 
     bool isClosed() const { return isClosed_; }
 
+    /// Returns whether the peer has closed the connection, though its data and the close may still
+    /// be unread. False after close().
+    bool hasPeerClosed() const;
+
     /// Returns the socket, for reading its options; -1 after it is closed.
     int descriptor() const;
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -410,6 +410,27 @@
     BOOST_TEST(turnUntil(path.loop_, 400ms, [&] { return running->ended_; }));
 }
 
+BOOST_AUTO_TEST_CASE(request_whose_client_has_left_is_not_sent_to_a_target)
+{
+    ServingPath path(17);
+    path.waitUntilServing();
+    const std::uint64_t sendsBefore = ServingPath::metric("eelgrasscove_sends_total");
+    // The entry finds the connection, the request and the close together.
+    const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in entry{};
+    uv_ip4_addr("127.0.0.1", path.basePort_ + 4, &entry);
+    BOOST_REQUIRE(connect(client, reinterpret_cast<const sockaddr *>(&entry), sizeof entry) == 0);
+    const std::string request = "POST /book/a HTTP/1.1\r\nHost: desk.example\r\n"
+                                "X-Eelgrasscove-Request-Id: left\r\n"
+                                "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n";
+    BOOST_REQUIRE(send(client, request.data(), request.size(), 0)
+                  == static_cast<ssize_t>(request.size()));
+    close(client);
+    turnFor(path.loop_, 300ms);
+    BOOST_TEST(ServingPath::metric("eelgrasscove_sends_total") == sendsBefore);
+    BOOST_TEST(path.receivedRequests() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(unresponsive_target_leads_to_504_at_the_route_timeout)
 {
     ServingPath path(11);
