End the request of a client that is disconnected for sending too much

Callers saw: nothing; the target worked on for nobody until its deadline.

Cause: a client that sends over 1 MiB while its request is active was disconnected by abort(), which drops the session's request without a word to the entry.

Change: this path and that of a client that reads too slowly are one, which ends the request as if the client had closed the connection. abort() is left for requests that the entry has ended itself.

Test: target_does_not_work_on_for_a_client_that_is_disconnected_for_sending_too_much; failed before.

--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -40,7 +40,7 @@
     const std::shared_ptr<ClientSession> self = shared_from_this();
     if (hasActiveRequest_) {
         if (bufferedBytes_.size() + bytes.size() > maxBufferedBytes)
-            abort();
+            disconnect();
         else
             bufferedBytes_ += bytes;
         return;
@@ -162,10 +162,8 @@
     text += bytes;
     text += "\r\n";
     stream_->write(text);
-    if (stream_->unsentBytes() > maxUnsentBytes) {
-        stream_->close(true);
-        onEnd();
-    }
+    if (stream_->unsentBytes() > maxUnsentBytes)
+        disconnect();
 }
 
 void ClientSession::endStream()
@@ -205,6 +203,12 @@
     onData(bytes);
 }
 
+void ClientSession::disconnect()
+{
+    stream_->close(true);
+    onEnd();
+}
+
 void ClientSession::abort()
 {
     hasActiveRequest_ = false;
--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -77,6 +77,8 @@
 private:
     void onData(std::string_view bytes);
     void onEnd();
+    /// Resets the connection. The active request ends as if the client had closed it.
+    void disconnect();
     void readBufferedBytes();
     void deliverRequest();
     void onHead(HttpHead &&head);
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -410,6 +410,19 @@
     BOOST_TEST(turnUntil(path.loop_, 400ms, [&] { return running->ended_; }));
 }
 
+BOOST_AUTO_TEST_CASE(target_does_not_work_on_for_a_client_that_is_disconnected_for_sending_too_much)
+{
+    ServingPath path(18);
+    path.waitUntilServing();
+    std::shared_ptr<ServerConnection> running;
+    for (auto &handler : path.handlers_)
+        handler = [&running](const auto &from, SeenRequest &&) { running = from; };
+    const auto client = path.sendRequest("POST", "/book/a");
+    BOOST_REQUIRE(turnUntil(path.loop_, 2s, [&] { return running != nullptr; }));
+    client->stream_->write(std::string(2 * 1024 * 1024, 'x'));
+    BOOST_TEST(turnUntil(path.loop_, 500ms, [&] { return running->ended_; }));
+}
+
 BOOST_AUTO_TEST_CASE(request_whose_client_has_left_is_not_sent_to_a_target)
 {
     ServingPath path(17);
