Limit the body of a response to a call of the store or an engine

What callers would see: an entry or agent that is killed for its memory.

Cause: HttpCaller appended a body to memory without a limit until the call's timeout, 10 s and more for a watch. Heads, chunk extensions, chunk lengths and trailers were bounded by the parser already.

Change: a body over 32 MiB ends the call without a response and closes the connection; the log says response.too_long with server, call and limit.

--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -1,5 +1,7 @@
 #include "Net/httpcaller.h"
 
+#include "Observe/eventlog.h"
+
 #include <fmt/core.h>
 
 namespace eelgrasscove {
@@ -9,6 +11,10 @@
 /// Responses of the store and of engines have few and short headers.
 constexpr std::size_t maxResponseHeadBytes = 16 * 1024;
 
+/// Responses of the store are pages of 1 MB, or all changes since the last watch. A server in
+/// trouble may send bytes without end.
+constexpr std::size_t maxResponseBodyBytes = 32UL * 1024 * 1024;
+
 } // namespace
 
 HttpCaller::HttpCaller(EventLoop &loop, Endpoint peer)
@@ -18,7 +24,7 @@
                    response_.status_ = head.status_;
                    keepAlive_ = head.keepAlive_;
                },
-               [this](std::string_view bytes) { response_.body_ += bytes; }, [] {}})
+               [this](std::string_view bytes) { appendBody(bytes); }, [] {}})
 { }
 
 HttpCaller::~HttpCaller()
@@ -60,6 +66,7 @@
     text += "\r\n";
     text += call.body_;
     response_ = {};
+    isBodyTooLong_ = false;
     reader_.reset();
     isSent_ = true;
     stream_->write(text);
@@ -80,6 +87,13 @@
                                   [this](int) { handleEnd(); }});
 }
 
+void HttpCaller::appendBody(std::string_view bytes)
+{
+    isBodyTooLong_ = isBodyTooLong_ || response_.body_.size() + bytes.size() > maxResponseBodyBytes;
+    if (!isBodyTooLong_)
+        response_.body_ += bytes;
+}
+
 void HttpCaller::handleData(std::string_view bytes)
 {
     if (!isSent_) {
@@ -88,9 +102,13 @@
         return;
     }
     reader_.feed(bytes);
-    if (reader_.state() == HttpReadState::Open)
+    if (isBodyTooLong_) {
+        eventLog().note("response.too_long", "server", peer_.text(), "call", calls_.front().target_,
+                        "limit_bytes", maxResponseBodyBytes);
+    } else if (reader_.state() == HttpReadState::Open) {
         return;
-    const bool isComplete = reader_.state() == HttpReadState::Complete;
+    }
+    const bool isComplete = !isBodyTooLong_ && reader_.state() == HttpReadState::Complete;
     if (!isComplete || !keepAlive_)
         closeStream();
     finish(isComplete ? std::optional(std::move(response_)) : std::nullopt);
--- a/Source/Net/httpcaller.h
+++ b/Source/Net/httpcaller.h
@@ -20,8 +20,8 @@
 class HttpCaller
 {
 public:
-    /// Receives the response; empty if none arrived, in which case the server may have carried out
-    /// the call or may still do so.
+    /// Receives the response; empty if none arrived or its body is longer than 32 MiB, in which
+    /// case the server may have carried out the call or may still do so.
     using ResponseHandler = std::function<void(std::optional<HttpResponse>)>;
 
     HttpCaller(EventLoop &loop, Endpoint peer);
@@ -51,6 +51,7 @@
 
     void sendNext();
     void connect();
+    void appendBody(std::string_view bytes);
     void handleData(std::string_view bytes);
     void handleEnd();
     void finish(std::optional<HttpResponse> response);
@@ -66,6 +67,7 @@
     bool isConnected_ = false;
     bool isSent_ = false;
     bool keepAlive_ = true;
+    bool isBodyTooLong_ = false;
 };
 
 } // namespace eelgrasscove
--- /dev/null
+++ b/Tests/Net/endlessresponsetest.cpp
@@ -0,0 +1,50 @@
+#include "../Shared/endlessserver.h"
+#include "../Shared/servingstandins.h"
+#include "Net/httpcaller.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace standins;
+
+namespace {
+
+/// Bound on what a caller of the store or of an engine takes in: the longest answer of either is a
+/// list of a few MB.
+constexpr std::uint64_t mostTakenBytes = 64ULL * 1024 * 1024;
+
+void checkAnswersEnd(const std::vector<EndlessAnswer> &rows)
+{
+    for (const EndlessAnswer &row : rows) {
+        BOOST_TEST_CONTEXT(row.part_)
+        {
+            auto &loop = *new EventLoop;
+            EndlessServer server(row.prefix_, row.filler_);
+            HttpCaller caller(loop, {"127.0.0.1", server.port()});
+            bool hasEnded = false;
+            std::optional<HttpResponse> answer;
+            caller.call("GET", "/a", "", 10s, [&](std::optional<HttpResponse> response) {
+                hasEnded = true;
+                answer = std::move(response);
+            });
+            BOOST_TEST(turnUntil(loop, 5s, [&] { return hasEnded && server.closed() == 1; }));
+            BOOST_TEST(!answer.has_value());
+            BOOST_TEST(server.sentBytes() < mostTakenBytes);
+        }
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(endlessresponse)
+
+BOOST_AUTO_TEST_CASE(call_to_a_server_whose_head_has_no_end_fails_and_closes)
+{
+    checkAnswersEnd(endlessHeads());
+}
+
+BOOST_AUTO_TEST_CASE(call_to_a_server_whose_body_has_no_end_fails_and_closes)
+{
+    checkAnswersEnd(endlessBodies());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
