Bound what a target may send that is no response to the request, or no end of one

What callers would see: a request that hangs until its deadline with a target that only sends junk, and an entry that is killed for its memory.

Cause: an entry skipped interim responses and responses to other requests without a limit, and kept the body of a response, or an event of a stream, in memory until its end.

Change: after 1 MiB of skipped bytes, 8 MiB of a body or 1 MiB of one event the exchange ends as garbled and the connection is closed; the request goes on as after any broken response.

Tests: exchange_ends_with_a_target_whose_answer_is_not_one_to_the_request (9 ways, 3 failed before: all 256 MiB of the stand-in taken in, no end within 2 s) and answer_without_end_does_not_use_up_the_entrys_memory (3 ways, all failed before: 504 at the route's timeout after 256 MiB; 35 MiB for an event of a stream).

--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -31,6 +31,11 @@
 /// after two seconds without an event.
 constexpr Duration maxResumeWait = 1500ms;
 
+/// Limits on the bytes of a response that are kept in memory: a whole body, which is forwarded when
+/// it is complete, and a single event of a stream. A target in trouble may send bytes without end.
+constexpr std::size_t maxBodyBytes = 8UL * 1024 * 1024;
+constexpr std::size_t maxEventBytes = 1024UL * 1024;
+
 /// Maximum number of queued requests tried after a response, which frees room for one request.
 constexpr std::size_t maxTriedAfterResponse = 4;
 
@@ -106,6 +111,11 @@
     const auto session = request->session_.lock();
     if (stream && session)
         forwardEvents(*request, *session, false, now);
+    if (request->responseBody_.size() > (stream ? maxEventBytes : maxBodyBytes)
+        && request->connection_) {
+        request->connection_->cancel();
+        onExchangeEnd(request, ExchangeEnd::Garbled, "response exceeds the size limit");
+    }
 }
 
 void Edge::forwardEvents(EdgeRequest &request, ClientSession &session, bool all, Time now)
--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -26,6 +26,10 @@
 
 constexpr std::size_t maxResponseHeadBytes = 32 * 1024;
 
+/// Bytes that a connection skips before the response to its request: interim responses, and a late
+/// second response to an earlier request. A target in trouble may send them without end.
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;
+
 Duration parseKeepAlive(const HttpHead &head)
 {
     const std::string_view stated = head.header("Keep-Alive");
@@ -69,6 +73,7 @@
     pendingRequest_ = std::move(bytes);
     isInUse_ = true;
     isSkipping_ = false;
+    skippedBytes_ = 0;
     isMessageComplete_ = false;
     ++useCount_;
     reader_.reset();
@@ -111,6 +116,13 @@
             finish(ExchangeEnd::Garbled, "invalid HTTP response");
             return;
         }
+        if (isSkipping_) {
+            skippedBytes_ += consumed;
+            if (skippedBytes_ > maxSkippedBytes) {
+                finish(ExchangeEnd::Garbled, "too many bytes before the response to the request");
+                return;
+            }
+        }
         if (!isMessageComplete_)
             return;
         isMessageComplete_ = false;
--- a/Source/Edge/targetpool.h
+++ b/Source/Edge/targetpool.h
@@ -22,7 +22,7 @@
     NeverSent,
     /// The connection was lost before the response was complete.
     Broken,
-    /// The received bytes are not a valid HTTP response.
+    /// The received bytes are not a valid HTTP response to the request.
     Garbled,
 };
 
@@ -83,6 +83,7 @@
     TimerId connectTimer_ = 0;
     Time reusableUntil_;
     Duration idleTimeout_{};
+    std::size_t skippedBytes_ = 0;
     std::uint32_t useCount_ = 0;
     bool isConnected_ = false;
     bool isInUse_ = false;
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE ServingPath
 #include "Edge/edge.h"
 
+#include "../Shared/endlessserver.h"
 #include "../Shared/servingstandins.h"
 #include "Observe/metrics.h"
 
@@ -73,10 +74,15 @@
     void registerTarget(int target, const std::string &id, const std::string &state = "ready",
                         int startedAt = 1)
     {
-        store_.put("servers/" + id,
-                   fmt::format(R"({{"service":"ledger","address":"{}","zone":"here","slots":6,)"
-                               R"("state":"{}","born":{}}})",
-                               address(1 + target), state, startedAt));
+        store_.put("servers/" + id, targetItem(address(1 + target), state, startedAt));
+    }
+
+    static std::string targetItem(const std::string &address, const std::string &state,
+                                  int startedAt)
+    {
+        return fmt::format(R"({{"service":"ledger","address":"{}","zone":"here","slots":6,)"
+                           R"("state":"{}","born":{}}})",
+                           address, state, startedAt);
     }
 
     void publishRules(int version, const std::string &keys, int limit)
@@ -494,6 +500,61 @@
     BOOST_TEST(path.receivedRequests() + refused == 20);
 }
 
+BOOST_AUTO_TEST_CASE(exchange_ends_with_a_target_whose_answer_is_not_one_to_the_request)
+{
+    auto rows = endlessHeads();
+    rows.push_back({"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"});
+    rows.push_back({"responses to other requests", "",
+                    "HTTP/1.1 200 OK\r\nX-Eelgrasscove-Request-Id: other\r\n"
+                    "Content-Length: 4\r\n\r\nabcd"});
+    rows.push_back({"body of a response to another request",
+                    "HTTP/1.1 200 OK\r\nX-Eelgrasscove-Request-Id: other\r\n\r\n", "x"});
+    for (const EndlessAnswer &row : rows) {
+        BOOST_TEST_CONTEXT(row.part_)
+        {
+            auto &loop = *new EventLoop;
+            EndlessServer server(row.prefix_, row.filler_);
+            TargetPool pool(loop, {"127.0.0.1", server.port()});
+            std::optional<ExchangeEnd> ended;
+            pool.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "own",
+                      {nullptr, nullptr, [&](ExchangeEnd end, auto) { ended = end; }});
+            BOOST_TEST(turnUntil(loop, 2s, [&] { return ended && server.closed() == 1; }));
+            BOOST_TEST((ended == ExchangeEnd::Garbled));
+            BOOST_TEST(server.sentBytes() < 16ULL * 1024 * 1024);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answer_without_end_does_not_use_up_the_entrys_memory)
+{
+    // The largest answers are some ten kilobytes; the entry's VM has 160 MB.
+    constexpr std::uint64_t mostTakenBytes = 32ULL * 1024 * 1024;
+    const std::string event = "HTTP/1.1 200 OK\r\n" + signatureHeader + "\r\ndata: ";
+    const std::vector<std::pair<const char *, EndlessAnswer>> rows = {
+        {"/book/a", {"body", "HTTP/1.1 200 OK\r\n\r\n", "x"}},
+        {"/look/a", {"body of a request that may be repeated", "HTTP/1.1 200 OK\r\n\r\n", "x"}},
+        {"/ask/a", {"event of a stream", event.c_str(), "x"}},
+    };
+    int number = 19;
+    for (const auto &[target, row] : rows) {
+        BOOST_TEST_CONTEXT(row.part_)
+        {
+            ServingPath path(number++);
+            EndlessServer server(row.prefix_, row.filler_);
+            path.waitUntilServing();
+            path.store_.put("servers/i-0", path.targetItem(server.address(), "ready", 9));
+            path.store_.put("servers/i-1", path.targetItem(server.address(), "draining", 9));
+            turnFor(path.loop_, 1200ms);
+            const Time sentAt = bootNow();
+            BOOST_TEST(path.sendAndAwaitHead("POST", target)->status() == 502);
+            BOOST_TEST((bootNow() - sentAt < 900ms));
+            BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return server.closed() > 0; }));
+            BOOST_TEST(server.closed() == server.answers());
+            BOOST_TEST(server.sentBytes() < mostTakenBytes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reports_of_other_adapters_do_not_place_every_queued_request)
 {
     ServingPath path(16);
