Limit what the daemon's HTTP client keeps of an answer without end

What operators would see: a daemon that grows until it is killed, or a call that hangs for its whole timeout.

Cause: Beast bounds the head and, where it is told, the body. It has no limit for a chunk's extension or length or for a trailer, and the buffer before the parser had none. The watch kept a line without an end in memory, and searched it from its begin at each part.

Change: at most 256 KiB are read and not yet parsed; a line of the watch over 16 MiB ends the watch with a log line, and it is opened again after the usual pause.

Tests: call_to_a_server_whose_answer_has_no_end_fails_and_closes (13 ways; chunk extension, chunk length, trailer and trailer value failed before: no reply within 5 s, 256 MiB taken in), streams likewise, and line_without_end_is_not_kept.

--- a/Source/Platform/httpclient.cpp
+++ b/Source/Platform/httpclient.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t connectionsPerAddress = 8;
 constexpr std::size_t mostReplyBytes = 64ULL * 1024 * 1024;
 constexpr std::size_t streamBufferBytes = 16ULL * 1024;
+/// Bytes of an answer that are read and not yet parsed. Bounds a chunk's header and the trailer,
+/// for which the parser has no limit.
+constexpr std::size_t mostUnparsedBytes = 256ULL * 1024;
 constexpr unsigned httpVersion = 11;
 
 /// The parts of a URL that a call needs.
@@ -104,7 +107,7 @@
         bool reused_ = false;
         http::request<http::string_body> request_;
         std::optional<http::request_serializer<http::string_body>> serializer_;
-        beast::flat_buffer buffer_;
+        beast::flat_buffer buffer_{mostUnparsedBytes};
         std::optional<http::response_parser<http::string_body>> parser_;
     };
     using ExchangePtr = std::shared_ptr<Exchange>;
@@ -118,7 +121,7 @@
         Duration timeout_ = Duration(0);
         std::unique_ptr<beast::tcp_stream> stream_;
         http::request<http::string_body> request_;
-        beast::flat_buffer buffer_;
+        beast::flat_buffer buffer_{mostUnparsedBytes};
         http::response_parser<http::buffer_body> parser_;
         std::array<char, streamBufferBytes> part_ = {};
     };
--- a/Source/Platform/platformservice.cpp
+++ b/Source/Platform/platformservice.cpp
@@ -1,6 +1,7 @@
 #include "Platform/platformservice.h"
 
 #include "Observe/log.h"
+#include "Platform/completelines.h"
 #include "Platform/etcdjson.h"
 #include "Platform/httpclient.h"
 #include "Platform/kvcall.h"
@@ -9,6 +10,7 @@
 #include <algorithm>
 #include <atomic>
 #include <deque>
+#include <fmt/core.h>
 #include <optional>
 #include <random>
 #include <set>
@@ -24,6 +26,9 @@
 constexpr std::size_t queuedOperations = 1024;
 constexpr std::uint32_t httpOk = 200;
 
+/// A line of the watch holds the changes of one revision: the head, and marks of drained VMs.
+constexpr std::size_t mostWatchLineBytes = 16ULL * 1024 * 1024;
+
 /// Time after which an event that was refused is offered again.
 constexpr Duration offerAgainAfter = 1ms;
 
@@ -65,7 +70,8 @@
     Duration backoff_ = leastBackoff;
     /// 0 where none is open.
     std::uint64_t stream_ = 0;
-    std::string streamText_;
+    /// The watch's line that is not complete yet.
+    std::string watchText_;
 
     Revision delivered_;
     /// The revision whose chunks are being read, and what has been read of it.
@@ -257,7 +263,7 @@
         const KeyInterval interval{drainPrefix, endOfPrefix(ruleHeadKey)};
         call.body_ = encodeWatch(interval, startRevision, settings_.prefix_);
         call.timeout_ = settings_.callTimeout_;
-        streamText_.clear();
+        watchText_.clear();
         // The id is known only after the call, but the callbacks run on this thread later.
         const auto opened = std::make_shared<std::uint64_t>(0);
         *opened = client_.openStream(
@@ -288,16 +294,17 @@
 
     void takeWatchText(std::string_view part)
     {
-        streamText_ += part;
-        std::size_t begin = 0;
-        std::size_t end = streamText_.find('\n');
-        while (end != std::string::npos && stream_ != 0) {
-            const std::string line = streamText_.substr(begin, end - begin);
-            begin = end + 1;
-            end = streamText_.find('\n', begin);
-            takeWatchLine(line);
+        const std::optional<std::vector<std::string>> lines =
+            completeLines(watchText_, part, mostWatchLineBytes);
+        if (!lines) {
+            closeWatch();
+            loseWatch(fmt::format("a line exceeds {} bytes", mostWatchLineBytes));
+            return;
+        }
+        for (const std::string &line : *lines) {
+            if (stream_ != 0)
+                takeWatchLine(line);
         }
-        streamText_.erase(0, begin);
     }
 
     void takeWatchLine(const std::string &line)
