Limit what the engine client keeps of a response without end

What callers would see: a run that hangs until its deadline while the target process grows.

Change: at most 256 KiB are read and not yet parsed. The body of a run is passed on as it comes and ends with the run's deadline or its cancellation, which closes the connection; that had no test.

--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t commandCapacity = 4096;
 constexpr std::size_t readBufferBytes = std::size_t(16) * 1024;
 constexpr std::size_t maxReplyBytes = std::size_t(8) * 1024 * 1024;
+/// Bytes of a response that are read and not yet parsed. Bounds a chunk's header and the trailer,
+/// for which the parser has no limit.
+constexpr std::size_t maxUnparsedBytes = std::size_t(256) * 1024;
 constexpr Duration connectTimeout = std::chrono::seconds(2);
 constexpr Duration stateTimeout = std::chrono::seconds(1);
 constexpr Duration cancelTimeout = std::chrono::seconds(2);
@@ -174,7 +177,7 @@
     {
         Reply reply;
         beast::tcp_stream stream(context_);
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxUnparsedBytes);
         error_code error;
         stream.expires_after(timeout);
         co_await stream.async_connect(endpoint(), redirectTo(error));
@@ -395,7 +398,7 @@
     asio::awaitable<bool> forwardResponse(const AttemptId &attempt, const RunPtr &run,
                                           http::verb method, ResponseTokenCounter &counter)
     {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxUnparsedBytes);
         buffer.reserve(readBufferBytes);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(boost::none);
--- a/Tests/EngineClient/engineclienttest.cpp
+++ b/Tests/EngineClient/engineclienttest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE EngineClient
 #include "Target/engineclient.h"
 
+#include "../Shared/endlessserver.h"
 #include "Vm/boundedring.h"
 #include "localtarget.h"
 
@@ -34,6 +35,19 @@
 const std::string requestTimeoutResponse =
     "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n";
 
+/// Time within which the client ends an exchange with a target that sends bytes without end.
+constexpr Duration endlessTimeout = std::chrono::seconds(5);
+/// The limit of a reply, 8 MiB, in small chunks of twice its size, and what the sockets hold.
+constexpr std::uint64_t mostTakenBytes = 32ULL * 1024 * 1024;
+
+bool awaitClosed(const standins::EndlessServer &server)
+{
+    const auto end = std::chrono::steady_clock::now() + endlessTimeout;
+    while (server.closed() == 0 && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return server.closed() == 1;
+}
+
 /// How a run ended.
 enum class RunResult {
     Complete,
@@ -88,9 +102,9 @@
         return std::nullopt;
     }
 
-    RunResult awaitResult(const std::string &attempt)
+    RunResult awaitResult(const std::string &attempt, Duration timeout = eventTimeout)
     {
-        while (auto event = events_.pop(eventTimeout)) {
+        while (auto event = events_.pop(timeout)) {
             if (const auto *ended = std::get_if<RunEnded>(&*event)) {
                 BOOST_TEST(ended->attempt_.text_ == attempt);
                 return RunResult::Complete;
@@ -307,6 +321,55 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(run_fails_at_a_target_whose_response_has_no_end_outside_its_body)
+{
+    std::vector<standins::EndlessAnswer> rows = standins::endlessHeads();
+    for (const standins::EndlessAnswer &row : standins::endlessBodies()) {
+        const std::string part = row.part_;
+        if (part.starts_with("chunk ") || part.starts_with("trailer"))
+            rows.push_back(row);
+    }
+    for (const standins::EndlessAnswer &row : rows) {
+        BOOST_TEST_CONTEXT(row.part_)
+        {
+            standins::EndlessServer server(row.prefix_, row.filler_);
+            Client client(server.port());
+            client.start("a");
+            BOOST_TEST(client.awaitResult("a", endlessTimeout) == RunResult::FailedSent);
+            BOOST_TEST(awaitClosed(server));
+            BOOST_TEST(server.sentBytes() < mostTakenBytes);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_run_is_not_read_on_where_its_body_has_no_end)
+{
+    standins::EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
+    Client client(server.port());
+    client.start("a");
+    BOOST_TEST(client.await<RunResponseBytes>().has_value());
+    BOOST_REQUIRE(client.client_.submit(CancelRun{{"a"}}));
+    BOOST_TEST(client.awaitResult("a") == RunResult::FailedSent);
+    BOOST_TEST(awaitClosed(server));
+}
+
+BOOST_AUTO_TEST_CASE(state_of_an_engine_whose_answer_has_no_end_is_unreachable)
+{
+    std::vector<standins::EndlessAnswer> rows = standins::endlessHeads();
+    rows.insert(rows.end(), standins::endlessBodies().begin(), standins::endlessBodies().end());
+    for (const standins::EndlessAnswer &row : rows) {
+        BOOST_TEST_CONTEXT(row.part_)
+        {
+            standins::EndlessServer server(row.prefix_, row.filler_);
+            Client client(server.port(), true);
+            BOOST_REQUIRE(client.client_.submit(ReadEngineState{7}));
+            BOOST_TEST(client.await<EngineUnreachable>().has_value());
+            BOOST_TEST(awaitClosed(server));
+            BOOST_TEST(server.sentBytes() < mostTakenBytes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unreachable_target_fails_the_run_as_not_sent)
 {
     std::uint16_t port = 0;
