Answer a stream at a silent target before its client leaves without an event

Cause: clients leave a stream that gives no event for a known time (2 s, four objectives or eight pauses). The entry applied that limit to streams in its own queue only, and held a stream at a target that is silent until the deadline. Once the client has left, the reset reaches a frozen engine only when it resumes. Class: a deadline that is known and not applied on every path.

Change: 150 ms before that limit a stream without an event gets 504 and its send is reset, if the target and its agent are silent. A stream that has begun, or whose target shows that it works, is left alone.

Test: stream_at_a_silent_target_is_answered_before_its_client_leaves; before the change the answer came at the route's timeout, 4 s. All 23 cases of ServingPath pass.

--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -33,6 +33,9 @@
 constexpr Duration minClientStreamTimeout = 2s;
 /// Expected time from the start of execution to the first event.
 constexpr Duration expectedFirstEventTime = 250ms;
+/// Time before that at which a stream without an event is given up if its target is silent: two
+/// passes of checkRequests() and the way to the client.
+constexpr Duration silentTargetMargin = 150ms;
 
 /// Minimum of the Retry-After header, and the fraction of random jitter added to it.
 constexpr Duration minRetryAfter = 200ms;
@@ -104,6 +107,12 @@
 
 } // namespace
 
+/// Time after which the client of a stream leaves if it has received no event.
+Duration clientStreamTimeout(const ServingRoute &route)
+{
+    return std::max({minClientStreamTimeout, route.objective_ * 4, route.pauseObjective_ * 8});
+}
+
 /// Maximum time for which a request may be queued.
 Duration maxWaitFor(const EdgeRequest &request)
 {
@@ -111,9 +120,16 @@
         std::min(request.clientDeadline_, request.routeDeadline_) - request.arrivedAt_;
     if (request.route_.kind_ != RequestKind::Stream)
         return std::chrono::duration_cast<Duration>(allowed * maxWaitFraction);
-    const Duration clientTimeout = std::max({minClientStreamTimeout, request.route_.objective_ * 4,
-                                             request.route_.pauseObjective_ * 8});
-    return std::min(allowed * 3 / 4, clientTimeout - expectedFirstEventTime);
+    return std::min(allowed * 3 / 4, clientStreamTimeout(request.route_) - expectedFirstEventTime);
+}
+
+/// Whether the client of a stream is about to leave without an event, and the target shows no sign
+/// that it works. A frozen target can't be told that the client has left.
+bool isStreamLost(const EdgeRequest &request, Time now)
+{
+    return request.route_.kind_ == RequestKind::Stream && request.stage_ == RequestStage::Sent
+        && now >= request.arrivedAt_ + clientStreamTimeout(request.route_) - silentTargetMargin
+        && isSilent(request.target_->state_, now);
 }
 
 void Edge::onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest &&client)
@@ -543,6 +559,9 @@
             if (now > request->waitUntil_)
                 refuse(*request, request->runs_ > 0 ? 504 : 503,
                        "maximum wait in the queue exceeded", minRetryAfter);
+        } else if (isStreamLost(*request, now)) {
+            recordOutcome(request->target_->state_, timeoutWeight);
+            refuse(*request, 504, "target silent until the client's time limit", {});
         } else if (now > deadline + responseSlack) {
             const auto session = request->session_.lock();
             const bool streaming = request->stage_ == RequestStage::Streaming;
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -462,6 +462,21 @@
     BOOST_TEST((bootNow() - sentAt >= 1s));
 }
 
+BOOST_AUTO_TEST_CASE(stream_at_a_silent_target_is_answered_before_its_client_leaves)
+{
+    ServingPath path(22);
+    path.waitUntilServing();
+    std::shared_ptr<ServerConnection> running;
+    for (auto &handler : path.handlers_)
+        handler = [&running](const auto &from, SeenRequest &&) { running = from; };
+    const Time sentAt = bootNow();
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/ask/a")->status() == 504);
+    // Eight times the route's target_gap_ms, after which the client leaves.
+    BOOST_TEST((bootNow() - sentAt < 2400ms));
+    BOOST_TEST((bootNow() - sentAt > 2s));
+    BOOST_TEST(turnUntil(path.loop_, 400ms, [&] { return running->ended_; }));
+}
+
 BOOST_AUTO_TEST_CASE(
     draining_target_gets_no_requests_and_a_newer_target_replaces_the_older_at_its_address)
 {
