Count the time for an older adapter version from when the newer one may have been named

Cause: an older version may be used for 3.5 of 5 s after a newer one is named. The entry counted from its own receipt. An entry that started, or came back to the store, after the naming read it from a list and began the time anew.

Ruled out: the clock (boot time, steps don't move it), a late report of the agent (version 1 was there and known as such), an order carried out late, a wait in a queue (sent 2 ms after its arrival).

Change: the feed of the store tells since when a change may be there: a watch delivers it as it is made (or in a pause of the process); one from a list, or after an outage, may date back to the last confirmation before, or to any time if there was none. version.adopted says how old the naming may be.

Checked for the same cause: withdrawn keys and rules in force count from the sending of the confirming call and are replaced as a whole; draining targets are excluded as soon as they are read.

Tests: started_entry_does_not_use_an_adapter_version_replaced_before_its_start, failed before; older_adapter_version_is_used_for_a_while_after_a_newer_one_is_named holds the other side. 25 cases of ServingPath and all of Store pass.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -330,8 +330,10 @@
     if (named.version_ <= knownVersion)
         return;
     knownVersion = named.version_;
-    versionReceivedAt_[named.adapter_] = bootNow();
-    eventLog().note("version.adopted", "adapter", named.adapter_, "version", named.version_);
+    const Time namedAt = operatorFeed_->earliestChangeAt();
+    versionNamedAt_[named.adapter_] = namedAt;
+    eventLog().note("version.adopted", "adapter", named.adapter_, "version", named.version_,
+                    "named_within_ms", (bootNow() - namedAt).count() / 1000);
 }
 
 void Edge::applyRules(const std::string &text)
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -246,9 +246,9 @@
 
     std::shared_ptr<const RuleIndex> rules_;
     AdapterVersions adapterVersions_;
-    /// Time at which the newest version of each adapter was received. For a limited time after it
-    /// an older version may still be used.
-    std::unordered_map<std::string, Time> versionReceivedAt_;
+    /// Earliest time at which the newest version of each adapter may have been named. For a limited
+    /// time after it an older version may still be used.
+    std::unordered_map<std::string, Time> versionNamedAt_;
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
     /// Another entry, as listed in the store.
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -45,7 +45,7 @@
 constexpr Duration completionWindow = 2s;
 
 /// An older version of an adapter may be used until this fraction of the operator's bound has
-/// passed since the newer version was received.
+/// passed since the newer version may have been named.
 constexpr double olderVersionFraction = 0.7;
 
 /// Weight of a timeout in the target's failure ratio: the same as that of an error.
@@ -262,7 +262,7 @@
     const auto version = adapterVersions_.find(request.adapter_);
     if (version != adapterVersions_.end()) {
         query.newestVersion_ = version->second;
-        const Duration age = now - versionReceivedAt_.at(request.adapter_);
+        const Duration age = now - versionNamedAt_.at(request.adapter_);
         if (age > settings_.bounds_.version_ * olderVersionFraction)
             query.minVersion_ = version->second;
     }
--- a/Source/Net/eventloop.cpp
+++ b/Source/Net/eventloop.cpp
@@ -117,7 +117,7 @@
     startTimer();
 }
 
-EventLoop::EventLoop() : timers_(initialized(loop_)), lastActiveAt_(bootNow()) { }
+EventLoop::EventLoop() : timers_(initialized(loop_)) { }
 
 // The process ends with its loop, which releases the handles that are still open.
 EventLoop::~EventLoop() = default;
@@ -152,7 +152,7 @@
     lastActiveAt_ = bootNow();
     timers_.every(awakeUpdatePeriod, [this, onDelay = std::move(onDelay)] {
         const Time now = bootNow();
-        const Duration delay = now - lastActiveAt_ - awakeUpdatePeriod;
+        const Duration delay = now - *lastActiveAt_ - awakeUpdatePeriod;
         lastActiveAt_ = now;
         if (onDelay)
             onDelay(std::max(delay, Duration::zero()));
@@ -162,7 +162,7 @@
 std::optional<Time> EventLoop::pausedSince() const
 {
     // The loop reads before it calls timers, so lastActiveAt_ still has the time before the pause.
-    if (bootNow() - lastActiveAt_ < minPause)
+    if (!lastActiveAt_ || bootNow() - *lastActiveAt_ < minPause)
         return std::nullopt;
     return lastActiveAt_;
 }
--- a/Source/Net/eventloop.h
+++ b/Source/Net/eventloop.h
@@ -94,7 +94,8 @@
 private:
     uv_loop_t loop_{};
     LoopTimers timers_;
-    Time lastActiveAt_;
+    /// Empty until startPauseDetection().
+    std::optional<Time> lastActiveAt_;
     uv_signal_t terminate_{};
     uv_signal_t interrupt_{};
     uv_signal_t hangUp_{};
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -70,6 +70,7 @@
     // The pages are not one snapshot. The watch starts after the revision of the first page and
     // repeats changes that later pages already contain.
     revision_ = listRevision_;
+    earliestChangeAt_ = confirmedAt_.value_or(Time{});
     recordSuccess();
     confirm(listStartedAt_);
     eventLog().note("store.listed", "prefix", settings_.keyPrefix_, "keys", listedItems_.size(),
@@ -129,6 +130,8 @@
         retryLater([this] { watch(); }, "watch response could not be parsed");
         return;
     }
+    earliestChangeAt_ =
+        isReachable_ ? loop_.pausedSince().value_or(bootNow()) : confirmedAt_.value_or(Time{});
     recordSuccess();
     // An empty response after the whole wait shows that nothing had changed by the end of the wait.
     const Time waitEnd = watchSentAt_ + settings_.maxWatchWait_;
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -47,6 +47,10 @@
     /// Returns a time before which all changes that the store acknowledged are known here; empty
     /// before the first list.
     std::optional<Time> confirmedAt() const { return confirmedAt_; }
+    /// Returns the earliest time at which the changes that are being delivered may have been made.
+    /// A watch delivers a change as it is made; changes in a list, or made while the store was out
+    /// of reach, may date back to the last confirmation, or to any time if there was none.
+    Time earliestChangeAt() const { return earliestChangeAt_; }
     bool isReachable() const { return isReachable_; }
     /// Returns the time at which the connection to the store was last restored.
     Time reachableSince() const { return reachableSince_; }
@@ -67,6 +71,7 @@
     StoreFeedCallbacks callbacks_;
     std::vector<wire::StoreItem> listedItems_;
     std::optional<Time> confirmedAt_;
+    Time earliestChangeAt_;
     Time listStartedAt_;
     Time watchSentAt_;
     Time reachableSince_;
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -39,7 +39,8 @@
 /// Serving path over loopback connections: a store, two targets of one service and an entry.
 struct ServingPath
 {
-    explicit ServingPath(int number)
+    /// items are in the store before the entry starts.
+    explicit ServingPath(int number, const std::map<std::string, std::string> &items = {})
         : loop_(*new EventLoop), basePort_(17400 + number * 10),
           store_(*new Store(loop_, address(0)))
     {
@@ -54,6 +55,8 @@
             registerTarget(target, "i-" + std::to_string(target));
         }
         publishRules(1, "\"k1\"", 0);
+        for (const auto &[key, value] : items)
+            store_.put(key, value);
         ServingSettings settings;
         settings.vm_ = "edge-1";
         settings.dataCentre_ = "here";
@@ -77,6 +80,22 @@
         store_.put("servers/" + id, targetItem(address(1 + target), state, startedAt));
     }
 
+    /// Registers the first target as engine e-0 with the model m.
+    void registerEngine()
+    {
+        store_.put(
+            "servers/e-0",
+            fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                        R"("state":"ready","born":1,"models":[{{"name":"m","version":1}}]}})",
+                        address(1)));
+    }
+
+    std::shared_ptr<Client> sendAdapterRequest()
+    {
+        return sendRequest("POST", "/advise/a",
+                           "Authorization: Bearer k1\r\nX-Eelgrasscove-Model-Name: m/a1\r\n");
+    }
+
     static std::string targetItem(const std::string &address, const std::string &state,
                                   int startedAt)
     {
@@ -584,9 +603,7 @@
     constexpr int queued = 30;
     std::vector<std::shared_ptr<Client>> clients;
     for (int request = 0; request < queued; ++request)
-        clients.push_back(path.sendRequest("POST", "/advise/a",
-                                           "Authorization: Bearer k1\r\n"
-                                           "X-Eelgrasscove-Model-Name: m/a1\r\n"));
+        clients.push_back(path.sendAdapterRequest());
     turnFor(path.loop_, 100ms);
     const std::uint64_t before = ServingPath::metric("eelgrasscove_placements_total");
     BOOST_REQUIRE(before >= queued);
@@ -597,3 +614,27 @@
     path.sendEngineStates(0, 1, "m/a1");
     BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
 }
+
+BOOST_AUTO_TEST_CASE(started_entry_does_not_use_an_adapter_version_replaced_before_its_start)
+{
+    ServingPath path(23, {{"op/version/m.a1", R"({"model":"m","adapter":"a1","version":2})"}});
+    path.registerEngine();
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    turnFor(path.loop_, 100ms);
+    const auto client = path.sendAdapterRequest();
+    turnFor(path.loop_, 300ms);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(older_adapter_version_is_used_for_a_while_after_a_newer_one_is_named)
+{
+    ServingPath path(24);
+    path.registerEngine();
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    path.store_.put("op/version/m.a1", R"({"model":"m","adapter":"a1","version":2})");
+    turnFor(path.loop_, 400ms);
+    const auto client = path.sendAdapterRequest();
+    BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
+}
