Leave a stream that is resumed out of the limit for a first event

Cause: found on reading the diff. A stream that is resumed at another target is again without an answer of that target, so the limit for a first event, counted from its arrival, would have ended it if the target was silent for a second.

Test: stream_that_has_begun_is_not_given_up_at_the_limit_for_a_first_event; failed before. The route of the test for resumed streams has an objective of 500 ms now, so that the limit is 2 s.

--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -33,8 +33,8 @@
 constexpr Duration minClientStreamTimeout = 2s;
 /// Expected time from the start of execution to the first event.
 constexpr Duration expectedFirstEventTime = 250ms;
-/// Time before that at which a stream without an event is given up if its target is silent: two
-/// passes of checkRequests() and the way to the client.
+/// Time before the client's limit at which a stream without an event is given up if its target is
+/// silent: two passes of checkRequests() and the way to the client.
 constexpr Duration silentTargetMargin = 150ms;
 
 /// Minimum of the Retry-After header, and the fraction of random jitter added to it.
@@ -128,6 +128,7 @@
 bool isStreamLost(const EdgeRequest &request, Time now)
 {
     return request.route_.kind_ == RequestKind::Stream && request.stage_ == RequestStage::Sent
+        && !request.firstEventForwarded_
         && now >= request.arrivedAt_ + clientStreamTimeout(request.route_) - silentTargetMargin
         && isSilent(request.target_->state_, now);
 }
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -194,10 +194,9 @@
 
 bool TcpStream::hasPeerClosed() const
 {
-    const int socket = descriptor();
-    if (isClosed_ || socket < 0)
+    if (isClosed_)
         return false;
-    pollfd state{socket, POLLRDHUP, 0};
+    pollfd state{descriptor(), POLLRDHUP, 0};
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -22,7 +22,7 @@
 {{"name":"open","host":"desk.example","path_prefix":"/open/","kind":"idempotent","timeout_ms":2000,
  "service":"ledger","max_attempts":1,"public":true}},
 {{"name":"tell","host":"desk.example","path_prefix":"/tell/","kind":"streaming",
- "timeout_ms":4000,"service":"ledger","max_attempts":2,"resumable":true}},
+ "timeout_ms":4000,"target_latency_ms":500,"service":"ledger","max_attempts":2,"resumable":true}},
 {{"name":"ask","host":"desk.example","path_prefix":"/ask/","kind":"streaming","timeout_ms":4000,
  "target_latency_ms":500,"service":"ledger","max_attempts":1,"target_gap_ms":300}},
 {{"name":"advise","host":"desk.example","path_prefix":"/advise/","kind":"streaming",
@@ -397,6 +397,32 @@
     BOOST_TEST(client->received_.find("idid") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(stream_that_has_begun_is_not_given_up_at_the_limit_for_a_first_event)
+{
+    ServingPath path(25);
+    path.waitUntilServing();
+    int runs = 0;
+    for (auto &handler : path.handlers_) {
+        handler = [&runs](const auto &from, SeenRequest &&request) {
+            const std::string head = "HTTP/1.1 200 OK\r\n" + ServingPath::requestIdHeader(request)
+                + signatureHeader + "Transfer-Encoding: chunked\r\n\r\n";
+            if (runs++ == 0) {
+                from->stream_->write(head + "7\r\nid: 1\n\n\r\n");
+                from->loop_.timers().once(1900ms, [from] { from->stream_->close(true); });
+            } else {
+                // Silent for longer than a target may be, while the stream is to be resumed.
+                from->loop_.timers().once(1300ms, [from, head] {
+                    from->stream_->write(head + "7\r\nid: 2\n\n\r\n0\r\n\r\n");
+                });
+            }
+        };
+    }
+    const auto client = path.sendRequest("POST", "/tell/a");
+    BOOST_TEST(turnUntil(path.loop_, 4s, [&] {
+        return client->received_.find("\r\n0\r\n\r\n") != std::string::npos;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_forwarded)
 {
     ServingPath path(8);
