--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -628,6 +628,7 @@
     turnFor(path.loop_, 100ms);
     constexpr int queued = 30;
     std::vector<std::shared_ptr<Client>> clients;
+    clients.reserve(queued);
     for (int request = 0; request < queued; ++request)
         clients.push_back(path.sendAdapterRequest());
     turnFor(path.loop_, 100ms);
