--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -123,8 +123,8 @@
     return std::min(allowed * 3 / 4, clientStreamTimeout(request.route_) - expectedFirstEventTime);
 }
 
-/// Whether the client of a stream is about to leave without an event, and the target shows no sign
-/// that it works. A frozen target can't be told that the client has left.
+/// Whether the client of a stream is about to leave without an event, and its target is silent.
+/// After the client has left, a reset reaches a frozen target only when it resumes.
 bool isStreamLost(const EdgeRequest &request, Time now)
 {
     return request.route_.kind_ == RequestKind::Stream && request.stage_ == RequestStage::Sent
--- a/Tests/Shared/endlessserver.h
+++ b/Tests/Shared/endlessserver.h
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
 #include <netinet/in.h>
 #include <stdexcept>
@@ -156,7 +157,7 @@
     const char *filler_;
 };
 
-/// Ways in which an answer may have no end. The ones of heads are not yet an answer.
+/// Answers without an end within the head.
 inline const std::vector<EndlessAnswer> &endlessHeads()
 {
     static const std::vector<EndlessAnswer> rows = {
@@ -170,6 +171,7 @@
     return rows;
 }
 
+/// Answers without an end after the head.
 inline const std::vector<EndlessAnswer> &endlessBodies()
 {
     static const std::vector<EndlessAnswer> rows = {
