End the soak's processes when it is interrupted

Cause: a soak by hand had been interrupted before; its two running entries stayed and held the addresses that all seeds use (log of the failed run: listen.failed, EADDRINUSE on 127.0.2.3:18440; the two processes were found listening there).

Change: SIGINT and SIGTERM end the processes that the soak started, and it exits with 2.

Shown: a soak with three entries, ended by SIGTERM after 4 s: exit code 2, none of the three left; before, two were left.

--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -243,19 +243,24 @@
         turnFor(loop_, calmTime);
         asking_ = false;
         turnFor(loop_, 4s);
+        endProcesses();
+        for (const auto &edge : edges_)
+            record_.endedThemselves_ += edge->endedThemselves();
+        return soak::brokenPromises(record_);
+    }
+
+    const Record &record() const { return record_; }
+
+    void endProcesses()
+    {
         for (const auto &edge : edges_)
             edge->signal(SIGKILL);
         turnUntil(loop_, 3s, [this] {
             return std::none_of(edges_.begin(), edges_.end(),
                                 [](const auto &edge) { return edge->running(); });
         });
-        for (const auto &edge : edges_)
-            record_.endedThemselves_ += edge->endedThemselves();
-        return soak::brokenPromises(record_);
     }
 
-    const Record &record() const { return record_; }
-
 private:
     int below(int most) { return std::uniform_int_distribution<int>(0, most - 1)(random_); }
 
@@ -500,6 +505,13 @@
     const auto seed = static_cast<unsigned>(options["--seed"].asLong());
     Soak run(loop, options["--edge"].asString(), folder, seed,
              static_cast<int>(options["--processes"].asLong()));
+    // Processes left behind would keep the addresses that all seeds use.
+    loop.onSignals(
+        [&run] {
+            run.endProcesses();
+            std::_Exit(2);
+        },
+        [] {});
     const auto broken = run.play(std::chrono::seconds(options["--seconds"].asLong()));
     std::size_t served = 0;
     for (const auto &[id, asked] : run.record().asked_)
