Log the adapter version that a request was sent to

request.ended named the adapter and not its version, so a log could not tell an entry that chose a target with an older version from a target whose adapter was replaced after its last report. It now has adapter_version and newest_version, and eelgrasscove_sends_on_older_version_total counts sends to an older version. No decision changes.

--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -107,6 +107,8 @@
     std::string awaitedTarget_;
     std::set<std::string> triedTargets_;
     Time sentAt_;
+    /// Adapter version that the target was known to hold at the last send; 0 without an adapter.
+    std::uint64_t adapterVersion_ = 0;
     int sends_ = 0;
     /// Number of sends that a target may have executed.
     int runs_ = 0;
@@ -175,6 +177,8 @@
     bool checkAllowance(EdgeRequest &request, Time now);
     void placeRequest(const EdgeRequestPtr &request);
     PlacementQuery makePlaceQuery(const EdgeRequest &request, Time now) const;
+    /// Returns 0 where no version of the request's adapter has been named.
+    std::uint64_t newestVersionFor(const EdgeRequest &request) const;
     void enqueueOrRefuse(const EdgeRequestPtr &request, const Placement &placement);
     void sendToTarget(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target);
     std::string formatRequest(const EdgeRequest &request, const TargetState &target,
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -270,6 +270,12 @@
     return query;
 }
 
+std::uint64_t Edge::newestVersionFor(const EdgeRequest &request) const
+{
+    const auto version = adapterVersions_.find(request.adapter_);
+    return version == adapterVersions_.end() ? 0 : version->second;
+}
+
 std::vector<TargetState *> Edge::targetStates(const std::string &service)
 {
     std::vector<TargetState *> states;
@@ -415,8 +421,13 @@
     ++state.outstanding_;
     state.lastSentAt_ = now;
     if (!request->adapter_.empty()) {
-        target->usedAdapters_.insert(nameHash(request->adapter_));
-        ++target->runningAdapters_[nameHash(request->adapter_)];
+        const NameHash adapter = nameHash(request->adapter_);
+        target->usedAdapters_.insert(adapter);
+        ++target->runningAdapters_[adapter];
+        const auto resident = state.adapters_.find(adapter);
+        request->adapterVersion_ = resident == state.adapters_.end() ? 0 : resident->second;
+        if (request->adapterVersion_ < newestVersionFor(*request))
+            countMetric("eelgrasscove_sends_on_older_version_total");
     }
     countMetric("eelgrasscove_sends_total");
     request->connection_ = target->pool_.send(
@@ -635,13 +646,13 @@
         request.target_ ? std::string_view(request.target_->state_.listed_.id_) : "";
     const Duration first =
         request.firstEventForwarded_ ? request.firstEventAt_ - request.arrivedAt_ : total;
-    eventLog().note("request.ended", "id", request.id_, "route", request.route_.name_, "account",
-                    request.account_, "adapter", request.adapter_, "status", status, "outcome",
-                    outcome, "target", target, "sends", request.sends_, "runs", request.runs_,
-                    "first_ms", first.count() / 1000, "pause_ms",
-                    request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "rules",
-                    request.rulesVersion_, "rules_age_ms",
-                    (now - rulesConfirmedAt()).count() / 1000);
+    eventLog().note(
+        "request.ended", "id", request.id_, "route", request.route_.name_, "account",
+        request.account_, "adapter", request.adapter_, "adapter_version", request.adapterVersion_,
+        "newest_version", newestVersionFor(request), "status", status, "outcome", outcome, "target",
+        target, "sends", request.sends_, "runs", request.runs_, "first_ms", first.count() / 1000,
+        "pause_ms", request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "rules",
+        request.rulesVersion_, "rules_age_ms", (now - rulesConfirmedAt()).count() / 1000);
     countMetric("eelgrasscove_requests_total", fmt::format("status=\"{}\"", status));
     observeDuration("eelgrasscove_request_seconds", "", total);
     if (request.firstEventForwarded_)
