Keep the time of each adapter version that has been named

Cause: an entry kept one time per adapter, that of the newest version, and allowed all older versions for 3.5 s after it. Each new name overwrote the time of the one before and so reopened the period for versions whose own period had long ended. Class: a fact that overwrites the deadline of the fact before it.

Evidence: the wrong requests begin within 3.5 s of a further name only, at targets whose version the entry knew, and one name alone breaks nothing.

Change: each version keeps the earliest time at which it may have been named, until its predecessors may no longer be used (adapterversions.h). The least usable version therefore never decreases.

The test failed before: check path.targets_[0]->seen_.empty() has failed

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -326,12 +326,10 @@
         return;
     }
     const wire::AdapterVersionUpdate &named = valueOf(decoded);
-    std::uint64_t &knownVersion = adapterVersions_[named.adapter_];
-    if (named.version_ <= knownVersion)
-        return;
-    knownVersion = named.version_;
     const Time namedAt = operatorFeed_->earliestChangeAt();
-    versionNamedAt_[named.adapter_] = namedAt;
+    AdapterVersionHistory &history = adapterVersions_[named.adapter_];
+    if (!recordVersion(history, {named.version_, namedAt}, versionOverlap(), bootNow()))
+        return;
     eventLog().note("version.adopted", "adapter", named.adapter_, "version", named.version_,
                     "named_within_ms", (bootNow() - namedAt).count() / 1000);
 }
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -4,6 +4,7 @@
 /// Edge class does the I/O; the decisions are free functions in the other files of this folder.
 
 #include "Edge/adapterdemand.h"
+#include "Edge/adapterversions.h"
 #include "Edge/clientsession.h"
 #include "Edge/crashsuspects.h"
 #include "Edge/placement.h"
@@ -177,8 +178,10 @@
     bool checkAllowance(EdgeRequest &request, Time now);
     void placeRequest(const EdgeRequestPtr &request);
     PlacementQuery makePlaceQuery(const EdgeRequest &request, Time now) const;
-    /// Returns 0 where no version of the request's adapter has been named.
-    std::uint64_t newestVersionFor(const EdgeRequest &request) const;
+    /// Returns 0 where no version of the adapter has been named.
+    std::uint64_t newestVersionOf(const std::string &adapter) const;
+    /// Period for which the predecessors of a newly named adapter version may still be used.
+    Duration versionOverlap() const;
     void enqueueOrRefuse(const EdgeRequestPtr &request, const Placement &placement);
     void sendToTarget(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target);
     std::string formatRequest(const EdgeRequest &request, const TargetState &target,
@@ -249,10 +252,8 @@
     std::set<std::shared_ptr<ClientSession>> sessions_;
 
     std::shared_ptr<const RuleIndex> rules_;
-    AdapterVersions adapterVersions_;
-    /// Earliest time at which the newest version of each adapter may have been named. For a limited
-    /// time after it an older version may still be used.
-    std::unordered_map<std::string, Time> versionNamedAt_;
+    /// Named versions by adapter ("MODEL/NAME").
+    std::unordered_map<std::string, AdapterVersionHistory> adapterVersions_;
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
     /// Another entry, as listed in the store.
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -143,9 +143,7 @@
             requestsByAdapter.try_emplace(adapter, 1);
     }
     for (const auto &[adapter, requests] : requestsByAdapter) {
-        const auto version = adapterVersions_.find(adapter);
-        message.loadRequests_.push_back(
-            {adapter, version == adapterVersions_.end() ? 0 : version->second, requests});
+        message.loadRequests_.push_back({adapter, newestVersionOf(adapter), requests});
         if (message.loadRequests_.size() == maxLoadRequestsPerMessage)
             break;
     }
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -44,9 +44,9 @@
 /// Window over which completed requests are counted to predict waiting times.
 constexpr Duration completionWindow = 2s;
 
-/// An older version of an adapter may be used until this fraction of the operator's bound has
-/// passed since the newer version may have been named.
-constexpr double olderVersionFraction = 0.7;
+/// An older version of an adapter may be used for this fraction of the operator's bound after the
+/// next version may have been named.
+constexpr double versionOverlapFraction = 0.7;
 
 /// Weight of a timeout in the target's failure ratio: the same as that of an error.
 constexpr double timeoutWeight = 1.0;
@@ -260,20 +260,24 @@
     query.entries_ = peers_.size() + 1;
     if (!request.adapter_.empty())
         query.requestsPerSecond_ = requestRateOf(demand_, nameHash(request.adapter_), now);
-    const auto version = adapterVersions_.find(request.adapter_);
-    if (version != adapterVersions_.end()) {
-        query.newestVersion_ = version->second;
-        const Duration age = now - versionNamedAt_.at(request.adapter_);
-        if (age > settings_.bounds_.version_ * olderVersionFraction)
-            query.minVersion_ = version->second;
+    const auto versions = adapterVersions_.find(request.adapter_);
+    if (versions != adapterVersions_.end()) {
+        query.newestVersion_ = versions->second.newest_;
+        query.minVersion_ = minUsableVersion(versions->second, versionOverlap(), now);
     }
     return query;
 }
 
-std::uint64_t Edge::newestVersionFor(const EdgeRequest &request) const
+std::uint64_t Edge::newestVersionOf(const std::string &adapter) const
 {
-    const auto version = adapterVersions_.find(request.adapter_);
-    return version == adapterVersions_.end() ? 0 : version->second;
+    const auto versions = adapterVersions_.find(adapter);
+    return versions == adapterVersions_.end() ? 0 : versions->second.newest_;
+}
+
+Duration Edge::versionOverlap() const
+{
+    return std::chrono::duration_cast<Duration>(settings_.bounds_.version_
+                                                * versionOverlapFraction);
 }
 
 std::vector<TargetState *> Edge::targetStates(const std::string &service)
@@ -426,7 +430,7 @@
         ++target->runningAdapters_[adapter];
         const auto resident = state.adapters_.find(adapter);
         request->adapterVersion_ = resident == state.adapters_.end() ? 0 : resident->second;
-        if (request->adapterVersion_ < newestVersionFor(*request))
+        if (request->adapterVersion_ < newestVersionOf(request->adapter_))
             countMetric("eelgrasscove_sends_on_older_version_total");
     }
     countMetric("eelgrasscove_sends_total");
@@ -646,13 +650,14 @@
         request.target_ ? std::string_view(request.target_->state_.listed_.id_) : "";
     const Duration first =
         request.firstEventForwarded_ ? request.firstEventAt_ - request.arrivedAt_ : total;
-    eventLog().note(
-        "request.ended", "id", request.id_, "route", request.route_.name_, "account",
-        request.account_, "adapter", request.adapter_, "adapter_version", request.adapterVersion_,
-        "newest_version", newestVersionFor(request), "status", status, "outcome", outcome, "target",
-        target, "sends", request.sends_, "runs", request.runs_, "first_ms", first.count() / 1000,
-        "pause_ms", request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "rules",
-        request.rulesVersion_, "rules_age_ms", (now - rulesConfirmedAt()).count() / 1000);
+    eventLog().note("request.ended", "id", request.id_, "route", request.route_.name_, "account",
+                    request.account_, "adapter", request.adapter_, "adapter_version",
+                    request.adapterVersion_, "newest_version", newestVersionOf(request.adapter_),
+                    "status", status, "outcome", outcome, "target", target, "sends", request.sends_,
+                    "runs", request.runs_, "first_ms", first.count() / 1000, "pause_ms",
+                    request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "rules",
+                    request.rulesVersion_, "rules_age_ms",
+                    (now - rulesConfirmedAt()).count() / 1000);
     countMetric("eelgrasscove_requests_total", fmt::format("status=\"{}\"", status));
     observeDuration("eelgrasscove_request_seconds", "", total);
     if (request.firstEventForwarded_)
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -665,3 +665,17 @@
     const auto client = path.sendAdapterRequest();
     BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
 }
+
+BOOST_AUTO_TEST_CASE(
+    adapter_version_replaced_long_ago_is_not_used_again_when_a_further_one_is_named)
+{
+    ServingPath path(26, {{"op/version/m.a1", R"({"model":"m","adapter":"a1","version":2})"}});
+    path.registerEngine();
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    path.store_.put("op/version/m.a1", R"({"model":"m","adapter":"a1","version":3})");
+    turnFor(path.loop_, 400ms);
+    const auto client = path.sendAdapterRequest();
+    turnFor(path.loop_, 300ms);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace eelgrasscove {
@@ -145,7 +144,4 @@
     std::vector<std::string> models_;
 };
 
-/// An adapter's name on the wire, "MODEL/NAME", and the newest version that the operator named.
-using AdapterVersions = std::unordered_map<std::string, std::uint64_t>;
-
 } // namespace eelgrasscove
