Hold back requests with a prompt part that crashes targets

Beside it, an entry took the highest count of any one peer instead of the sum, so crashes spread over 29 entries would not have been recognized even for equal requests.

One part occurs in every request that was being started at these crashes and in no request that had an event; the parts before it are shared with requests that are served.

Change (crashsuspects.h): a crash is recorded for the request and for each part that other requests may share, until a target has gone on writing its response for 0.3 s. A part is held from the second crash, one that responses had shown to be sound from the fourth; a held part explains the crashes of its requests. A response at any entry clears its parts everywhere. At most two requests are sent to find out whether a held part is sound. Records are sets of crashed instances that entries merge, so that one crash counts once and a restarted entry learns from its peers. What is held is refused at once with 503. The layout of messages between entries changes.

Failed before: ServingPath, requests_that_share_a_prompt_part_do_not_crash_ one_target_after_the_other: check crashes == 2 has failed [4 != 2].

--- a/Source/Edge/crashsuspects.cpp
+++ b/Source/Edge/crashsuspects.cpp
@@ -1,54 +1,298 @@
 #include "Edge/crashsuspects.h"
 
 #include <algorithm>
+#include <charconv>
 #include <xxhash.h>
 
 namespace eelgrasscove {
 
 namespace {
 
-/// Crashes at which a request is refused: two unrelated crashes during the same request are rare,
-/// and the operator's limit applies from the third.
-constexpr std::uint32_t crashLimit = 2;
+using namespace std::chrono_literals;
 
-/// Longer than the longest client deadline, after which a client does not retry a request.
-constexpr Duration retentionPeriod = std::chrono::seconds(60);
+/// Crashes at which a suspect that was never in a sound response is held: two unrelated crashes
+/// with the same suspect are rare, and the operator's limits apply from the third on.
+constexpr std::size_t crashLimit = 2;
+/// The same for a suspect that has been in sound responses, which is more likely a bystander.
+constexpr std::size_t soundCrashLimit = 4;
+
+/// Crashes from which a suspect that was never in a sound response gets no trials: the operator
+/// allows three requests to reach targets after the fifth crash.
+constexpr std::size_t lastTrialCrashes = 4;
+/// Trials of one suspect without a clearance; with the operator's limit as above.
+constexpr std::uint32_t maxTrials = 2;
+/// Pause before a trial, and for each trial made before. Crashed targets are back after it.
+constexpr Duration trialPause = 5s;
+
+constexpr std::size_t maxCrashIds = 8;
+constexpr std::size_t maxRecords = 1024;
+constexpr std::size_t maxSoundParts = 4096;
+constexpr std::size_t maxReportedRecords = 32;
+constexpr std::size_t maxPartsPerRequest = 32;
+
+/// Time after which a suspect without crashes and requests is forgotten. Longer than the longest
+/// client deadline, after which a client does not retry a request.
+constexpr Duration retentionPeriod = 10min;
+/// Time for which the clearance of a suspect is reported to the peers.
+constexpr Duration clearanceReportPeriod = 10s;
+
+std::optional<Time> lastSoundAt(const SoundParts &sound, SuspectId id)
+{
+    for (const auto *table : {&sound.current_, &sound.previous_}) {
+        if (const auto found = table->find(id); found != table->end())
+            return found->second;
+    }
+    return std::nullopt;
+}
+
+void insertSound(SoundParts &sound, SuspectId id, Time now)
+{
+    if (sound.current_.size() >= maxSoundParts / 2) {
+        sound.previous_ = std::move(sound.current_);
+        sound.current_.clear();
+    }
+    sound.current_[id] = now;
+}
+
+void setTrialPause(CrashRecord &record, Duration jitter, Time now)
+{
+    record.trialAfter_ = now + trialPause * (record.trials_ + 1) + jitter;
+}
+
+bool mayTry(const CrashRecord &record, Time now)
+{
+    const bool isLikelySound = record.clearances_ > 0 || record.crashes_.size() <= lastTrialCrashes;
+    return isLikelySound && record.trials_ < maxTrials && now >= record.trialAfter_;
+}
+
+bool insertCrash(CrashRecord &record, CrashId crash)
+{
+    const auto at = std::lower_bound(record.crashes_.begin(), record.crashes_.end(), crash);
+    if (record.crashes_.size() >= maxCrashIds || (at != record.crashes_.end() && *at == crash))
+        return false;
+    record.crashes_.insert(at, crash);
+    return true;
+}
+
+/// Calls the function with each suspect of the request that has a record.
+template <class Records, class Function>
+void forEachRecord(Records &records, const RequestSuspects &request, const Function &function)
+{
+    if (records.empty())
+        return;
+    const auto visit = [&](SuspectId id) {
+        if (const auto found = records.find(id); found != records.end())
+            function(id, found->second);
+    };
+    visit(request.request_);
+    for (const SuspectId part : request.parts_)
+        visit(part);
+}
+
+void addCrash(CrashSuspects &suspects, SuspectId id, CrashId crash, bool wasSound, Duration jitter,
+              Time now)
+{
+    CrashRecord &record = suspects.records_[id];
+    if (record.clearances_ == 0 && wasSound)
+        record.clearances_ = 1;
+    record.lastSeenAt_ = now;
+    if (!insertCrash(record, crash))
+        return;
+    setTrialPause(record, jitter, now);
+    suspects.haveChanged_ = true;
+}
 
 } // namespace
 
-std::uint64_t requestHash(std::string_view path, std::string_view caller, std::string_view body)
+SuspectId requestHash(std::string_view path, std::string_view caller, std::string_view body)
 {
     const std::uint64_t seed =
         XXH3_64bits_withSeed(path.data(), path.size(), XXH3_64bits(caller.data(), caller.size()));
     return XXH3_64bits_withSeed(body.data(), body.size(), seed);
 }
 
-void recordCrash(CrashSuspects &counts, std::uint64_t request, Time now)
+std::vector<SuspectId> sharedPartHashes(std::string_view promptParts)
+{
+    std::vector<SuspectId> parts;
+    // The text after the last comma is the last part.
+    for (std::size_t comma = promptParts.find(',');
+         comma != std::string_view::npos && parts.size() < maxPartsPerRequest;
+         comma = promptParts.find(',')) {
+        std::string_view id = promptParts.substr(0, comma);
+        promptParts.remove_prefix(comma + 1);
+        id = id.substr(0, id.find(':'));
+        while (!id.empty() && id.front() == ' ')
+            id.remove_prefix(1);
+        if (id.empty())
+            continue;
+        // The same id may be written with leading zeros or in capitals.
+        std::uint64_t number = 0;
+        const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), number, 16);
+        const bool isNumber = error == std::errc{} && end == id.data() + id.size();
+        const SuspectId hash =
+            isNumber ? XXH3_64bits(&number, sizeof number) : XXH3_64bits(id.data(), id.size());
+        if (std::find(parts.begin(), parts.end(), hash) == parts.end())
+            parts.push_back(hash);
+    }
+    return parts;
+}
+
+bool isHeld(const CrashRecord &record)
+{
+    return record.crashes_.size() >= (record.clearances_ > 0 ? soundCrashLimit : crashLimit);
+}
+
+std::optional<SuspectId> findHeldSuspect(const CrashSuspects &suspects,
+                                         const RequestSuspects &request)
+{
+    std::optional<SuspectId> held;
+    forEachRecord(suspects.records_, request, [&](SuspectId id, const CrashRecord &record) {
+        if (isHeld(record))
+            held = id;
+    });
+    return held;
+}
+
+CrashVerdict judgeRequest(const CrashSuspects &suspects, const RequestSuspects &request, Time now)
+{
+    std::size_t held = 0;
+    bool canTry = true;
+    forEachRecord(suspects.records_, request, [&](SuspectId, const CrashRecord &record) {
+        if (!isHeld(record))
+            return;
+        ++held;
+        canTry = canTry && mayTry(record, now);
+    });
+    if (held == 0)
+        return CrashVerdict::Allowed;
+    return held == 1 && canTry ? CrashVerdict::Trial : CrashVerdict::Held;
+}
+
+void recordTrial(CrashSuspects &suspects, const RequestSuspects &request, Duration retryJitter,
+                 Time now)
+{
+    forEachRecord(suspects.records_, request, [&](SuspectId, CrashRecord &record) {
+        if (!isHeld(record))
+            return;
+        ++record.trials_;
+        setTrialPause(record, retryJitter, now);
+        suspects.haveChanged_ = true;
+    });
+}
+
+void recordHeld(CrashSuspects &suspects, const RequestSuspects &request, Time now)
+{
+    forEachRecord(suspects.records_, request, [&](SuspectId, CrashRecord &record) {
+        if (isHeld(record))
+            record.lastSeenAt_ = now;
+    });
+}
+
+void recordCrash(CrashSuspects &suspects, const RequestSuspects &request, CrashId crash,
+                 Time brokenAt, Duration retryJitter, Time now)
+{
+    if (const auto held = findHeldSuspect(suspects, request)) {
+        addCrash(suspects, *held, crash, false, retryJitter, now);
+        return;
+    }
+    addCrash(suspects, request.request_, crash, false, retryJitter, now);
+    for (const SuspectId part : request.parts_) {
+        const std::optional<Time> soundAt = lastSoundAt(suspects.sound_, part);
+        if (!soundAt || *soundAt <= brokenAt)
+            addCrash(suspects, part, crash, soundAt.has_value(), retryJitter, now);
+    }
+}
+
+std::vector<SuspectId> recordSound(CrashSuspects &suspects, const RequestSuspects &request,
+                                   Time now)
 {
-    CrashCount &count = counts.requests_[request];
-    ++count.localCrashes_;
-    count.lastAt_ = now;
+    std::vector<SuspectId> cleared;
+    for (const SuspectId part : request.parts_)
+        insertSound(suspects.sound_, part, now);
+    forEachRecord(suspects.records_, request, [&](SuspectId id, CrashRecord &record) {
+        if (record.crashes_.empty())
+            return;
+        if (isHeld(record))
+            cleared.push_back(id);
+        ++record.clearances_;
+        record.trials_ = 0;
+        record.crashes_.clear();
+        record.lastSeenAt_ = now;
+        suspects.haveChanged_ = true;
+    });
+    return cleared;
 }
 
-void recordPeerCrashes(CrashSuspects &counts, std::uint64_t request, std::uint32_t crashes,
-                       Time now)
+std::vector<ReportedCrashRecord> crashReport(const CrashSuspects &suspects, Time now)
 {
-    CrashCount &count = counts.requests_[request];
-    count.peerCrashes_ = std::max(count.peerCrashes_, crashes);
-    count.lastAt_ = now;
+    using Entry = std::pair<const SuspectId, CrashRecord>;
+    std::vector<const Entry *> entries;
+    for (const Entry &entry : suspects.records_) {
+        if (!entry.second.crashes_.empty()
+            || now - entry.second.lastSeenAt_ < clearanceReportPeriod)
+            entries.push_back(&entry);
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry *left, const Entry *right) {
+        const bool isLeftHeld = isHeld(left->second);
+        if (isLeftHeld != isHeld(right->second))
+            return isLeftHeld;
+        return left->second.lastSeenAt_ > right->second.lastSeenAt_;
+    });
+    entries.resize(std::min(entries.size(), maxReportedRecords));
+    std::vector<ReportedCrashRecord> report;
+    report.reserve(entries.size());
+    for (const Entry *entry : entries) {
+        const CrashRecord &record = entry->second;
+        report.push_back({entry->first, record.clearances_, record.trials_,
+                          (now - record.lastSeenAt_).count(), record.crashes_});
+    }
+    return report;
 }
 
-bool hasReachedCrashLimit(const CrashSuspects &counts, std::uint64_t request)
+void mergeCrashRecord(CrashSuspects &suspects, const ReportedCrashRecord &reported,
+                      Duration retryJitter, Time now)
 {
-    const auto found = counts.requests_.find(request);
-    return found != counts.requests_.end()
-        && found->second.localCrashes_ + found->second.peerCrashes_ >= crashLimit;
+    const Duration age{std::max<std::int64_t>(reported.ageMicros_, 0)};
+    if (age > retentionPeriod)
+        return;
+    CrashRecord &record = suspects.records_[reported.suspect_];
+    record.lastSeenAt_ = std::max(record.lastSeenAt_, now - age);
+    if (reported.clearances_ < record.clearances_)
+        return;
+    bool hasNews = false;
+    if (reported.clearances_ > record.clearances_) {
+        record.clearances_ = reported.clearances_;
+        record.crashes_.clear();
+        record.trials_ = 0;
+        hasNews = true;
+    }
+    for (const CrashId crash : reported.crashes_)
+        hasNews = insertCrash(record, crash) || hasNews;
+    if (reported.trials_ > record.trials_) {
+        record.trials_ = reported.trials_;
+        hasNews = true;
+    }
+    if (hasNews)
+        setTrialPause(record, retryJitter, now);
 }
 
-void removeExpiredCrashSuspects(CrashSuspects &counts, Time now)
+void removeExpiredCrashSuspects(CrashSuspects &suspects, Time now)
 {
-    std::erase_if(counts.requests_,
-                  [&](const auto &each) { return now - each.second.lastAt_ > retentionPeriod; });
+    std::erase_if(suspects.records_, [&](const auto &each) {
+        return now - each.second.lastSeenAt_ > retentionPeriod;
+    });
+    if (suspects.records_.size() <= maxRecords)
+        return;
+    std::vector<std::pair<Time, SuspectId>> oldestFirst;
+    for (const auto &[id, record] : suspects.records_) {
+        if (!isHeld(record))
+            oldestFirst.emplace_back(record.lastSeenAt_, id);
+    }
+    std::sort(oldestFirst.begin(), oldestFirst.end());
+    const std::size_t excess = suspects.records_.size() - maxRecords;
+    oldestFirst.resize(std::min(oldestFirst.size(), excess));
+    for (const auto &[seenAt, id] : oldestFirst)
+        suspects.records_.erase(id);
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/crashsuspects.h
+++ b/Source/Edge/crashsuspects.h
@@ -1,48 +1,129 @@
 #pragma once
 
-/// Counts target crashes for each request that was running at the time, to refuse requests that
-/// crash their targets. Counts are shared between entries, as a client may retry the same request
-/// at any of them. Pure functions: no clock, I/O or threads.
+/// Finds what crashes targets, a whole request or one part of the prompts of many, and decides
+/// which requests are held back for it. Pure functions: no clock, I/O or threads.
+///
+/// A crash ends all requests at a target, so it casts suspicion on everything that was being
+/// started there. What crashes targets is present at every crash and in no response that a target
+/// went on writing; a part that was in such a response is cleared. Entries exchange what they know,
+/// as each sees only its own requests, and a restarted entry learns it again from its peers.
 
+#include "Peer/peermessages.h"
+
+#include <eelgrasscove/nametable.h>
 #include <eelgrasscove/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace eelgrasscove {
 
-struct CrashCount
+/// Hash of a whole request or of a prompt part.
+using SuspectId = std::uint64_t;
+
+/// What is known of one suspect. Of two records of the same suspect, the one with the higher number
+/// of clearances is valid; records with equal numbers complement each other.
+struct CrashRecord
+{
+    /// Times that responses have shown the suspect to be sound; also 1 where that was known before
+    /// the first crash.
+    std::uint32_t clearances_ = 0;
+    /// Requests sent as a trial since the last clearance.
+    std::uint32_t trials_ = 0;
+    /// Distinct crashes since the last clearance, in ascending order.
+    std::vector<CrashId> crashes_;
+    /// Time of the last crash, or of the last request that was held back for the suspect.
+    Time lastSeenAt_;
+    /// No trial is made before this time.
+    Time trialAfter_;
+};
+
+/// Parts that recent responses have shown to be sound, with the time of the last one. Entries that
+/// are not refreshed are dropped half of the table at a time.
+struct SoundParts
 {
-    /// Crashes that this entry observed.
-    std::uint32_t localCrashes_ = 0;
-    /// The highest count that a peer reported.
-    std::uint32_t peerCrashes_ = 0;
-    Time lastAt_;
+    std::unordered_map<SuspectId, Time> current_;
+    std::unordered_map<SuspectId, Time> previous_;
 };
 
 struct CrashSuspects
 {
-    /// By request hash.
-    std::unordered_map<std::uint64_t, CrashCount> requests_;
+    std::unordered_map<SuspectId, CrashRecord> records_;
+    SoundParts sound_;
+    /// The records have changed since the last message to the peers.
+    bool haveChanged_ = false;
+};
+
+/// The suspects that a request contains.
+struct RequestSuspects
+{
+    SuspectId request_ = 0;
+    /// The prompt parts that other requests may share, without duplicates.
+    std::vector<SuspectId> parts_;
+};
+
+enum class CrashVerdict {
+    Allowed,
+    /// The request may be sent to find out whether its suspect is sound; see recordTrial().
+    Trial,
+    /// The request is to be refused.
+    Held,
 };
 
+constexpr NameTable<CrashVerdict, 3> crashVerdictNames = {{
+    {CrashVerdict::Allowed, "allowed"},
+    {CrashVerdict::Trial, "trial"},
+    {CrashVerdict::Held, "held"},
+}};
+
 /// Returns a hash of the request's path, caller and body, which is equal for each repetition of the
 /// request.
-std::uint64_t requestHash(std::string_view path, std::string_view caller, std::string_view body);
+SuspectId requestHash(std::string_view path, std::string_view caller, std::string_view body);
+
+/// Returns the hashes of the request's prompt parts but the last one, which belongs to the request
+/// or its session alone. promptParts has the form "ID:TOKENS,ID:TOKENS", with hexadecimal ids.
+std::vector<SuspectId> sharedPartHashes(std::string_view promptParts);
+
+/// Returns the suspect for which the request is held back or a trial; empty if it is allowed.
+std::optional<SuspectId> findHeldSuspect(const CrashSuspects &suspects,
+                                         const RequestSuspects &request);
+
+/// Decides whether a request may be sent. A request with several held suspects is never a trial, as
+/// its crash would not tell which of them was the cause.
+CrashVerdict judgeRequest(const CrashSuspects &suspects, const RequestSuspects &request, Time now);
+
+/// Records that a request is sent as a trial. retryJitter is a random time that keeps the entries
+/// from making their next trials at the same moment.
+void recordTrial(CrashSuspects &suspects, const RequestSuspects &request, Duration retryJitter,
+                 Time now);
+
+/// Records that a request was held back, which keeps its suspects from expiring.
+void recordHeld(CrashSuspects &suspects, const RequestSuspects &request, Time now);
+
+/// Records the crash of a target at brokenAt, at which it had not yet been shown that the request
+/// is sound. Where a suspect is held already it explains the crash, and no other is recorded.
+void recordCrash(CrashSuspects &suspects, const RequestSuspects &request, CrashId crash,
+                 Time brokenAt, Duration retryJitter, Time now);
+
+/// Records that a target went on writing its response to the request, or completed it. Returns the
+/// suspects that were held until now.
+std::vector<SuspectId> recordSound(CrashSuspects &suspects, const RequestSuspects &request,
+                                   Time now);
+
+/// Returns the records to send to the peers, held suspects first, bounded in number.
+std::vector<ReportedCrashRecord> crashReport(const CrashSuspects &suspects, Time now);
 
-/// Records a crash that this entry observed.
-void recordCrash(CrashSuspects &counts, std::uint64_t request, Time now);
-/// Records the crash count that a peer reported.
-void recordPeerCrashes(CrashSuspects &counts, std::uint64_t request, std::uint32_t crashes,
-                       Time now);
+/// Merges a record that a peer reported.
+void mergeCrashRecord(CrashSuspects &suspects, const ReportedCrashRecord &reported,
+                      Duration retryJitter, Time now);
 
-/// Returns whether the request is to be refused: it was running at more crashes than coincidence
-/// explains.
-bool hasReachedCrashLimit(const CrashSuspects &counts, std::uint64_t request);
+/// Whether requests with the suspect are held back.
+bool isHeld(const CrashRecord &record);
 
-/// Removes requests whose last crash is older than the retention period.
-void removeExpiredCrashSuspects(CrashSuspects &counts, Time now);
+/// Removes records that are older than the retention period, and the oldest beyond the limit.
+void removeExpiredCrashSuspects(CrashSuspects &suspects, Time now);
 
 } // namespace eelgrasscove
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -98,7 +98,9 @@
     std::string adapter_;
     double tokens_ = 0;
     bool tokensCharged_ = false;
-    std::uint64_t requestHash_ = 0;
+    RequestSuspects suspects_;
+    /// A target went on writing its response or completed it, so the request crashes no targets.
+    bool isShownSound_ = false;
     /// Random number in [0, 1) that selects one of the services among which a route is shared.
     double serviceDraw_ = 0;
 
@@ -177,6 +179,8 @@
     bool checkKey(EdgeRequest &request, Time now);
     bool checkAllowance(EdgeRequest &request, Time now);
     void placeRequest(const EdgeRequestPtr &request);
+    /// Refuses a request that may crash its target. Returns whether it was refused.
+    bool refuseIfHeld(EdgeRequest &request, Time now);
     PlacementQuery makePlaceQuery(const EdgeRequest &request, Time now) const;
     /// Returns 0 where no version of the adapter has been named.
     std::uint64_t newestVersionOf(const std::string &adapter) const;
@@ -235,6 +239,10 @@
     void requestLoad(EdgeTarget &target, const std::string &adapter, Time now);
     void sendEntryStates(Time now);
     void countConfirmedCrashes(Time now);
+    void recordSoundRequest(EdgeRequest &request, Time now);
+    void logHeldSuspect(SuspectId suspect, std::string_view source) const;
+    /// Random time by which the entries' trials of a suspect are spread.
+    Duration trialJitter();
 
     EventLoop &loop_;
     ServingSettings settings_;
@@ -291,8 +299,10 @@
     /// crashed.
     struct CrashSuspicion
     {
-        std::uint64_t requestHash_ = 0;
+        std::string requestId_;
+        RequestSuspects suspects_;
         std::shared_ptr<EdgeTarget> target_;
+        CrashId crash_ = 0;
         Time brokenAt_;
     };
     std::vector<CrashSuspicion> crashSuspicions_;
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -179,10 +179,9 @@
         state.topAdapterRates_ = topAdapterRates(demand_, now);
         removeExpiredPeerRates(demand_, now);
     }
-    for (const auto &[hash, crashCount] : crashSuspects_.requests_) {
-        if (crashCount.localCrashes_ > 0)
-            state.crashCounts_.push_back({hash, crashCount.localCrashes_});
-    }
+    if (crashSuspects_.haveChanged_ || statesSent_ % echoInterval == 0)
+        state.crashRecords_ = crashReport(crashSuspects_, now);
+    crashSuspects_.haveChanged_ = false;
     const std::string bytes = encodePeerMessage(state);
     for (const auto &[vm, peer] : peers_)
         peersSocket_.send(bytes, peer.endpoint_);
@@ -230,8 +229,14 @@
             usage.tokens_[name->second] = account.tokens_;
     }
     applyPeerUsage(allowance_, vm, std::move(usage));
-    for (const ReportedCrashCount &crashCount : state.crashCounts_)
-        recordPeerCrashes(crashSuspects_, crashCount.request_, crashCount.crashes_, now);
+    for (const ReportedCrashRecord &reported : state.crashRecords_) {
+        const auto known = crashSuspects_.records_.find(reported.suspect_);
+        const bool wasHeld = known != crashSuspects_.records_.end() && isHeld(known->second);
+        mergeCrashRecord(crashSuspects_, reported, trialJitter(), now);
+        const auto merged = crashSuspects_.records_.find(reported.suspect_);
+        if (!wasHeld && merged != crashSuspects_.records_.end() && isHeld(merged->second))
+            logHeldSuspect(reported.suspect_, vm);
+    }
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -37,6 +37,9 @@
 /// silent: two passes of checkRequests() and the way to the client.
 constexpr Duration silentTargetMargin = 150ms;
 
+/// Retry-After of a request that is held back because it or a part of its prompt crashes targets.
+constexpr Duration heldRetryAfter = 30s;
+
 /// Minimum of the Retry-After header, and the fraction of random jitter added to it.
 constexpr Duration minRetryAfter = 200ms;
 constexpr double retryAfterJitter = 0.5;
@@ -160,11 +163,10 @@
         refuse(*request, 503, "deadline passed on arrival", minRetryAfter);
         return;
     }
-    request->requestHash_ = requestHash(request->head_.target_, request->key_, request->body_);
-    if (hasReachedCrashLimit(crashSuspects_, request->requestHash_)) {
-        refuse(*request, 503, "request repeatedly crashed its targets", 30s);
+    request->suspects_ = {requestHash(request->head_.target_, request->key_, request->body_),
+                          sharedPartHashes(request->head_.header(wire::promptPartsHeader))};
+    if (refuseIfHeld(*request, now))
         return;
-    }
     if (!checkAllowance(*request, now))
         return;
     countRequest(retryBudget_, request->service_, now);
@@ -297,6 +299,17 @@
     return found == targets_.end() ? nullptr : found->second;
 }
 
+bool Edge::refuseIfHeld(EdgeRequest &request, Time now)
+{
+    if (judgeRequest(crashSuspects_, request.suspects_, now) != CrashVerdict::Held)
+        return false;
+    recordHeld(crashSuspects_, request.suspects_, now);
+    countMetric("eelgrasscove_requests_held_total");
+    refuse(request, 503, "request or part of its prompt crashed targets repeatedly",
+           heldRetryAfter);
+    return true;
+}
+
 void Edge::placeRequest(const EdgeRequestPtr &request)
 {
     const auto session = request->session_.lock();
@@ -312,6 +325,8 @@
     }
     if (rulesChanged ? !resolveRoute(*request) : !checkKey(*request, now))
         return;
+    if (refuseIfHeld(*request, now))
+        return;
     countMetric("eelgrasscove_placements_total");
     const Placement placement =
         choosePlacement(targetStates(request->service_), makePlaceQuery(*request, now), now);
@@ -410,6 +425,12 @@
                minRetryAfter);
         return;
     }
+    if (judgeRequest(crashSuspects_, request->suspects_, now) == CrashVerdict::Trial) {
+        recordTrial(crashSuspects_, request->suspects_, trialJitter(), now);
+        eventLog().note("suspect.tried", "id", request->id_, "target", target->state_.listed_.id_);
+        // The peers have to know of the trial before they make one of their own.
+        sendEntryStates(now);
+    }
     removeFromQueue(*request);
     TargetState &state = target->state_;
     request->target_ = target;
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -1,6 +1,7 @@
 #include "Edge/targetstate.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace eelgrasscove {
 
@@ -79,6 +80,12 @@
         && now - target.lastSentAt_ < trialPeriod;
 }
 
+CrashId crashIdOf(const TargetState &target)
+{
+    const std::uint64_t startedAt = target.listed_.startedAt_;
+    return XXH32(&startedAt, sizeof startedAt, nameHash(target.listed_.id_));
+}
+
 void recordLoad(TargetState &target, std::uint32_t running, std::uint32_t waiting, Time now)
 {
     target.running_ = running;
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -6,6 +6,7 @@
 
 #include "Net/tcpstream.h"
 #include "Peer/namehash.h"
+#include "Peer/peermessages.h"
 
 #include <eelgrasscove/serving.h>
 
@@ -88,6 +89,9 @@
 /// trial is due. medianRatio is the median failure ratio of the service's targets.
 bool isExcludedForFailures(const TargetState &target, double medianRatio, Time now);
 
+/// Identifies the target instance in reports of its crash; equal at all entries.
+CrashId crashIdOf(const TargetState &target);
+
 /// Records a load reported by the target or its agent.
 void recordLoad(TargetState &target, std::uint32_t running, std::uint32_t waiting, Time now);
 
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -146,16 +146,23 @@
     }
 };
 
-/// A crash suspect: a request that was running when its target crashed, with the number of crashes.
-struct ReportedCrashCount
+/// Hash of a target instance that crashed.
+using CrashId = std::uint32_t;
+
+/// A request or prompt part that was being started at targets when they crashed; see CrashRecord.
+struct ReportedCrashRecord
 {
-    std::uint64_t request_ = 0;
-    std::uint32_t crashes_ = 0;
+    std::uint64_t suspect_ = 0;
+    std::uint32_t clearances_ = 0;
+    std::uint32_t trials_ = 0;
+    /// Time since the last crash or the last request that was held back for the suspect.
+    std::int64_t ageMicros_ = 0;
+    std::vector<CrashId> crashes_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(request_, crashes_);
+        archive(suspect_, clearances_, trials_, ageMicros_, crashes_);
     }
 };
 
@@ -170,16 +177,16 @@
     /// Age of the sender's last confirmation that no newer rules exist; negative if there is none.
     std::int64_t rulesAgeMicros_ = -1;
     std::vector<AccountUsage> usage_;
-    /// The next two members are present in some messages only.
+    /// The members below are present in some messages only.
     std::vector<PeerEcho> echoes_;
     std::optional<std::vector<AdapterRequestRate>> topAdapterRates_;
-    std::vector<ReportedCrashCount> crashCounts_;
+    std::vector<ReportedCrashRecord> crashRecords_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(vm_, timestampMicros_, startedAtMicros_, rulesVersion_, rulesAgeMicros_, usage_,
-                echoes_, topAdapterRates_, crashCounts_);
+                echoes_, topAdapterRates_, crashRecords_);
     }
 };
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -81,19 +81,21 @@
     }
 
     /// Registers the first target as engine e-0 with the model m.
-    void registerEngine()
+    void registerEngine(int startedAt = 1)
     {
         store_.put(
             "servers/e-0",
             fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
-                        R"("state":"ready","born":1,"models":[{{"name":"m","version":1}}]}})",
-                        address(1)));
+                        R"("state":"ready","born":{},"models":[{{"name":"m","version":1}}]}})",
+                        address(1), startedAt));
     }
 
-    std::shared_ptr<Client> sendAdapterRequest()
+    std::shared_ptr<Client> sendAdapterRequest(const std::string &promptParts = "1:10")
     {
-        return sendRequest("POST", "/advise/a",
-                           "Authorization: Bearer k1\r\nX-Eelgrasscove-Model-Name: m/a1\r\n");
+        return sendRequest("POST", fmt::format("/advise/{}", requests_),
+                           "Authorization: Bearer k1\r\nX-Eelgrasscove-Model-Name: m/a1\r\n"
+                           "X-Eelgrasscove-Prompt-Prefix: "
+                               + promptParts + "\r\n");
     }
 
     static std::string targetItem(const std::string &address, const std::string &state,
@@ -151,7 +153,8 @@
     }
 
     /// Sends the entry reports of an engine's agent, from the engine's address.
-    void sendEngineStates(int engineNumber, int reports, const std::string &residentAdapter)
+    void sendEngineStates(int engineNumber, int reports, const std::string &residentAdapter,
+                          std::uint64_t startedAt = 1)
     {
         const int sender = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
         sockaddr_in entry{};
@@ -160,7 +163,7 @@
             EngineStateMessage state;
             state.target_ = nameHash("e-" + std::to_string(engineNumber));
             state.number_ = ++reports_;
-            state.startedAt_ = 1;
+            state.startedAt_ = startedAt;
             state.isUp_ = true;
             state.residencyNumber_ = reports_;
             state.hasLists_ = true;
@@ -679,3 +682,34 @@
     turnFor(path.loop_, 300ms);
     BOOST_TEST(path.targets_[0]->seen_.empty());
 }
+
+BOOST_AUTO_TEST_CASE(requests_that_share_a_prompt_part_do_not_crash_one_target_after_the_other)
+{
+    ServingPath path(27);
+    path.registerEngine();
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    turnFor(path.loop_, 100ms);
+    int crashes = 0;
+    path.handlers_[0] = [&](const auto &from, SeenRequest &&request) {
+        if (request.head_.header("X-Eelgrasscove-Prompt-Prefix").find("dead")
+            == std::string::npos) {
+            from->answer(200, path.requestIdHeader(request) + signatureHeader, "data: a\n\n");
+            return;
+        }
+        ++crashes;
+        from->breakOff();
+        path.registerEngine(1 + crashes);
+        path.sendEngineStates(0, 1, "m/a1", 1 + crashes);
+    };
+    std::vector<std::shared_ptr<Client>> clients = {path.sendAdapterRequest("a1:9,b1:9,f:9")};
+    BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return clients.front()->status() == 200; }));
+    for (int request = 0; request < 4; ++request) {
+        clients.push_back(path.sendAdapterRequest(fmt::format("a1:9,dead:9,{}:9", request)));
+        turnFor(path.loop_, 1500ms);
+    }
+    BOOST_TEST(crashes == 2);
+    BOOST_TEST(clients.back()->status() == 503);
+    const auto sound = path.sendAdapterRequest("a1:9,b1:9,f:9");
+    BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return sound->status() == 200; }));
+}
