Confirm the end of a watch by the wait that it was sent with

A key could be honoured longer than the bound after its withdrawal. An empty response to a watch confirms that nothing had changed by the end of its wait, and the wait was read from the settings when the response arrived. setMaxWatchWait() raises it there while a watch waits, whenever entries join. If that watch's response is then late, as from a slow store or after a pause of the process, a time after the watch's end is confirmed, and changes made between the two are taken to be known. The watch now keeps its own wait.

longer_wait_set_during_a_watch_does_not_confirm_changes_after_its_end failed before:

fatal error: critical check (*fixture.feed_->confirmedAt() <= acknowledged) has failed

--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -86,6 +86,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(settings_.maxWatchWait_);
     wire::StoreCall call = wire::watchCall(settings_.keyPrefix_, revision_, wait.count());
     watchSentAt_ = bootNow();
+    watchWait_ = settings_.maxWatchWait_;
     countMetric("eelgrasscove_store_calls_total", "call=\"watch\"");
     client_.call(
         std::move(call.method_), std::move(call.target_), "",
@@ -134,7 +135,7 @@
         isReachable_ ? loop_.pausedSince().value_or(bootNow()) : confirmedAt_.value_or(Time{});
     recordSuccess();
     // An empty response after the whole wait shows that nothing had changed by the end of the wait.
-    const Time waitEnd = watchSentAt_ + settings_.maxWatchWait_;
+    const Time waitEnd = watchSentAt_ + watchWait_;
     confirm(changes->items_.empty() && bootNow() >= waitEnd ? waitEnd : watchSentAt_);
     revision_ = std::max(revision_, changes->revision_);
     for (const wire::StoreItem &item : changes->items_)
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -74,6 +74,8 @@
     Time earliestChangeAt_;
     Time listStartedAt_;
     Time watchSentAt_;
+    /// Wait of the watch sent last; setMaxWatchWait() doesn't change it.
+    Duration watchWait_{};
     Time reachableSince_;
     std::uint64_t listRevision_ = 0;
     std::uint64_t revision_ = 0;
--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -123,6 +123,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(longer_wait_set_during_a_watch_does_not_confirm_changes_after_its_end)
+{
+    FeedFixture fixture("127.0.0.1:17323", 400ms);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    fixture.store_.delay_ = 800ms;
+    const std::size_t watches = fixture.store_.calls("kv-watch");
+    BOOST_REQUIRE(
+        turnUntil(fixture.loop_, 3s, [&] { return fixture.store_.calls("kv-watch") > watches; }));
+    fixture.feed_->setMaxWatchWait(700ms);
+    // The store has ended the watch, without a change, and its response is on the way.
+    turnFor(fixture.loop_, 500ms);
+    const Time acknowledged = bootNow();
+    fixture.store_.put("op/config", "two");
+    while (fixture.reportedItems_["op/config"] == "one") {
+        BOOST_REQUIRE((*fixture.feed_->confirmedAt() <= acknowledged));
+        uv_run(&fixture.loop_.uv(), UV_RUN_ONCE);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(confirm_now_confirms_during_a_long_watch)
 {
     FeedFixture fixture("127.0.0.1:17319", 20s);
