Deliver changes that a confirmation finds and the watch has missed

A connection on which the store lost a response stays open and returns nothing further, and keep-alive doesn't show it.

StoreFeed::confirmNow() found the changes but left them to the watch, which would never deliver them. They are now delivered if the feed still has the revision of the query, so that none is applied twice or out of order, and are dated back to the last confirmation before. The waiting watch is dropped with its connection and started anew. A query that is told that the history is lost also starts the watch anew, which leads to a list. Each query uses a new connection, as the kept one may have become silent together with the watch's. A query is made as often as before; one that finds a change before the watch delivers it costs one more watch.

If the watches of all entries are silent, each queries the store when the last confirmation by any of them is 0.6 of the bound old, 3 s; the older version of an adapter is then excluded at once.

Failed before:

change_that_a_silent_watch_missed_is_delivered_by_a_confirmation: check fixture.waitForValue("op/config", "two", 1s) has failed history_lost_during_a_silent_watch_is_recovered_by_a_confirmation: check fixture.waitForValue("op/config", "two", 1s) has failed entry_serves_and_uses_the_newest_version_when_the_watches_of_all_are_silent: check path.sendAndAwaitHead("GET", "/look/a")->status() == 200 has failed [503 != 200]

--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -135,6 +135,15 @@
     onResponse(std::move(response));
 }
 
+void HttpCaller::dropCalls()
+{
+    loop_.timers().cancel(timeoutTimer_);
+    timeoutTimer_ = 0;
+    isSent_ = false;
+    calls_.clear();
+    closeStream();
+}
+
 void HttpCaller::closeStream()
 {
     isConnected_ = false;
--- a/Source/Net/httpcaller.h
+++ b/Source/Net/httpcaller.h
@@ -35,6 +35,10 @@
     void call(std::string method, std::string target, std::string body, Duration timeout,
               ResponseHandler onResponse, std::string headers = {});
 
+    /// Drops all calls without calling their handlers, and the connection; the next call uses a new
+    /// one. Not to be called from a handler of this caller.
+    void dropCalls();
+
     /// Returns the number of calls that are sent or queued.
     std::size_t pending() const { return calls_.size(); }
 
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -33,6 +33,7 @@
 void StoreFeed::start()
 {
     listedItems_.clear();
+    isListing_ = true;
     isFirstPage_ = true;
     listStartedAt_ = bootNow();
     requestList("");
@@ -70,6 +71,9 @@
     // The pages are not one snapshot. The watch starts after the revision of the first page and
     // repeats changes that later pages already contain.
     revision_ = listRevision_;
+    isListing_ = false;
+    for (const wire::StoreItem &item : listedItems_)
+        lastChangeRevision_ = std::max(lastChangeRevision_, item.revision_);
     earliestChangeAt_ = confirmedAt_.value_or(Time{});
     recordSuccess();
     confirm(listStartedAt_);
@@ -87,6 +91,7 @@
     wire::StoreCall call = wire::watchCall(settings_.keyPrefix_, revision_, wait.count());
     watchSentAt_ = bootNow();
     watchWait_ = settings_.maxWatchWait_;
+    isWatchWaiting_ = true;
     countMetric("eelgrasscove_store_calls_total", "call=\"watch\"");
     client_.call(
         std::move(call.method_), std::move(call.target_), "",
@@ -102,20 +107,65 @@
     wire::StoreCall call = wire::watchCall(settings_.keyPrefix_, revision_, minWatchWait.count());
     countMetric("eelgrasscove_store_calls_total", "call=\"confirm\"");
     const Time sentAt = bootNow();
-    const std::uint64_t revision = revision_;
-    confirmClient_.call(std::move(call.method_), std::move(call.target_), "", listTimeout,
-                        [this, sentAt, revision](const std::optional<HttpResponse> &response) {
-                            if (!response || response->status_ != 200)
-                                return;
-                            const auto changes = wire::decodeItems(response->body_);
-                            // Changes are left to the watch, so that they are applied in order.
-                            if (changes && changes->items_.empty() && revision_ >= revision)
-                                confirm(sentAt);
-                        });
+    // The connection of the last confirmation may have become silent together with the watch's.
+    confirmClient_.dropCalls();
+    confirmClient_.call(
+        std::move(call.method_), std::move(call.target_), "", listTimeout,
+        [this, sentAt, revision = revision_](const std::optional<HttpResponse> &response) {
+            handleConfirmResponse(response, sentAt, revision);
+        });
+}
+
+void StoreFeed::handleConfirmResponse(const std::optional<HttpResponse> &response, Time sentAt,
+                                      std::uint64_t callRevision)
+{
+    // A list that is in progress contains all changes and is delivered first.
+    if (!response || isListing_ || revision_ < callRevision)
+        return;
+    if (response->status_ == 410 && revision_ == callRevision && isWatchWaiting_) {
+        replaceWaitingWatch();
+        return;
+    }
+    if (response->status_ != 200)
+        return;
+    const std::optional<wire::StoreItems> changes = wire::decodeItems(response->body_);
+    if (!changes)
+        return;
+    if (changes->items_.empty()) {
+        revision_ = std::max(revision_, changes->revision_);
+        confirm(sentAt);
+        return;
+    }
+    // The watch has delivered these changes or a part of them; the next watch delivers the rest.
+    if (revision_ != callRevision)
+        return;
+    eventLog().note("store.watch_behind", "prefix", settings_.keyPrefix_, "changes",
+                    changes->items_.size(), "revision", changes->revision_);
+    earliestChangeAt_ = confirmedAt_.value_or(Time{});
+    confirm(sentAt);
+    deliver(*changes);
+    if (isWatchWaiting_)
+        replaceWaitingWatch();
+}
+
+void StoreFeed::replaceWaitingWatch()
+{
+    client_.dropCalls();
+    watch();
+}
+
+void StoreFeed::deliver(const wire::StoreItems &changes)
+{
+    revision_ = std::max(revision_, changes.revision_);
+    for (const wire::StoreItem &item : changes.items_) {
+        lastChangeRevision_ = std::max(lastChangeRevision_, item.revision_);
+        callbacks_.onChanged_(item);
+    }
 }
 
 void StoreFeed::handleWatchResponse(std::optional<HttpResponse> response)
 {
+    isWatchWaiting_ = false;
     if (!response || (response->status_ != 200 && response->status_ != 410)) {
         retryLater([this] { watch(); }, response ? std::to_string(response->status_) : "no answer");
         return;
@@ -137,9 +187,7 @@
     // An empty response after the whole wait shows that nothing had changed by the end of the wait.
     const Time waitEnd = watchSentAt_ + watchWait_;
     confirm(changes->items_.empty() && bootNow() >= waitEnd ? waitEnd : watchSentAt_);
-    revision_ = std::max(revision_, changes->revision_);
-    for (const wire::StoreItem &item : changes->items_)
-        callbacks_.onChanged_(item);
+    deliver(*changes);
     if (changes->items_.empty() || settings_.batchPause_ == Duration::zero())
         watch();
     else
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -41,7 +41,8 @@
     void setMaxWatchWait(Duration wait) { settings_.maxWatchWait_ = wait; }
 
     /// Queries the store at once, beside the waiting watch, for changes; if there are none,
-    /// confirmedAt() advances.
+    /// confirmedAt() advances. Changes that the watch hasn't delivered by the time of the response
+    /// are delivered, and the watch is started anew: its connection may be silent.
     void confirmNow();
 
     /// Returns a time before which all changes that the store acknowledged are known here; empty
@@ -51,6 +52,11 @@
     /// A watch delivers a change as it is made; changes in a list, or made while the store was out
     /// of reach, may date back to the last confirmation, or to any time if there was none.
     Time earliestChangeAt() const { return earliestChangeAt_; }
+    /// Returns the revision up to which all changes are known here.
+    std::uint64_t revision() const { return revision_; }
+    /// Returns the highest revision of a key or deletion that is known here, apart from deletions
+    /// before the last list. revision() also counts changes of other keys, so it may be higher.
+    std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
     bool isReachable() const { return isReachable_; }
     /// Returns the time at which the connection to the store was last restored.
     Time reachableSince() const { return reachableSince_; }
@@ -60,6 +66,11 @@
     void handleListResponse(std::optional<HttpResponse> response);
     void watch();
     void handleWatchResponse(std::optional<HttpResponse> response);
+    void handleConfirmResponse(const std::optional<HttpResponse> &response, Time sentAt,
+                               std::uint64_t callRevision);
+    /// Calls watch() without the response of the waiting watch.
+    void replaceWaitingWatch();
+    void deliver(const wire::StoreItems &changes);
     void confirm(Time at);
     void recordSuccess();
     void retryLater(std::function<void()> retry, std::string_view reason);
@@ -79,9 +90,12 @@
     Time reachableSince_;
     std::uint64_t listRevision_ = 0;
     std::uint64_t revision_ = 0;
+    std::uint64_t lastChangeRevision_ = 0;
     std::uint32_t consecutiveFailures_ = 0;
     bool isReachable_ = false;
     bool isFirstPage_ = true;
+    bool isWatchWaiting_ = false;
+    bool isListing_ = false;
 };
 
 } // namespace eelgrasscove
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -40,7 +40,8 @@
 struct ServingPath
 {
     /// items are in the store before the entry starts.
-    explicit ServingPath(int number, const std::map<std::string, std::string> &items = {})
+    explicit ServingPath(int number, const std::map<std::string, std::string> &items = {},
+                         const ServingBounds &bounds = {.revoke_ = 1500ms})
         : loop_(*new EventLoop), basePort_(17400 + number * 10),
           store_(*new Store(loop_, address(0)))
     {
@@ -64,7 +65,7 @@
         settings.readinessListen_ = address(5);
         settings.peersListen_ = address(6);
         settings.store_ = address(0);
-        settings.bounds_.revoke_ = 1500ms;
+        settings.bounds_ = bounds;
         edge_ = new Edge(loop_, settings, "");
         BOOST_REQUIRE(edge_->start());
     }
@@ -195,6 +196,17 @@
     std::uint64_t reports_ = 0;
 };
 
+/// Waits until the entry has sent a watch of the operator's keys, then makes all of its connections
+/// to the store silent.
+void silenceStoreAtNewWatch(ServingPath &path, const std::string &part = "kv-watch?path_prefix=op/")
+{
+    const std::size_t before = path.store_.calls(part);
+    BOOST_REQUIRE(turnUntil(path.loop_, 8s, [&] { return path.store_.calls(part) > before; }));
+    path.store_.silenceConnections();
+}
+
+const std::string secondVersion = R"({"model":"m","adapter":"a1","version":2})";
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(forwarded_request_keeps_client_headers_and_drops_forged_system_headers)
@@ -665,3 +677,22 @@
     const auto client = path.sendAdapterRequest();
     BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
 }
+
+BOOST_AUTO_TEST_CASE(entry_serves_and_uses_the_newest_version_when_the_watches_of_all_are_silent)
+{
+    std::map<std::string, std::string> peers;
+    for (int peer = 2; peer <= 17; ++peer)
+        peers["eelgrasscove/entry/edge-" + std::to_string(peer)] = "127.0.0.1:17927";
+    ServingPath path(52, peers, {.revoke_ = 1500ms, .version_ = 2s});
+    path.registerEngine();
+    path.waitUntilServing();
+    silenceStoreAtNewWatch(path, "wait_ms=2700");
+    path.store_.put("op/version/m.a1", secondVersion);
+    turnFor(path.loop_, 2s);
+    path.sendEngineStates(0, 1, "m/a1");
+    turnFor(path.loop_, 50ms);
+    const auto client = path.sendAdapterRequest();
+    turnFor(path.loop_, 300ms);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+}
--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -16,6 +16,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -187,6 +188,14 @@
         waiting_.clear();
     }
 
+    /// Makes all present connections silent: they stay open and get no answer any more.
+    void silenceConnections()
+    {
+        for (const auto &connection : server_.connections_)
+            silent_.insert(connection.get());
+        waiting_.clear();
+    }
+
     std::size_t calls(const std::string &part) const
     {
         return static_cast<std::size_t>(
@@ -239,7 +248,7 @@
     void handle(const std::shared_ptr<ServerConnection> &from, SeenRequest &&request)
     {
         const std::string &target = request.head_.target_;
-        if (fault_ == StoreFault::Silent)
+        if (fault_ == StoreFault::Silent || silent_.contains(from.get()))
             return;
         if (fault_ == StoreFault::Reset) {
             from->stream_->close(true);
@@ -329,6 +338,7 @@
     EventLoop &loop_;
     std::deque<std::pair<std::string, std::uint64_t>> history_;
     std::list<Waiting> waiting_;
+    std::set<const ServerConnection *> silent_;
     std::uint64_t forgottenUpTo_ = 0;
     Server server_;
 };
--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -157,6 +157,43 @@
         turnUntil(fixture.loop_, 2s, [&] { return *fixture.feed_->confirmedAt() >= before; }));
 }
 
+BOOST_AUTO_TEST_CASE(change_that_a_silent_watch_missed_is_delivered_by_a_confirmation)
+{
+    FeedFixture fixture("127.0.0.1:17321", 20s);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    fixture.feed_->confirmNow();
+    turnFor(fixture.loop_, 100ms);
+    fixture.store_.silenceConnections();
+    const Time changedAt = bootNow();
+    fixture.store_.put("op/config", "two");
+    turnFor(fixture.loop_, 300ms);
+    fixture.feed_->confirmNow();
+    BOOST_TEST(fixture.waitForValue("op/config", "two", 1s));
+    BOOST_TEST((fixture.feed_->earliestChangeAt() <= changedAt));
+    // A new watch delivers the next change without a call of confirmNow().
+    fixture.store_.put("op/config", "three");
+    BOOST_TEST(fixture.waitForValue("op/config", "three", 1s));
+    BOOST_TEST(fixture.listCount_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(history_lost_during_a_silent_watch_is_recovered_by_a_confirmation)
+{
+    FeedFixture fixture("127.0.0.1:17322", 20s);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    turnFor(fixture.loop_, 100ms);
+    fixture.store_.silenceConnections();
+    fixture.store_.put("op/config", "two");
+    fixture.store_.forgetHistory();
+    fixture.feed_->confirmNow();
+    BOOST_TEST(fixture.waitForValue("op/config", "two", 1s));
+    fixture.store_.put("op/config", "three");
+    BOOST_TEST(fixture.waitForValue("op/config", "three", 1s));
+}
+
 BOOST_AUTO_TEST_CASE(registration_is_written_after_an_outage)
 {
     auto &loop = *new EventLoop;
