Query the store when peers know changes that an entry misses

Callers would get an answer of a replaced adapter version, or of older rules, from an entry whose watch of the operator's keys had become silent, until the watch timed out, up to 10 s after it was sent. Missed rules were queried for after 3 s; the bound on their adoption is 2 s.

EntryState has the highest revision among the changes of the operator's keys that its sender knows. A peer's confirmation counts only if the receiver knows all changes up to it: the changes that the peer confirms have no higher revision. If a peer knows a later change for 0.5 s, the entry queries the store at once, and what it finds is dated back to its last confirmation. The layout version of the datagrams becomes 3, so entries of different versions ignore each other's datagrams, as before.

Failed before, with the field added and unused:

entry_whose_watch_is_silent_does_not_use_a_replaced_version_that_its_peers_know: check path.targets_[0]->seen_.empty() has failed entry_whose_watch_is_silent_adopts_the_rules_that_its_peers_know: check path.sendAndAwaitHead("GET", "/look/a")->status() == 401 has failed [200 != 401]

Calls to the store while all watches work: none is added, as entries learn of a change within the coalescing period of 0.2 s. entry_makes_no_further_store_calls_while_its_watch_works counts no confirmation and at most 6 calls for 3 changes in 6 s; it passes before and after. An entry whose watch is silent makes one query and one watch more.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -60,6 +60,10 @@
 /// A confirmation whose age exceeds this fraction of the bound is renewed by a separate request to
 /// the store, without waiting for the watch.
 constexpr double confirmAgeFraction = 0.6;
+/// Time for which a peer may know a change of the operator's keys that this entry doesn't know
+/// before the store is queried. It is longer than the coalescing period of the rules, and shorter
+/// by more than a response of the store than the bound on the adoption of new rules.
+constexpr Duration maxLagBehindPeers = 500ms;
 constexpr Duration targetsWatchTimeout = 10s;
 constexpr Duration peersWatchTimeout = 20s;
 /// Target updates are coalesced for this fraction of the operator's bound on draining targets. An
@@ -200,8 +204,7 @@
     timers.every(peerStatePeriod, [this] {
         const Time now = bootNow();
         sendEntryStates(now);
-        if (now - rulesConfirmedAt() > settings_.bounds_.revoke_ * confirmAgeFraction)
-            operatorFeed_->confirmNow();
+        checkRulesConfirmation(now);
     });
 
     timers.every(loadRequestPeriod, [this] {
@@ -301,6 +304,17 @@
     return std::max(own, rulesConfirmedByPeerAt_.value_or(Time{}));
 }
 
+void Edge::checkRulesConfirmation(Time now)
+{
+    if (peersOperatorRevision_ <= operatorFeed_->revision())
+        missesChangesSince_.reset();
+    else if (!missesChangesSince_)
+        missesChangesSince_ = now;
+    const bool isOld = now - rulesConfirmedAt() > settings_.bounds_.revoke_ * confirmAgeFraction;
+    if (isOld || (missesChangesSince_ && now - *missesChangesSince_ >= maxLagBehindPeers))
+        operatorFeed_->confirmNow();
+}
+
 bool Edge::areRulesFresh(Time now) const
 {
     return rules_ != nullptr
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -165,6 +165,9 @@
     /// Whether the rules were confirmed recently enough to accept keys.
     bool areRulesFresh(Time now) const;
     Time rulesConfirmedAt() const;
+    /// Queries the store if the last confirmation is old or peers know changes that this entry
+    /// doesn't know.
+    void checkRulesConfirmation(Time now);
 
     // edgerequests.cpp: admission, queueing and placement of requests.
     void onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest &&request);
@@ -275,8 +278,12 @@
     std::map<NameHash, std::string> vmByHash_;
     std::map<NameHash, std::string> accountByHash_;
     std::uint32_t statesSent_ = 0;
-    /// Latest time at which, according to a peer, this entry's rules were the newest.
+    /// Latest time at which, according to a peer, this entry knew all of the operator's changes.
     std::optional<Time> rulesConfirmedByPeerAt_;
+    /// Highest revision of a change of the operator's keys that a peer knows.
+    std::uint64_t peersOperatorRevision_ = 0;
+    /// Time since which a peer knows a change of the operator's keys that this entry doesn't know.
+    std::optional<Time> missesChangesSince_;
 
     AdapterDemand demand_;
     TokenAllowance allowance_;
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -172,6 +172,7 @@
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
     if (rules_ && operatorFeed_->confirmedAt())
         state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
+    state.operatorRevision_ = operatorFeed_->lastChangeRevision();
     for (const auto &[account, tokens] : collectUsageReport(allowance_))
         state.usage_.push_back({nameHash(account), static_cast<float>(tokens)});
     if (++statesSent_ % echoInterval == 0) {
@@ -202,6 +203,8 @@
         return;
     contact.timestampMicros_ = state.timestampMicros_;
     contact.receivedAt_ = now;
+    peersOperatorRevision_ = std::max(peersOperatorRevision_, state.operatorRevision_);
+    const bool knowsPeersChanges = state.operatorRevision_ <= operatorFeed_->revision();
     for (const PeerEcho &echo : state.echoes_) {
         if (echo.vm_ != nameHash(settings_.vm_))
             continue;
@@ -210,7 +213,7 @@
         // than that, however late it arrives.
         const Time peerSentAfter = Time(Duration(echo.timestampMicros_ + echo.holdTimeMicros_));
         contact.peerReceivedOursAt_ = std::max(contact.peerReceivedOursAt_, peerSentAfter);
-        if (rules_ && state.rulesVersion_ == rules_->rules().version_
+        if (rules_ && state.rulesVersion_ == rules_->rules().version_ && knowsPeersChanges
             && state.rulesAgeMicros_ >= 0) {
             const Time confirmed = peerSentAfter - Duration(state.rulesAgeMicros_);
             rulesConfirmedByPeerAt_ =
--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// First byte of every datagram; changed whenever the layout of a message changes.
-constexpr char layoutVersion = 2;
+constexpr char layoutVersion = 3;
 
 /// Size of the header before the message: layout version, message type and checksum.
 constexpr std::size_t headerBytes = 2 + sizeof(std::uint32_t);
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -169,6 +169,8 @@
     std::uint64_t rulesVersion_ = 0;
     /// Age of the sender's last confirmation that no newer rules exist; negative if there is none.
     std::int64_t rulesAgeMicros_ = -1;
+    /// Highest store revision among the changes of the operator's keys that the sender knows.
+    std::uint64_t operatorRevision_ = 0;
     std::vector<AccountUsage> usage_;
     /// The next two members are present in some messages only.
     std::vector<PeerEcho> echoes_;
@@ -178,8 +180,8 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, timestampMicros_, startedAtMicros_, rulesVersion_, rulesAgeMicros_, usage_,
-                echoes_, topAdapterRates_, crashCounts_);
+        archive(vm_, timestampMicros_, startedAtMicros_, rulesVersion_, rulesAgeMicros_,
+                operatorRevision_, usage_, echoes_, topAdapterRates_, crashCounts_);
     }
 };
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -5,6 +5,7 @@
 #include "../Shared/servingstandins.h"
 #include "Observe/metrics.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -196,6 +197,68 @@
     std::uint64_t reports_ = 0;
 };
 
+/// Another entry, edge-2, which answers each state message of the entry with its own and confirms
+/// the rules in it.
+class PeerEntry
+{
+public:
+    explicit PeerEntry(ServingPath &path) : path_(path)
+    {
+        socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        const sockaddr_in own = loopback(7);
+        BOOST_REQUIRE(bind(socket_, reinterpret_cast<const sockaddr *>(&own), sizeof own) == 0);
+        state_.vm_ = nameHash("edge-2");
+        state_.startedAtMicros_ = bootNow().time_since_epoch().count();
+        state_.rulesVersion_ = 1;
+        state_.rulesAgeMicros_ = 0;
+        path.store_.put("eelgrasscove/entry/edge-2", path.address(7));
+        timer_ = path.loop_.timers().every(50ms, [this] { answer(); });
+    }
+
+    ~PeerEntry()
+    {
+        path_.loop_.timers().cancel(timer_);
+        close(socket_);
+    }
+
+    PeerEntry(const PeerEntry &) = delete;
+    PeerEntry &operator=(const PeerEntry &) = delete;
+
+    EntryState state_;
+    int received_ = 0;
+
+private:
+    sockaddr_in loopback(int offset) const
+    {
+        sockaddr_in address{};
+        uv_ip4_addr("127.0.0.1", path_.basePort_ + offset, &address);
+        return address;
+    }
+
+    void answer()
+    {
+        std::array<char, 65536> bytes{};
+        for (ssize_t size = 0; (size = recv(socket_, bytes.data(), bytes.size(), 0)) > 0;) {
+            const auto message =
+                decodePeerMessage(std::string_view(bytes.data(), static_cast<std::size_t>(size)));
+            const auto *received = message ? std::get_if<EntryState>(&*message) : nullptr;
+            if (received == nullptr)
+                continue;
+            ++received_;
+            state_.timestampMicros_ = bootNow().time_since_epoch().count();
+            state_.echoes_ = {{received->vm_, received->timestampMicros_, 0}};
+            const std::string reply = encodePeerMessage(state_);
+            const sockaddr_in entry = loopback(6);
+            sendto(socket_, reply.data(), reply.size(), 0,
+                   reinterpret_cast<const sockaddr *>(&entry), sizeof entry);
+        }
+    }
+
+    ServingPath &path_;
+    int socket_ = -1;
+    TimerId timer_ = 0;
+};
+
 /// Waits until the entry has sent a watch of the operator's keys, then makes all of its connections
 /// to the store silent.
 void silenceStoreAtNewWatch(ServingPath &path, const std::string &part = "kv-watch?path_prefix=op/")
@@ -678,6 +741,40 @@
     BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
 }
 
+BOOST_AUTO_TEST_CASE(
+    entry_whose_watch_is_silent_does_not_use_a_replaced_version_that_its_peers_know)
+{
+    ServingPath path(50, {}, {.revoke_ = 5s, .version_ = 2s});
+    PeerEntry peer(path);
+    path.registerEngine();
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 0; }));
+    silenceStoreAtNewWatch(path);
+    path.store_.put("op/version/m.a1", secondVersion);
+    peer.state_.operatorRevision_ = path.store_.revision_;
+    turnFor(path.loop_, 2s);
+    path.sendEngineStates(0, 1, "m/a1");
+    turnFor(path.loop_, 50ms);
+    const auto client = path.sendAdapterRequest();
+    turnFor(path.loop_, 300ms);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(entry_whose_watch_is_silent_adopts_the_rules_that_its_peers_know)
+{
+    ServingPath path(51, {}, {.revoke_ = 5s});
+    PeerEntry peer(path);
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 0; }));
+    silenceStoreAtNewWatch(path);
+    path.publishRules(2, "\"k2\"", 0);
+    peer.state_.operatorRevision_ = path.store_.revision_;
+    peer.state_.rulesVersion_ = 2;
+    // The operator's bound on the adoption of new rules.
+    turnFor(path.loop_, 2s);
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 401);
+}
+
 BOOST_AUTO_TEST_CASE(entry_serves_and_uses_the_newest_version_when_the_watches_of_all_are_silent)
 {
     std::map<std::string, std::string> peers;
@@ -696,3 +793,23 @@
     BOOST_TEST(path.targets_[0]->seen_.empty());
     BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
 }
+
+BOOST_AUTO_TEST_CASE(entry_makes_no_further_store_calls_while_its_watch_works)
+{
+    ServingPath path(53, {}, {.revoke_ = 5s});
+    PeerEntry peer(path);
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 0; }));
+    const std::string confirmations = "eelgrasscove_store_calls_total{call=\"confirm\"}";
+    const std::uint64_t before = ServingPath::metric(confirmations);
+    const std::size_t callsBefore = path.store_.calls("path_prefix=op/");
+    for (int version = 2; version <= 4; ++version) {
+        path.store_.put("op/version/m.a1",
+                        fmt::format(R"({{"model":"m","adapter":"a1","version":{}}})", version));
+        peer.state_.operatorRevision_ = path.store_.revision_;
+        turnFor(path.loop_, 2s);
+    }
+    BOOST_TEST(ServingPath::metric(confirmations) == before);
+    // One watch after each change and at most one at the end of a wait of 2.25 s.
+    BOOST_TEST(path.store_.calls("path_prefix=op/") - callsBefore <= 6);
+}
