--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -123,6 +123,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(longer_wait_set_during_a_watch_does_not_confirm_changes_after_its_end)
+{
+    FeedFixture fixture("127.0.0.1:17323", 400ms);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    fixture.store_.delay_ = 800ms;
+    const std::size_t watches = fixture.store_.calls("kv-watch");
+    BOOST_REQUIRE(
+        turnUntil(fixture.loop_, 3s, [&] { return fixture.store_.calls("kv-watch") > watches; }));
+    fixture.feed_->setMaxWatchWait(700ms);
+    // The store has ended the watch, without a change, and its response is on the way.
+    turnFor(fixture.loop_, 500ms);
+    const Time acknowledged = bootNow();
+    fixture.store_.put("op/config", "two");
+    while (fixture.reportedItems_["op/config"] == "one") {
+        BOOST_REQUIRE((*fixture.feed_->confirmedAt() <= acknowledged));
+        uv_run(&fixture.loop_.uv(), UV_RUN_ONCE);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(confirm_now_confirms_during_a_long_watch)
 {
     FeedFixture fixture("127.0.0.1:17319", 20s);
@@ -136,6 +157,43 @@
         turnUntil(fixture.loop_, 2s, [&] { return *fixture.feed_->confirmedAt() >= before; }));
 }
 
+BOOST_AUTO_TEST_CASE(change_that_a_silent_watch_missed_is_delivered_by_a_confirmation)
+{
+    FeedFixture fixture("127.0.0.1:17321", 20s);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    fixture.feed_->confirmNow();
+    turnFor(fixture.loop_, 100ms);
+    fixture.store_.silenceConnections();
+    const Time changedAt = bootNow();
+    fixture.store_.put("op/config", "two");
+    turnFor(fixture.loop_, 300ms);
+    fixture.feed_->confirmNow();
+    BOOST_TEST(fixture.waitForValue("op/config", "two", 1s));
+    BOOST_TEST((fixture.feed_->earliestChangeAt() <= changedAt));
+    // A new watch delivers the next change without a call of confirmNow().
+    fixture.store_.put("op/config", "three");
+    BOOST_TEST(fixture.waitForValue("op/config", "three", 1s));
+    BOOST_TEST(fixture.listCount_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(history_lost_during_a_silent_watch_is_recovered_by_a_confirmation)
+{
+    FeedFixture fixture("127.0.0.1:17322", 20s);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    turnFor(fixture.loop_, 100ms);
+    fixture.store_.silenceConnections();
+    fixture.store_.put("op/config", "two");
+    fixture.store_.forgetHistory();
+    fixture.feed_->confirmNow();
+    BOOST_TEST(fixture.waitForValue("op/config", "two", 1s));
+    fixture.store_.put("op/config", "three");
+    BOOST_TEST(fixture.waitForValue("op/config", "three", 1s));
+}
+
 BOOST_AUTO_TEST_CASE(registration_is_written_after_an_outage)
 {
     auto &loop = *new EventLoop;
