Treat a stream that ends inside an event as broken off

What callers saw: where a target's stream ended with its connection, or with its stated length, in the middle of an event, the half event reached the client and the response ended as complete; half of a first event came as a whole response with status 200 and the target's signature.

Cause: Edge::finishResponse() forwarded whatever was left as complete.

Evidence: stream_that_ends_inside_an_event_never_appears_complete failed in every row, for example "check client->received_.find("id: 2") == std::string::npos has failed [163 !=]" (no_length) and "check client->status() == (hasEvent ? 200 : 502) has failed [200 != 502]" (first_event); resumable_stream_that_ends_inside_an_event_continues_at_ another_target failed with "check runs == 2 has failed [1 != 2]". plain_response_without_length_is_complete_unless_its_connection_is_reset passed before as well: a plain response is handled as it should be.

Fix: onExchangeEnd() takes a stream for broken if bytes other than line ends follow its last empty line, or if nothing but the end of the connection marks its end and no event has come. It is then resumed where the route allows it, else aborted, or answered with 502 if nothing was forwarded. Empty lines may end in CR LF. A response of a stream route that states another type than text/event-stream is no stream and is forwarded whole.

A stream without length or chunks that ends between two events can't be told from a complete one.

--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -18,6 +18,8 @@
 
 constexpr unsigned wrongTargetStatus = 421;
 
+constexpr std::string_view eventStreamType = "text/event-stream";
+
 /// Weights of outcomes in the target's failure ratio. A request that the target did not execute
 /// counts less than an error or a broken connection.
 constexpr double errorWeight = 1.0;
@@ -49,7 +51,7 @@
     if (at == std::string_view::npos)
         return {};
     std::string_view id = events.substr(at + field.size());
-    id = id.substr(0, id.find('\n'));
+    id = id.substr(0, id.find_first_of("\r\n"));
     while (!id.empty() && id.front() == ' ')
         id.remove_prefix(1);
     return std::string(id);
@@ -60,6 +62,39 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns the size of the events that are complete, that is, followed by an empty line.
+std::size_t completeEventsSize(std::string_view bytes)
+{
+    const auto endAfter = [bytes](std::string_view lineEnds) {
+        const std::size_t at = bytes.rfind(lineEnds);
+        return at == std::string_view::npos ? 0 : at + lineEnds.size();
+    };
+    return std::max(endAfter("\n\n"), endAfter("\n\r\n"));
+}
+
+/// Returns whether the response of a target is forwarded event by event.
+bool isEventStream(const EdgeRequest &request)
+{
+    const std::string_view type = request.response_.header("Content-Type");
+    return request.route_.kind_ == RequestKind::Stream && isSuccess(request.response_.status_)
+        && request.response_.hasHeader(wire::signatureHeader)
+        && (type.empty()
+            || equalIgnoringCase(type.substr(0, eventStreamType.size()), eventStreamType));
+}
+
+/// Returns whether a stream whose connection or framing ended in order was broken off all the same:
+/// inside an event, or before the first one where only the end of the connection marks its end.
+bool isBrokenOff(const EdgeRequest &request)
+{
+    if (!isEventStream(request))
+        return false;
+    if (request.responseBody_.find_first_not_of("\r\n") != std::string::npos)
+        return true;
+    const HttpHead &head = request.response_;
+    return request.stage_ == RequestStage::Sent && !head.hasHeader("Content-Length")
+        && !head.hasHeader("Transfer-Encoding");
+}
+
 } // namespace
 
 void Edge::recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now)
@@ -105,9 +140,7 @@
     const Time now = bootNow();
     request->responseBody_ += bytes;
     request->target_->state_.lastContactAt_ = now;
-    const bool stream = request->route_.kind_ == RequestKind::Stream
-        && isSuccess(request->response_.status_)
-        && request->response_.hasHeader(wire::signatureHeader);
+    const bool stream = isEventStream(*request);
     const auto session = request->session_.lock();
     if (stream && session)
         forwardEvents(*request, *session, false, now);
@@ -122,8 +155,7 @@
 {
     // A target may stop in the middle of an event, so only complete events are forwarded.
     std::string &bytes = request.responseBody_;
-    const std::size_t end = bytes.rfind("\n\n");
-    const std::size_t completeSize = all ? bytes.size() : (end == std::string::npos ? 0 : end + 2);
+    const std::size_t completeSize = all ? bytes.size() : completeEventsSize(bytes);
     if (completeSize == 0)
         return;
     const std::string_view events = std::string_view(bytes).substr(0, completeSize);
@@ -148,6 +180,10 @@
     const Time now = bootNow();
     const std::shared_ptr<EdgeTarget> target = request->target_;
     request->connection_.reset();
+    if (end == ExchangeEnd::Complete && isBrokenOff(*request)) {
+        end = ExchangeEnd::Broken;
+        reason = "stream ended inside or before an event";
+    }
     if (end == ExchangeEnd::Complete) {
         completionsOf(request->service_).add(1, now);
         finishResponse(request);
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -423,6 +423,101 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_never_appears_complete)
+{
+    ServingPath path(40);
+    path.waitUntilServing();
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"no_length", "\r\nid: 1\n\nid: 2\nd"},
+        {"length", "Content-Length: 13\r\n\r\nid: 1\n\nid: 2\n"},
+        {"chunks", "Transfer-Encoding: chunked\r\n\r\nc\r\nid: 1\n\nid: 2\r\n0\r\n\r\n"},
+        {"line_ends", "\r\nid: 1\r\n\r\nid: 2\r\n"},
+        {"first_event", "\r\nid: 2\nd"},
+        {"no_event", "\r\n"},
+    };
+    for (const auto &[name, rest] : rows) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            for (auto &handler : path.handlers_) {
+                handler = [&rest = rest](const auto &from, SeenRequest &&request) {
+                    from->stream_->write(
+                        fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{}{}{}",
+                                    ServingPath::requestIdHeader(request), signatureHeader, rest));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendRequest("POST", "/ask/" + name);
+            const bool hasEvent = rest.find("id: 1") != std::string::npos;
+            BOOST_TEST(turnUntil(path.loop_, 3s,
+                                 [&] { return client->ended_ || client->status() == 502; }));
+            BOOST_TEST(client->status() == (hasEvent ? 200 : 502));
+            BOOST_TEST((client->received_.find("id: 1") != std::string::npos) == hasEvent);
+            BOOST_TEST(client->received_.find("id: 2") == std::string::npos);
+            BOOST_TEST(client->received_.find("\r\n0\r\n\r\n") == std::string::npos);
+            BOOST_TEST((client->received_.find(signatureHeader) != std::string::npos) == hasEvent);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resumable_stream_that_ends_inside_an_event_continues_at_another_target)
+{
+    ServingPath path(41);
+    path.waitUntilServing();
+    for (const std::string &events : {std::string("id: 1\n\nid"), std::string("id")}) {
+        BOOST_TEST_CONTEXT(events)
+        {
+            int runs = 0;
+            for (auto &handler : path.handlers_) {
+                handler = [&runs, &events](const auto &from, SeenRequest &&request) {
+                    const std::string head = "HTTP/1.1 200 OK\r\n"
+                        + ServingPath::requestIdHeader(request) + signatureHeader;
+                    if (runs++ == 0) {
+                        from->stream_->write(fmt::format("{}\r\n{}", head, events));
+                        from->breakOff();
+                        return;
+                    }
+                    const bool resumes = request.head_.header("Last-Event-Id") == "1";
+                    from->stream_->write(head + "\r\n"
+                                         + (resumes ? "id: 2\n\n" : "id: 1\n\nid: 2\n\n"));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendRequest("POST", "/tell/a");
+            BOOST_TEST(turnUntil(path.loop_, 3s, [&] {
+                return client->ended_
+                    || client->received_.find("\r\n0\r\n\r\n") != std::string::npos;
+            }));
+            BOOST_TEST(runs == 2);
+            const std::size_t first = client->received_.find("id: 1\n\n");
+            BOOST_TEST(first != std::string::npos);
+            BOOST_TEST(client->received_.find("id: 2\n\n") > first);
+            BOOST_TEST(client->received_.find("idid") == std::string::npos);
+            BOOST_TEST(client->received_.find("\r\n0\r\n\r\n") != std::string::npos);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(plain_response_without_length_is_complete_unless_its_connection_is_reset)
+{
+    ServingPath path(42);
+    path.waitUntilServing();
+    for (const bool isReset : {false, true}) {
+        for (auto &handler : path.handlers_) {
+            handler = [isReset](const auto &from, SeenRequest &&request) {
+                from->stream_->write("HTTP/1.1 200 OK\r\n" + ServingPath::requestIdHeader(request)
+                                     + signatureHeader + "\r\nwhole");
+                if (isReset)
+                    from->loop_.timers().once(50ms, [from] { from->stream_->close(true); });
+                else
+                    from->breakOff();
+            };
+        }
+        const auto client = path.sendAndAwaitHead("POST", "/book/a");
+        BOOST_TEST(client->status() == (isReset ? 502 : 200));
+        BOOST_TEST(client->received_.ends_with("\r\n\r\nwhole") == !isReset);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_forwarded)
 {
     ServingPath path(8);
