Don't join the error of the next target to a stream that has begun

What callers saw: after a stream had broken off, the next target's response was forwarded in the stream, and the stream ended as complete, if it had a 2xx status and a signature but was no continuation: a JSON text, status 206, events without an id or with an id that had been sent before. Responses with another status or without a signature were not forwarded.

Cause: finishResponse() and onResponseBody() took every signed 2xx response for the continuation of the stream.

Evidence: error_of_the_next_target_is_not_joined_to_a_stream_that_has_begun failed in the rows partial, json, no_type, no_id and earlier_id with "check client->ended_ has failed" and with the text "oops" in the client's bytes. Its other twelve rows, among them 500, 404, 302 and 503 in each framing, 503 with the header for "not executed", 204 and a 200 without signature, passed before.

Fix: only status 200 with a signature and the type of events (or none) is a stream, and the first event of a resumed stream has to have an id that follows the last one. Anything else ends the exchange as failed, by which the stream is resumed elsewhere or its connection is reset.

--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -57,6 +57,42 @@
     return std::string(id);
 }
 
+/// Returns the id of the first event, empty if it has none; nullopt if there are only comments.
+std::optional<std::string_view> firstEventIdOf(std::string_view events)
+{
+    constexpr std::string_view field = "id:";
+    bool isInEvent = false;
+    while (!events.empty()) {
+        const std::size_t end = std::min(events.find('\n'), events.size() - 1);
+        std::string_view line = events.substr(0, end);
+        events.remove_prefix(end + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.starts_with(field)) {
+            line.remove_prefix(std::min(line.find_first_not_of(' ', field.size()), line.size()));
+            return line;
+        }
+        if (line.empty() && isInEvent)
+            return "";
+        isInEvent = isInEvent || (!line.empty() && line.front() != ':');
+    }
+    return isInEvent ? std::optional<std::string_view>("") : std::nullopt;
+}
+
+/// Returns whether an event with this id may follow the event with the id lastId in a stream.
+bool isLaterEventId(std::string_view id, std::string_view lastId)
+{
+    const auto numberOf = [](std::string_view text) -> std::optional<std::uint64_t> {
+        std::uint64_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        const bool isNumber = error == std::errc{} && end == text.data() + text.size();
+        return isNumber ? std::optional(number) : std::nullopt;
+    };
+    const auto number = numberOf(id);
+    const auto lastNumber = numberOf(lastId);
+    return number && lastNumber ? *number > *lastNumber : !id.empty() && id != lastId;
+}
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -76,12 +112,23 @@
 bool isEventStream(const EdgeRequest &request)
 {
     const std::string_view type = request.response_.header("Content-Type");
-    return request.route_.kind_ == RequestKind::Stream && isSuccess(request.response_.status_)
+    return request.route_.kind_ == RequestKind::Stream && request.response_.status_ == 200
         && request.response_.hasHeader(wire::signatureHeader)
         && (type.empty()
             || equalIgnoringCase(type.substr(0, eventStreamType.size()), eventStreamType));
 }
 
+/// Returns false if the events received from the target can't follow those that an earlier target
+/// of the same stream has sent.
+bool continuesStream(const EdgeRequest &request)
+{
+    if (!request.firstEventForwarded_ || request.stage_ != RequestStage::Sent)
+        return true;
+    const std::string_view bytes = request.responseBody_;
+    const auto id = firstEventIdOf(bytes.substr(0, completeEventsSize(bytes)));
+    return !id || isLaterEventId(*id, request.lastEventId_);
+}
+
 /// Returns whether a stream whose connection or framing ended in order was broken off all the same:
 /// inside an event, or before the first one where only the end of the connection marks its end.
 bool isBrokenOff(const EdgeRequest &request)
@@ -142,12 +189,16 @@
     request->target_->state_.lastContactAt_ = now;
     const bool stream = isEventStream(*request);
     const auto session = request->session_.lock();
-    if (stream && session)
+    std::string_view fault;
+    if (stream && !continuesStream(*request))
+        fault = "events don't continue the stream after the last event";
+    else if (stream && session)
         forwardEvents(*request, *session, false, now);
-    if (request->responseBody_.size() > (stream ? maxEventBytes : maxBodyBytes)
-        && request->connection_) {
+    if (fault.empty() && request->responseBody_.size() > (stream ? maxEventBytes : maxBodyBytes))
+        fault = "response exceeds the size limit";
+    if (!fault.empty() && request->connection_) {
         request->connection_->cancel();
-        onExchangeEnd(request, ExchangeEnd::Garbled, "response exceeds the size limit");
+        onExchangeEnd(request, ExchangeEnd::Garbled, fault);
     }
 }
 
@@ -240,9 +291,10 @@
         onRequestFailed(request, 502, "successful response without signature");
         return;
     }
-    if (request->firstEventForwarded_ && !isSuccess(status)) {
+    if (request->firstEventForwarded_ && !isEventStream(*request)) {
         recordOutcome(state, errorWeight);
-        onRequestFailed(request, 502, fmt::format("resumed stream failed with status {}", status));
+        onRequestFailed(request, 502,
+                        fmt::format("no stream but a response with status {}", status));
         return;
     }
     if (status >= 500) {
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -518,6 +518,65 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(error_of_the_next_target_is_not_joined_to_a_stream_that_has_begun)
+{
+    ServingPath path(43);
+    path.waitUntilServing();
+    const std::string signedOk = "200 OK\r\n" + signatureHeader;
+    const std::string stream = "Content-Type: text/event-stream\r\n";
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"length", "500 No\r\nContent-Length: 4\r\n\r\noops"},
+        {"chunks", "500 No\r\nTransfer-Encoding: chunked\r\n\r\n6\r\noops\n\n\r\n0\r\n\r\n"},
+        {"no_length", "500 No\r\n\r\noops\n\n"},
+        {"signed", "500 No\r\n" + signatureHeader + "\r\nid: 2\ndata: oops\n\n"},
+        {"events", "500 No\r\n" + stream + signatureHeader + "\r\nid: 2\ndata: oops\n\n"},
+        {"client_error", "404 No\r\n" + signatureHeader + "Content-Length: 4\r\n\r\noops"},
+        {"redirect", "302 No\r\nLocation: /oops\r\nContent-Length: 0\r\n\r\n"},
+        {"busy", "503 No\r\nContent-Length: 4\r\n\r\noops"},
+        {"unsigned", "200 OK\r\n" + stream + "\r\nid: 2\ndata: oops\n\n"},
+        {"no_content", "204 No Content\r\n" + signatureHeader + "\r\n"},
+        {"partial", "206 Some\r\n" + stream + signatureHeader + "\r\nid: 2\ndata: oops\n\n"},
+        {"json", signedOk + "Content-Type: application/json\r\n\r\n{\"error\":\"oops\"}\n\n"},
+        {"no_type", signedOk + "Content-Length: 6\r\n\r\noops\n\n"},
+        {"no_id", signedOk + stream + "\r\ndata: oops\n\n"},
+        {"earlier_id", signedOk + stream + "\r\nid: 1\ndata: oops\n\n"},
+        {"half_event", signedOk + stream + "\r\ndata: oops"},
+        // Sent again and again, which uses up the retry budget of the other rows.
+        {"not_run", "503 No\r\nX-Eelgrasscove-Not-Executed: 1\r\nContent-Length: 4\r\n\r\noops"},
+    };
+    for (const auto &[name, answer] : rows) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            int runs = 0;
+            for (auto &handler : path.handlers_) {
+                handler = [&runs, &stream, &answer = answer](const auto &from,
+                                                             SeenRequest &&request) {
+                    const std::string id = ServingPath::requestIdHeader(request);
+                    if (runs++ == 0) {
+                        from->stream_->write(fmt::format("HTTP/1.1 200 OK\r\n{}{}{}\r\nid: 1\n\n",
+                                                         id, stream, signatureHeader));
+                        from->loop_.timers().once(20ms, [from] { from->stream_->close(true); });
+                        return;
+                    }
+                    const std::size_t lineEnd = answer.find("\r\n") + 2;
+                    from->stream_->write("HTTP/1.1 " + answer.substr(0, lineEnd) + id
+                                         + answer.substr(lineEnd));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendRequest("POST", "/tell/" + name);
+            turnUntil(path.loop_, 3s, [&] {
+                return client->ended_
+                    || client->received_.find("\r\n0\r\n\r\n") != std::string::npos;
+            });
+            BOOST_TEST(runs >= 2);
+            BOOST_TEST(client->ended_);
+            BOOST_TEST(client->received_.ends_with("id: 1\n\n\r\n"), client->received_);
+            BOOST_TEST(client->received_.rfind("HTTP/1.1") == 0);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_forwarded)
 {
     ServingPath path(8);
