Take "not run" only from a response that carries the request's id

What callers saw: "not run, try again" (503) for requests that a target was running, and second targets that ran them too, when a target wrote an earlier refusal once more on a kept connection.

Causes: a refusal without an id was taken for the response to the current request; a repeated refusal of a request was taken for its response when the request was sent again on the same connection; bytes that had arrived on an idle connection, but were not read yet, counted as the response to the next request; and 408, 429 or 503 without the header for "not executed" went to the client, to whom these statuses promise that its request hasn't run. A refusal with the id of another request was skipped already, and bytes that are read with the end of a response or while idle already ended the connection.

Fix: a refusal counts only with the id of the request, which targets echo; else the request counts as run and is answered with 502. On a reused connection a response without an id is skipped, as one with another id is. A connection keeps the ids of up to 64 requests refused on it and isn't used for them again. A connection with unread input, or that its target has closed, is not used for another request.

A target that doesn't echo the id has its refusals answered with 502, and its responses on reused connections skipped until the deadline.

--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -18,6 +18,9 @@
 
 constexpr unsigned wrongTargetStatus = 421;
 
+/// Statuses that promise to a client that its request was not and won't be executed.
+constexpr std::array<unsigned, 4> notRunStatuses = {408, wrongTargetStatus, 429, 503};
+
 constexpr std::string_view eventStreamType = "text/event-stream";
 
 /// Weights of outcomes in the target's failure ratio. A request that the target did not execute
@@ -98,6 +101,23 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns whether the response proves that the target didn't execute the request. Without the id
+/// of the request it may be a repetition of the response to an earlier one.
+bool provesNotRun(const HttpHead &response, std::string_view requestId)
+{
+    return !isSuccess(response.status_)
+        && (response.status_ == wrongTargetStatus || response.hasHeader(wire::notRunHeader))
+        && response.header(wire::requestIdHeader) == requestId;
+}
+
+/// Returns whether the response promises, also to a client, that the request was not executed.
+bool claimsNotRun(const HttpHead &response)
+{
+    return response.hasHeader(wire::notRunHeader)
+        || std::find(notRunStatuses.begin(), notRunStatuses.end(), response.status_)
+        != notRunStatuses.end();
+}
+
 /// Returns the size of the events that are complete, that is, followed by an empty line.
 std::size_t completeEventsSize(std::string_view bytes)
 {
@@ -274,7 +294,7 @@
     const std::shared_ptr<EdgeTarget> target = request->target_;
     TargetState &state = target->state_;
     const unsigned status = request->response_.status_;
-    if (status == wrongTargetStatus || request->response_.hasHeader(wire::notRunHeader)) {
+    if (provesNotRun(request->response_, request->id_)) {
         const std::string_view id = request->response_.header(wire::targetIdHeader);
         if (status == wrongTargetStatus && !id.empty() && id != state.listed_.id_)
             state.isReplaced_ = true;
@@ -286,6 +306,13 @@
         return;
     }
     ++request->runs_;
+    if (claimsNotRun(request->response_)) {
+        recordOutcome(state, errorWeight);
+        onRequestFailed(
+            request, 502,
+            fmt::format("status {} claims, without proof, that the request was not run", status));
+        return;
+    }
     if (isSuccess(status) && !request->response_.hasHeader(wire::signatureHeader)) {
         recordOutcome(state, errorWeight);
         onRequestFailed(request, 502, "successful response without signature");
--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -1,5 +1,6 @@
 #include "Edge/targetpool.h"
 
+#include "Observe/eventlog.h"
 #include "Observe/metrics.h"
 #include "platform/wirenames.h"
 
@@ -30,6 +31,11 @@
 /// second response to an earlier request. A target in trouble may send them without end.
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 
+/// Limit on the refused requests that a connection remembers; it is closed after one more.
+constexpr std::size_t maxRefusedIds = 64;
+
+constexpr unsigned wrongTargetStatus = 421;
+
 Duration parseKeepAlive(const HttpHead &head)
 {
     const std::string_view stated = head.header("Keep-Alive");
@@ -95,9 +101,22 @@
     keepAlive_ = head.keepAlive_;
     idleTimeout_ = parseKeepAlive(head);
     const std::string_view id = head.header(wire::requestIdHeader);
-    // A second response to an earlier request, or an interim response (status 1xx).
-    isSkipping_ = (!id.empty() && id != requestId_) || head.status_ < 200;
-    if (!isSkipping_ && callbacks_.onHead_)
+    // A second response to an earlier request. Targets state the id, so that one without it can be
+    // the response to this request only if there was no earlier one.
+    const bool isOther = id.empty() ? isReused() : id != requestId_;
+    const bool isInterim = head.status_ < 200;
+    if (isOther && !isInterim && skippedBytes_ == 0) {
+        eventLog().note("response.skipped", "target", pool_ != nullptr ? pool_->target_.text() : "",
+                        "request", requestId_, "response", id, "status", head.status_);
+    }
+    isSkipping_ = isOther || isInterim;
+    if (isSkipping_)
+        return;
+    if (head.status_ == wrongTargetStatus || head.hasHeader(wire::notRunHeader)) {
+        keepAlive_ = keepAlive_ && refusedIds_.size() < maxRefusedIds;
+        refusedIds_.insert(requestId_);
+    }
+    if (callbacks_.onHead_)
         callbacks_.onHead_(std::move(head));
 }
 
@@ -232,19 +251,32 @@
 {
     const Time now = bootNow();
     closeExpired(now);
-    std::shared_ptr<TargetConnection> connection;
-    if (idle_.empty()) {
+    std::shared_ptr<TargetConnection> connection = takeIdle(requestId);
+    if (!connection) {
         connection = std::make_shared<TargetConnection>(loop_, *this);
         all_.insert(connection);
         connection->connect(target_);
-    } else {
-        connection = idle_.back();
-        idle_.pop_back();
     }
     connection->send(std::move(bytes), std::move(requestId), std::move(callbacks));
     return connection;
 }
 
+std::shared_ptr<TargetConnection> TargetPool::takeIdle(const std::string &requestId)
+{
+    const auto idle = idle_;
+    for (auto each = idle.rbegin(); each != idle.rend(); ++each) {
+        const std::shared_ptr<TargetConnection> &connection = *each;
+        // Bytes that arrived before the request can't be the response to it.
+        if (connection->stream_->hasInput()) {
+            connection->discard();
+        } else if (!connection->refusedIds_.contains(requestId)) {
+            std::erase(idle_, connection);
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
 void TargetPool::closeExpired(Time now)
 {
     const auto idle = idle_;
--- a/Source/Edge/targetpool.h
+++ b/Source/Edge/targetpool.h
@@ -51,7 +51,8 @@
     TargetConnection(const TargetConnection &) = delete;
     TargetConnection &operator=(const TargetConnection &) = delete;
 
-    /// Sends a request. Responses that state an id other than requestId are skipped.
+    /// Sends a request. Responses that state an id other than requestId are skipped, and on a
+    /// reused connection also those without an id.
     void send(std::string bytes, std::string requestId, ExchangeCallbacks callbacks);
 
     /// Ends the exchange without calling its callbacks. The connection is reset, by which the
@@ -80,6 +81,9 @@
     ExchangeCallbacks cancelledCallbacks_;
     std::string pendingRequest_;
     std::string requestId_;
+    /// Requests that the target refused on this connection. A repetition of such a refusal would be
+    /// taken for the response if the request were sent again on it.
+    std::set<std::string> refusedIds_;
     TimerId connectTimer_ = 0;
     Time reusableUntil_;
     Duration idleTimeout_{};
@@ -113,6 +117,10 @@
 private:
     friend class TargetConnection;
 
+    /// Takes the most recently used idle connection that is fit for the request; null if there is
+    /// none.
+    std::shared_ptr<TargetConnection> takeIdle(const std::string &requestId);
+
     EventLoop &loop_;
     Endpoint target_;
     std::set<std::shared_ptr<TargetConnection>> all_;
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -200,6 +200,14 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool TcpStream::hasInput() const
+{
+    if (isClosed_)
+        return false;
+    pollfd state{descriptor(), POLLIN | POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0 && state.revents != 0;
+}
+
 void TcpStream::write(std::string_view bytes)
 {
     if (isClosed_ || isLingering_ || bytes.empty())
--- a/Source/Net/tcpstream.h
+++ b/Source/Net/tcpstream.h
@@ -80,6 +80,9 @@
     /// be unread. False after close().
     bool hasPeerClosed() const;
 
+    /// Returns whether data, the peer's close or an error is still unread. False after close().
+    bool hasInput() const;
+
     /// Returns the socket, for reading its options; -1 after it is closed.
     int descriptor() const;
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -577,6 +577,164 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(refusal_that_a_target_repeats_is_not_taken_for_the_response_to_a_later_request)
+{
+    ServingPath path(44);
+    path.waitUntilServing();
+    path.registerTarget(1, "i-1", "draining");
+    turnFor(path.loop_, 1200ms);
+    const std::string refusal = "X-Eelgrasscove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string otherId = "X-Eelgrasscove-Request-Id: older\r\n";
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"busy", "HTTP/1.1 503 No\r\n" + refusal},
+        {"many", "HTTP/1.1 429 No\r\n" + refusal},
+        {"other_target", "HTTP/1.1 421 No\r\nX-Eelgrasscove-Instance-Id: i-7\r\n" + refusal},
+        {"older_id", "HTTP/1.1 503 No\r\n" + otherId + refusal},
+        {"older_id_421", "HTTP/1.1 421 No\r\n" + otherId + "Content-Length: 0\r\n\r\n"},
+    };
+    for (const auto &[name, repeated] : rows) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            // Leaves a connection that is kept.
+            BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+            const auto normalHandler = path.handlers_[0];
+            int runs = 0;
+            path.handlers_[0] = [&runs, &repeated = repeated](const auto &from,
+                                                              SeenRequest &&request) {
+                ++runs;
+                from->stream_->write(repeated);
+                from->loop_.timers().once(50ms, [from, request] {
+                    from->answer(200, ServingPath::requestIdHeader(request) + signatureHeader,
+                                 "right");
+                });
+            };
+            const auto client = path.sendAndAwaitHead("POST", "/book/" + name);
+            BOOST_TEST(client->status() == 200);
+            BOOST_TEST(client->received_.ends_with("right"));
+            BOOST_TEST(runs == 1);
+            path.handlers_[0] = normalHandler;
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_without_the_id_of_the_request_does_not_count_as_not_run)
+{
+    ServingPath path(45);
+    path.waitUntilServing();
+    const std::vector<std::pair<unsigned, std::string>> rows = {
+        {503, "X-Eelgrasscove-Not-Executed: 1\r\n"},
+        {429, "X-Eelgrasscove-Not-Executed: 1\r\n"},
+        {421, ""},
+    };
+    for (const auto &[status, headers] : rows) {
+        BOOST_TEST_CONTEXT(status)
+        {
+            std::size_t runs = 0;
+            for (auto &handler : path.handlers_) {
+                handler = [&runs, status = status, &headers = headers](const auto &from,
+                                                                       SeenRequest &&) {
+                    ++runs;
+                    // On a connection that is not kept.
+                    from->answer(status, headers + "Connection: close\r\n", "");
+                };
+            }
+            // The connection that remains from before is used first.
+            for (Server *target : path.targets_) {
+                for (const auto &connection : target->connections_)
+                    connection->stream_->close();
+            }
+            turnFor(path.loop_, 50ms);
+            BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 502);
+            BOOST_TEST(runs == 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(status_that_promises_not_run_is_not_forwarded_without_the_targets_statement)
+{
+    ServingPath path(46);
+    path.waitUntilServing();
+    for (const unsigned status : {408U, 429U, 503U}) {
+        for (auto &handler : path.handlers_) {
+            handler = [status](const auto &from, SeenRequest &&request) {
+                from->answer(status, ServingPath::requestIdHeader(request) + signatureHeader, "");
+            };
+        }
+        const auto client = path.sendAndAwaitHead("POST", "/book/a");
+        BOOST_TEST(client->status() == 502);
+        BOOST_TEST(client->received_.find(signatureHeader) == std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_repeated_on_its_connection_does_not_answer_the_same_request_sent_again)
+{
+    ServingPath path(47);
+    path.waitUntilServing();
+    path.registerTarget(1, "i-1", "draining");
+    turnFor(path.loop_, 1200ms);
+    std::shared_ptr<ServerConnection> refusedOn;
+    int runs = 0;
+    path.handlers_[0] = [&](const auto &from, SeenRequest &&request) {
+        const std::string id = ServingPath::requestIdHeader(request);
+        const std::string refusal = id + "X-Eelgrasscove-Not-Executed: 1\r\n";
+        if (!refusedOn) {
+            refusedOn = from;
+            from->answer(503, refusal, "");
+            return;
+        }
+        ++runs;
+        if (from == refusedOn)
+            from->answer(503, refusal, "");
+        from->loop_.timers().once(100ms,
+                                  [from, id] { from->answer(200, id + signatureHeader, "right"); });
+    };
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+    BOOST_TEST(runs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(connection_with_unread_bytes_or_a_close_is_not_used_for_the_next_request)
+{
+    const std::string head = "X-Eelgrasscove-Request-Id: second\r\nContent-Length: 5\r\n\r\n";
+    for (const std::string &late :
+         {"HTTP/1.1 503 No\r\nX-Eelgrasscove-Not-Executed: 1\r\n" + head + "wrong",
+          std::string()}) {
+        BOOST_TEST_CONTEXT(late)
+        {
+            auto &loop = *new EventLoop;
+            auto &target =
+                *new Server(loop, late.empty() ? "127.0.0.1:17898" : "127.0.0.1:17897",
+                            [](const auto &from, SeenRequest &&request) {
+                                from->answer(200, ServingPath::requestIdHeader(request), "right");
+                            });
+            auto &pool = *new TargetPool(loop, target.address_);
+            std::map<std::string, std::pair<ExchangeEnd, unsigned>> ends;
+            std::map<std::string, unsigned> statuses;
+            const auto send = [&](const std::string &id) {
+                pool.send(
+                    "GET / HTTP/1.1\r\nHost: a\r\nX-Eelgrasscove-Request-Id: " + id + "\r\n\r\n",
+                    id,
+                    {[&statuses, id](HttpHead &&received) { statuses[id] = received.status_; },
+                     nullptr,
+                     [&ends, &statuses, id](ExchangeEnd end, auto) {
+                         ends[id] = {end, statuses[id]};
+                     }});
+            };
+            send("first");
+            BOOST_REQUIRE(turnUntil(loop, 2s, [&] { return ends.contains("first"); }));
+            // Reaches the socket of the pool, which has no turn to read it before the next request.
+            if (late.empty())
+                target.connections_[0]->stream_->close();
+            else
+                target.connections_[0]->stream_->write(late);
+            send("second");
+            BOOST_REQUIRE(turnUntil(loop, 2s, [&] { return ends.contains("second"); }));
+            BOOST_TEST((ends["second"].first == ExchangeEnd::Complete));
+            BOOST_TEST(ends["second"].second == 200);
+            BOOST_TEST(target.connections_.size() == 2);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_forwarded)
 {
     ServingPath path(8);
