Ignore unreadable entries of the target list instead of crashing

What callers saw: an entry in the list of targets that is a deeply nested JSON value ended every entry process that read the list, again after each start. An entry of an unknown service at a target's address, with a later start time, took that target out of use. An id with a line end would have been sent in a header.

Cause: RapidJSON's default parser calls itself for each level, here in every decoder, and ranges and types of optional fields were not checked.

Ports out of range, text that isn't JSON and 1e300 or 2^70 as slots were rejected before. Four checks were added after the change and not run before it: a start of 2^64 - 1, null in optional fields, the zero byte in an address and the page that ends with an undecodable item.

Items of the store that can't be decoded are logged, and a page that ends with one continues after it.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -353,6 +353,8 @@
     for (const ServingAccount &account : rules.accounts_)
         accountByHash_[nameHash(account.name_)] = account.name_;
     rules_ = std::make_shared<const RuleIndex>(std::move(rules));
+    for (const auto &[id, target] : targets_)
+        markReplacedTargets(target->state_);
 }
 
 void Edge::applyTargetItem(const wire::StoreItem &item)
@@ -416,6 +418,9 @@
 
 void Edge::markReplacedTargets(const TargetState &newer)
 {
+    // The entry of a service that the rules don't name may come from another writer.
+    if (!rules_ || rules_->findService(newer.listed_.service_) == nullptr)
+        return;
     for (const auto &[id, target] : targets_) {
         TargetState &state = target->state_;
         if (&state == &newer || state.endpoint_ != newer.endpoint_ || state.isReplaced_
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -87,7 +87,8 @@
         return false;
     Endpoint parsed{std::string(text.substr(0, colon)), port};
     sockaddr_in address{};
-    if (uv_ip4_addr(parsed.host_.c_str(), port, &address) != 0)
+    if (parsed.host_.find('\0') != std::string::npos
+        || uv_ip4_addr(parsed.host_.c_str(), port, &address) != 0)
         return false;
     endpoint = std::move(parsed);
     return true;
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -58,13 +58,14 @@
         retryLater([this] { start(); }, "list response could not be parsed");
         return;
     }
+    noteIgnored(*page);
     if (isFirstPage_)
         listRevision_ = page->revision_;
     isFirstPage_ = false;
     for (wire::StoreItem &item : page->items_)
         listedItems_.push_back(std::move(item));
-    if (page->hasMore_ && !listedItems_.empty()) {
-        requestList(listedItems_.back().key_);
+    if (page->hasMore_ && !page->lastKey_.empty()) {
+        requestList(page->lastKey_);
         return;
     }
     // The pages are not one snapshot. The watch starts after the revision of the first page and
@@ -130,6 +131,7 @@
         retryLater([this] { watch(); }, "watch response could not be parsed");
         return;
     }
+    noteIgnored(*changes);
     earliestChangeAt_ =
         isReachable_ ? loop_.pausedSince().value_or(bootNow()) : confirmedAt_.value_or(Time{});
     recordSuccess();
@@ -145,6 +147,14 @@
         loop_.timers().once(settings_.batchPause_, [this] { watch(); });
 }
 
+void StoreFeed::noteIgnored(const wire::StoreItems &items) const
+{
+    if (items.ignored_ == 0)
+        return;
+    eventLog().note("store.items_ignored", "prefix", settings_.keyPrefix_, "items", items.ignored_,
+                    "reason", "no key, or the value is not base64", "revision", items.revision_);
+}
+
 void StoreFeed::confirm(Time at)
 {
     confirmedAt_ = std::max(confirmedAt_.value_or(at), at);
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -60,6 +60,8 @@
     void handleListResponse(std::optional<HttpResponse> response);
     void watch();
     void handleWatchResponse(std::optional<HttpResponse> response);
+    /// Logs that items were left out because they could not be decoded.
+    void noteIgnored(const wire::StoreItems &items) const;
     void confirm(Time at);
     void recordSuccess();
     void retryLater(std::function<void()> retry, std::string_view reason);
--- a/Tests/Net/tcpstreamtest.cpp
+++ b/Tests/Net/tcpstreamtest.cpp
@@ -104,8 +104,9 @@
     BOOST_TEST(parseEndpoint("10.1.0.9:8080", endpoint));
     BOOST_TEST(endpoint.text() == "10.1.0.9:8080");
     for (const char *text : {"", "10.1.0.9", "10.1.0.9:", "10.1.0.9:0", "10.1.0.9:70000", "host:80",
-                             "10.1.0.9:80x", ":80"})
+                             "10.1.0.9:80x", ":80", "10.1.0.9:-1", "10.1.0.9:99999999999999999999"})
         BOOST_TEST(!parseEndpoint(text, endpoint), text);
+    BOOST_TEST(!parseEndpoint(std::string_view("10.1.0.9\0x:80", 13), endpoint));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/PlatformWire/enginewiretest.cpp
+++ b/Tests/PlatformWire/enginewiretest.cpp
@@ -45,4 +45,22 @@
     BOOST_TEST(!wire::decodeReport("[]").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(deeply_nested_report_does_not_exhaust_the_stack)
+{
+    BOOST_TEST(!wire::decodeReport(std::string(1'000'000, '[')).has_value());
+    const auto report =
+        wire::decodeReport(R"({"sequence":2,"models":)" + std::string(1'000'000, '[')
+                           + std::string(1'000'000, ']') + "}");
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->orders_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(counts_of_a_report_above_their_range_are_limited)
+{
+    const auto report = wire::decodeReport(R"({"in_flight":4294967296,"queue_depth":1e300})");
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->running_ == 4294967295U);
+    BOOST_TEST(report->waiting_ == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/PlatformWire/ruleswiretest.cpp
+++ b/Tests/PlatformWire/ruleswiretest.cpp
@@ -2,6 +2,7 @@
 #include "platform/ruleswire.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/core.h>
 
 using namespace eelgrasscove;
 using namespace std::chrono_literals;
@@ -26,6 +27,13 @@
 "tenants":[{"name":"shed","api_keys":["k1","k2"],"priority":1,"plain_tokens":200,
  "rate_per_s":130513,"burst":65000}]})";
 
+/// More levels than a parser that calls itself for each of them can enter.
+std::string deeplyNested(bool isClosed)
+{
+    constexpr std::size_t levels = 1'000'000;
+    return std::string(levels, '[') + (isClosed ? std::string(levels, ']') : "");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(rules_are_decoded_completely)
@@ -93,6 +101,76 @@
         BOOST_TEST(!ok(wire::decodeTarget("i-1", text)), text);
 }
 
+BOOST_AUTO_TEST_CASE(target_with_a_field_out_of_range_or_of_another_type_is_rejected)
+{
+    const std::string begin = R"({"service":"mind","address":"10.0.0.1:1","state":"ready",)";
+    BOOST_TEST(ok(wire::decodeTarget("i-1", begin + R"("slots":4,"born":7})")));
+    BOOST_TEST(ok(wire::decodeTarget("i-1", begin + R"("slots":4,"models":null,"zone":null})")));
+    for (const char *rest :
+         {R"("slots":4294967296})", R"("slots":18446744073709551615})", R"("slots":1e300})",
+          R"("slots":1180591620717411303424})", R"("slots":-1})", R"("slots":4.5})",
+          R"("slots":1e999})", R"("slots":null})", R"("slots":4,"born":1e300})",
+          R"("slots":4,"born":-1})", R"("slots":4,"born":"7"})",
+          R"("slots":4,"born":18446744073709551615})", R"("slots":4,"models":7})",
+          R"("slots":4,"models":[7]})", R"("slots":4,"models":[{"name":"m","adapters":{}}]})",
+          R"("slots":4,"zone":[]})"})
+        BOOST_TEST(!ok(wire::decodeTarget("i-1", begin + rest)), rest);
+}
+
+BOOST_AUTO_TEST_CASE(target_whose_id_is_no_header_value_is_rejected)
+{
+    const std::string text =
+        R"({"service":"mind","address":"10.0.0.1:1","slots":4,"state":"ready"})";
+    BOOST_TEST(ok(wire::decodeTarget("i-1", text)));
+    for (const char *id : {"", "i 1", "i-1\r\nX-Mine: 1", "i-\xff", "i-\x7f"})
+        BOOST_TEST(!ok(wire::decodeTarget(id, text)), id);
+}
+
+BOOST_AUTO_TEST_CASE(reason_for_ignoring_a_target_is_short)
+{
+    const auto decoded =
+        wire::decodeTarget("i-1",
+                           R"({"service":"mind","address":"10.0.0.1:1","slots":4,"state":")"
+                               + std::string(100'000, 'x') + R"("})");
+    BOOST_REQUIRE(!ok(decoded));
+    BOOST_TEST(errorOf(decoded).message_.size() < 200);
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_values_do_not_exhaust_the_stack)
+{
+    for (const bool isClosed : {false, true}) {
+        const std::string nested = deeplyNested(isClosed);
+        BOOST_TEST(!ok(wire::decodeTarget("i-1", nested)));
+        BOOST_TEST(!ok(wire::decodeRules(nested)));
+        BOOST_TEST(!ok(wire::decodeVersion(nested)));
+        BOOST_TEST(!ok(wire::decodeTarget("i-1", R"({"service":)" + nested + "}")));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(numbers_of_the_rules_that_are_out_of_range_are_limited)
+{
+    for (const char *number : {"1e300", "9223372036854775807", "1180591620717411303424"}) {
+        const auto decoded = wire::decodeRules(
+            fmt::format(R"({{"version":7,"routes":[{{"name":"r","timeout_ms":{0},"priority":{0},)"
+                        R"("max_attempts":{0}}}],"services":[{{"name":"s","max_connections":{0},)"
+                        R"("engine":{{"slots":{0}}}}}],"limits":{{"idle_timeout_ms":{0}}}}})",
+                        number));
+        BOOST_REQUIRE(ok(decoded));
+        const ServingRules &rules = valueOf(decoded);
+        BOOST_TEST((rules.routes_[0].timeout_ >= 1h));
+        BOOST_TEST((rules.routes_[0].timeout_ <= 24h));
+        BOOST_TEST(rules.routes_[0].priority_ > 0);
+        BOOST_TEST(rules.routes_[0].mostTargets_ > 0);
+        BOOST_TEST(rules.services_[0].connections_ > 0);
+        BOOST_TEST(rules.services_[0].engine_->slots_ > 0);
+        BOOST_TEST((rules.limits_.idleTime_ >= 1h));
+    }
+    const auto decoded =
+        wire::decodeRules(R"({"version":7,"routes":[{"name":"r","timeout_ms":-1e300}]})");
+    BOOST_REQUIRE(ok(decoded));
+    BOOST_TEST((valueOf(decoded).routes_[0].timeout_ == 0s));
+}
+
 BOOST_AUTO_TEST_CASE(adapter_version_is_decoded_and_model_version_is_rejected)
 {
     const auto decoded = wire::decodeVersion(R"({"model":"base","adapter":"a17","version":3})");
--- a/Tests/PlatformWire/storewiretest.cpp
+++ b/Tests/PlatformWire/storewiretest.cpp
@@ -41,6 +41,16 @@
     BOOST_TEST(items->hasMore_);
     BOOST_REQUIRE(items->items_.size() == 1);
     BOOST_TEST(items->items_[0].key_ == "b");
+    BOOST_TEST(items->ignored_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(page_that_ends_with_an_item_that_is_skipped_continues_after_it)
+{
+    const auto items = wire::decodeItems(
+        R"({"items":[{"key":"a","value":"***","revision":1}],"has_more":true,"at":9})");
+    BOOST_REQUIRE(items.has_value());
+    BOOST_TEST(items->items_.empty());
+    BOOST_TEST(items->lastKey_ == "a");
 }
 
 BOOST_AUTO_TEST_CASE(invalid_responses_are_rejected)
@@ -52,4 +62,20 @@
     BOOST_TEST(wire::decodeRevision(R"({"revision":412})").value() == 412);
 }
 
+BOOST_AUTO_TEST_CASE(deeply_nested_responses_do_not_exhaust_the_stack)
+{
+    const std::string open(1'000'000, '[');
+    const std::string nested = open + std::string(1'000'000, ']');
+    for (const std::string &body : {open, nested}) {
+        BOOST_TEST(!wire::decodeItems(body).has_value());
+        BOOST_TEST(!wire::decodeItem(body).has_value());
+        BOOST_TEST(!wire::decodeLease(body).has_value());
+        BOOST_TEST(!wire::decodeRevision(body).has_value());
+    }
+    const auto items = wire::decodeItems(R"({"at":9,"items":[{"key":"a","value":)" + nested
+                                         + R"(},{"key":"b","value":"","revision":1e300}]})");
+    BOOST_REQUIRE(items.has_value());
+    BOOST_TEST(items->items_.back().key_ == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -735,6 +735,52 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(unreadable_entry_in_the_target_list_leaves_the_others_in_use)
+{
+    const std::string deep(500'000, '[');
+    const std::string begin = R"({"service":"ledger","zone":"here","state":"ready",)";
+    const std::map<std::string, std::string> odd = {
+        {"servers/a-nested", deep},
+        {"servers/a-nested-object", R"({"service":)" + deep + std::string(500'000, ']') + "}"},
+        {"servers/a-bytes", "\xff\xfe\x01"},
+        {"servers/a-port", begin + R"("slots":6,"born":9,"address":"127.0.0.1:70000"})"},
+        {"servers/a-host", begin + R"("slots":6,"born":9,"address":"127.0.0.1.9:80"})"},
+        {"servers/a-number", begin + R"("slots":1e300,"born":9,"address":"127.0.0.1:1"})"},
+        {"servers/a-slots", begin + R"("slots":4294967296,"born":9,"address":"127.0.0.1:1"})"},
+        {"servers/a-type", begin + R"("slots":6,"born":"9","address":"127.0.0.1:1"})"},
+    };
+    ServingPath path(48, odd);
+    path.waitUntilServing();
+    for (const auto &[key, value] : odd) {
+        path.store_.put(key + "-late", value);
+        turnFor(path.loop_, 50ms);
+    }
+    turnFor(path.loop_, 1200ms);
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    // Later changes of the list are still adopted.
+    path.registerTarget(0, "i-0", "draining");
+    turnFor(path.loop_, 1200ms);
+    path.targets_[0]->seen_.clear();
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(entry_of_an_unknown_service_does_not_replace_the_target_at_its_address)
+{
+    ServingPath path(49);
+    path.waitUntilServing();
+    for (int target = 0; target < 2; ++target) {
+        path.store_.put("servers/x-" + std::to_string(target),
+                        fmt::format(R"({{"service":"nowhere","address":"{}","zone":"here",)"
+                                    R"("slots":6,"state":"ready","born":9}})",
+                                    path.address(1 + target)));
+    }
+    turnFor(path.loop_, 1200ms);
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+}
+
 BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_forwarded)
 {
     ServingPath path(8);
