--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -18,6 +18,11 @@
 
 constexpr unsigned wrongTargetStatus = 421;
 
+/// Statuses that promise to a client that its request was not and won't be executed.
+constexpr std::array<unsigned, 4> notRunStatuses = {408, wrongTargetStatus, 429, 503};
+
+constexpr std::string_view eventStreamType = "text/event-stream";
+
 /// Weights of outcomes in the target's failure ratio. A request that the target did not execute
 /// counts less than an error or a broken connection.
 constexpr double errorWeight = 1.0;
@@ -58,17 +63,114 @@
     if (at == std::string_view::npos)
         return {};
     std::string_view id = events.substr(at + field.size());
-    id = id.substr(0, id.find('\n'));
+    id = id.substr(0, id.find_first_of("\r\n"));
     while (!id.empty() && id.front() == ' ')
         id.remove_prefix(1);
     return std::string(id);
 }
 
+/// Returns the id of the first event, empty if it has none; nullopt if there are only comments.
+std::optional<std::string_view> firstEventIdOf(std::string_view events)
+{
+    constexpr std::string_view field = "id:";
+    bool isInEvent = false;
+    while (!events.empty()) {
+        const std::size_t end = std::min(events.find('\n'), events.size() - 1);
+        std::string_view line = events.substr(0, end);
+        events.remove_prefix(end + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.starts_with(field)) {
+            line.remove_prefix(std::min(line.find_first_not_of(' ', field.size()), line.size()));
+            return line;
+        }
+        if (line.empty() && isInEvent)
+            return "";
+        isInEvent = isInEvent || (!line.empty() && line.front() != ':');
+    }
+    return isInEvent ? std::optional<std::string_view>("") : std::nullopt;
+}
+
+/// Returns whether an event with this id may follow the event with the id lastId in a stream.
+bool isLaterEventId(std::string_view id, std::string_view lastId)
+{
+    const auto numberOf = [](std::string_view text) -> std::optional<std::uint64_t> {
+        std::uint64_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        const bool isNumber = error == std::errc{} && end == text.data() + text.size();
+        return isNumber ? std::optional(number) : std::nullopt;
+    };
+    const auto number = numberOf(id);
+    const auto lastNumber = numberOf(lastId);
+    return number && lastNumber ? *number > *lastNumber : !id.empty() && id != lastId;
+}
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
 }
 
+/// Returns whether the response proves that the target didn't execute the request. Without the id
+/// of the request it may be a repetition of the response to an earlier one.
+bool provesNotRun(const HttpHead &response, std::string_view requestId)
+{
+    return !isSuccess(response.status_)
+        && (response.status_ == wrongTargetStatus || response.hasHeader(wire::notRunHeader))
+        && response.header(wire::requestIdHeader) == requestId;
+}
+
+/// Returns whether the response promises, also to a client, that the request was not executed.
+bool claimsNotRun(const HttpHead &response)
+{
+    return response.hasHeader(wire::notRunHeader)
+        || std::find(notRunStatuses.begin(), notRunStatuses.end(), response.status_)
+        != notRunStatuses.end();
+}
+
+/// Returns the size of the events that are complete, that is, followed by an empty line.
+std::size_t completeEventsSize(std::string_view bytes)
+{
+    const auto endAfter = [bytes](std::string_view lineEnds) {
+        const std::size_t at = bytes.rfind(lineEnds);
+        return at == std::string_view::npos ? 0 : at + lineEnds.size();
+    };
+    return std::max(endAfter("\n\n"), endAfter("\n\r\n"));
+}
+
+/// Returns whether the response of a target is forwarded event by event.
+bool isEventStream(const EdgeRequest &request)
+{
+    const std::string_view type = request.response_.header("Content-Type");
+    return request.route_.kind_ == RequestKind::Stream && request.response_.status_ == 200
+        && request.response_.hasHeader(wire::signatureHeader)
+        && (type.empty()
+            || equalIgnoringCase(type.substr(0, eventStreamType.size()), eventStreamType));
+}
+
+/// Returns false if the events received from the target can't follow those that an earlier target
+/// of the same stream has sent.
+bool continuesStream(const EdgeRequest &request)
+{
+    if (!request.firstEventForwarded_ || request.stage_ != RequestStage::Sent)
+        return true;
+    const std::string_view bytes = request.responseBody_;
+    const auto id = firstEventIdOf(bytes.substr(0, completeEventsSize(bytes)));
+    return !id || isLaterEventId(*id, request.lastEventId_);
+}
+
+/// Returns whether a stream whose connection or framing ended in order was broken off all the same:
+/// inside an event, or before the first one where only the end of the connection marks its end.
+bool isBrokenOff(const EdgeRequest &request)
+{
+    if (!isEventStream(request))
+        return false;
+    if (request.responseBody_.find_first_not_of("\r\n") != std::string::npos)
+        return true;
+    const HttpHead &head = request.response_;
+    return request.stage_ == RequestStage::Sent && !head.hasHeader("Content-Length")
+        && !head.hasHeader("Transfer-Encoding");
+}
+
 } // namespace
 
 void Edge::recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now)
@@ -114,16 +216,18 @@
     const Time now = bootNow();
     request->responseBody_ += bytes;
     request->target_->state_.lastContactAt_ = now;
-    const bool stream = request->route_.kind_ == RequestKind::Stream
-        && isSuccess(request->response_.status_)
-        && request->response_.hasHeader(wire::signatureHeader);
+    const bool stream = isEventStream(*request);
     const auto session = request->session_.lock();
-    if (stream && session)
+    std::string_view fault;
+    if (stream && !continuesStream(*request))
+        fault = "events don't continue the stream after the last event";
+    else if (stream && session)
         forwardEvents(*request, *session, false, now);
-    if (request->responseBody_.size() > (stream ? maxEventBytes : maxBodyBytes)
-        && request->connection_) {
+    if (fault.empty() && request->responseBody_.size() > (stream ? maxEventBytes : maxBodyBytes))
+        fault = "response exceeds the size limit";
+    if (!fault.empty() && request->connection_) {
         request->connection_->cancel();
-        onExchangeEnd(request, ExchangeEnd::Garbled, "response exceeds the size limit");
+        onExchangeEnd(request, ExchangeEnd::Garbled, fault);
     }
 }
 
@@ -131,8 +235,7 @@
 {
     // A target may stop in the middle of an event, so only complete events are forwarded.
     std::string &bytes = request.responseBody_;
-    const std::size_t end = bytes.rfind("\n\n");
-    const std::size_t completeSize = all ? bytes.size() : (end == std::string::npos ? 0 : end + 2);
+    const std::size_t completeSize = all ? bytes.size() : completeEventsSize(bytes);
     if (completeSize == 0)
         return;
     const std::string_view events = std::string_view(bytes).substr(0, completeSize);
@@ -159,6 +262,10 @@
     const Time now = bootNow();
     const std::shared_ptr<EdgeTarget> target = request->target_;
     request->connection_.reset();
+    if (end == ExchangeEnd::Complete && isBrokenOff(*request)) {
+        end = ExchangeEnd::Broken;
+        reason = "stream ended inside or before an event";
+    }
     if (end == ExchangeEnd::Complete) {
         completionsOf(request->service_).add(1, now);
         finishResponse(request);
@@ -200,7 +307,7 @@
     const std::shared_ptr<EdgeTarget> target = request->target_;
     TargetState &state = target->state_;
     const unsigned status = request->response_.status_;
-    if (status == wrongTargetStatus || request->response_.hasHeader(wire::notRunHeader)) {
+    if (provesNotRun(request->response_, request->id_)) {
         const std::string_view id = request->response_.header(wire::targetIdHeader);
         if (status == wrongTargetStatus && !id.empty() && id != state.listed_.id_)
             state.isReplaced_ = true;
@@ -212,14 +319,22 @@
         return;
     }
     ++request->runs_;
+    if (claimsNotRun(request->response_)) {
+        recordOutcome(state, errorWeight);
+        onRequestFailed(
+            request, 502,
+            fmt::format("status {} claims, without proof, that the request was not run", status));
+        return;
+    }
     if (isSuccess(status) && !request->response_.hasHeader(wire::signatureHeader)) {
         recordOutcome(state, errorWeight);
         onRequestFailed(request, 502, "successful response without signature");
         return;
     }
-    if (request->firstEventForwarded_ && !isSuccess(status)) {
+    if (request->firstEventForwarded_ && !isEventStream(*request)) {
         recordOutcome(state, errorWeight);
-        onRequestFailed(request, 502, fmt::format("resumed stream failed with status {}", status));
+        onRequestFailed(request, 502,
+                        fmt::format("no stream but a response with status {}", status));
         return;
     }
     if (status >= 500) {
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -87,7 +87,8 @@
         return false;
     Endpoint parsed{std::string(text.substr(0, colon)), port};
     sockaddr_in address{};
-    if (uv_ip4_addr(parsed.host_.c_str(), port, &address) != 0)
+    if (parsed.host_.find('\0') != std::string::npos
+        || uv_ip4_addr(parsed.host_.c_str(), port, &address) != 0)
         return false;
     endpoint = std::move(parsed);
     return true;
@@ -200,6 +201,14 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool TcpStream::hasInput() const
+{
+    if (isClosed_)
+        return false;
+    pollfd state{descriptor(), POLLIN | POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0 && state.revents != 0;
+}
+
 void TcpStream::write(std::string_view bytes)
 {
     if (isClosed_ || isLingering_ || bytes.empty())
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -71,6 +71,8 @@
     /// Calls watch() without the response of the waiting watch.
     void replaceWaitingWatch();
     void deliver(const wire::StoreItems &changes);
+    /// Logs that items were left out because they could not be decoded.
+    void noteIgnored(const wire::StoreItems &items) const;
     void confirm(Time at);
     void recordSuccess();
     void retryLater(std::function<void()> retry, std::string_view reason);
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -501,6 +501,364 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_never_appears_complete)
+{
+    ServingPath path(40);
+    path.waitUntilServing();
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"no_length", "\r\nid: 1\n\nid: 2\nd"},
+        {"length", "Content-Length: 13\r\n\r\nid: 1\n\nid: 2\n"},
+        {"chunks", "Transfer-Encoding: chunked\r\n\r\nc\r\nid: 1\n\nid: 2\r\n0\r\n\r\n"},
+        {"line_ends", "\r\nid: 1\r\n\r\nid: 2\r\n"},
+        {"first_event", "\r\nid: 2\nd"},
+        {"no_event", "\r\n"},
+    };
+    for (const auto &[name, rest] : rows) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            for (auto &handler : path.handlers_) {
+                handler = [&rest = rest](const auto &from, SeenRequest &&request) {
+                    from->stream_->write(
+                        fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{}{}{}",
+                                    ServingPath::requestIdHeader(request), signatureHeader, rest));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendRequest("POST", "/ask/" + name);
+            const bool hasEvent = rest.find("id: 1") != std::string::npos;
+            BOOST_TEST(turnUntil(path.loop_, 3s,
+                                 [&] { return client->ended_ || client->status() == 502; }));
+            BOOST_TEST(client->status() == (hasEvent ? 200 : 502));
+            BOOST_TEST((client->received_.find("id: 1") != std::string::npos) == hasEvent);
+            BOOST_TEST(client->received_.find("id: 2") == std::string::npos);
+            BOOST_TEST(client->received_.find("\r\n0\r\n\r\n") == std::string::npos);
+            BOOST_TEST((client->received_.find(signatureHeader) != std::string::npos) == hasEvent);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resumable_stream_that_ends_inside_an_event_continues_at_another_target)
+{
+    ServingPath path(41);
+    path.waitUntilServing();
+    for (const std::string &events : {std::string("id: 1\n\nid"), std::string("id")}) {
+        BOOST_TEST_CONTEXT(events)
+        {
+            int runs = 0;
+            for (auto &handler : path.handlers_) {
+                handler = [&runs, &events](const auto &from, SeenRequest &&request) {
+                    const std::string head = "HTTP/1.1 200 OK\r\n"
+                        + ServingPath::requestIdHeader(request) + signatureHeader;
+                    if (runs++ == 0) {
+                        from->stream_->write(fmt::format("{}\r\n{}", head, events));
+                        from->breakOff();
+                        return;
+                    }
+                    const bool resumes = request.head_.header("Last-Event-Id") == "1";
+                    from->stream_->write(head + "\r\n"
+                                         + (resumes ? "id: 2\n\n" : "id: 1\n\nid: 2\n\n"));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendRequest("POST", "/tell/a");
+            BOOST_TEST(turnUntil(path.loop_, 3s, [&] {
+                return client->ended_
+                    || client->received_.find("\r\n0\r\n\r\n") != std::string::npos;
+            }));
+            BOOST_TEST(runs == 2);
+            const std::size_t first = client->received_.find("id: 1\n\n");
+            BOOST_TEST(first != std::string::npos);
+            BOOST_TEST(client->received_.find("id: 2\n\n") > first);
+            BOOST_TEST(client->received_.find("idid") == std::string::npos);
+            BOOST_TEST(client->received_.find("\r\n0\r\n\r\n") != std::string::npos);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(plain_response_without_length_is_complete_unless_its_connection_is_reset)
+{
+    ServingPath path(42);
+    path.waitUntilServing();
+    for (const bool isReset : {false, true}) {
+        for (auto &handler : path.handlers_) {
+            handler = [isReset](const auto &from, SeenRequest &&request) {
+                from->stream_->write("HTTP/1.1 200 OK\r\n" + ServingPath::requestIdHeader(request)
+                                     + signatureHeader + "\r\nwhole");
+                if (isReset)
+                    from->loop_.timers().once(50ms, [from] { from->stream_->close(true); });
+                else
+                    from->breakOff();
+            };
+        }
+        const auto client = path.sendAndAwaitHead("POST", "/book/a");
+        BOOST_TEST(client->status() == (isReset ? 502 : 200));
+        BOOST_TEST(client->received_.ends_with("\r\n\r\nwhole") == !isReset);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(error_of_the_next_target_is_not_joined_to_a_stream_that_has_begun)
+{
+    ServingPath path(43);
+    path.waitUntilServing();
+    const std::string signedOk = "200 OK\r\n" + signatureHeader;
+    const std::string stream = "Content-Type: text/event-stream\r\n";
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"length", "500 No\r\nContent-Length: 4\r\n\r\noops"},
+        {"chunks", "500 No\r\nTransfer-Encoding: chunked\r\n\r\n6\r\noops\n\n\r\n0\r\n\r\n"},
+        {"no_length", "500 No\r\n\r\noops\n\n"},
+        {"signed", "500 No\r\n" + signatureHeader + "\r\nid: 2\ndata: oops\n\n"},
+        {"events", "500 No\r\n" + stream + signatureHeader + "\r\nid: 2\ndata: oops\n\n"},
+        {"client_error", "404 No\r\n" + signatureHeader + "Content-Length: 4\r\n\r\noops"},
+        {"redirect", "302 No\r\nLocation: /oops\r\nContent-Length: 0\r\n\r\n"},
+        {"busy", "503 No\r\nContent-Length: 4\r\n\r\noops"},
+        {"unsigned", "200 OK\r\n" + stream + "\r\nid: 2\ndata: oops\n\n"},
+        {"no_content", "204 No Content\r\n" + signatureHeader + "\r\n"},
+        {"partial", "206 Some\r\n" + stream + signatureHeader + "\r\nid: 2\ndata: oops\n\n"},
+        {"json", signedOk + "Content-Type: application/json\r\n\r\n{\"error\":\"oops\"}\n\n"},
+        {"no_type", signedOk + "Content-Length: 6\r\n\r\noops\n\n"},
+        {"no_id", signedOk + stream + "\r\ndata: oops\n\n"},
+        {"earlier_id", signedOk + stream + "\r\nid: 1\ndata: oops\n\n"},
+        {"half_event", signedOk + stream + "\r\ndata: oops"},
+        // Sent again and again, which uses up the retry budget of the other rows.
+        {"not_run", "503 No\r\nX-Eelgrasscove-Not-Executed: 1\r\nContent-Length: 4\r\n\r\noops"},
+    };
+    for (const auto &[name, answer] : rows) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            int runs = 0;
+            for (auto &handler : path.handlers_) {
+                handler = [&runs, &stream, &answer = answer](const auto &from,
+                                                             SeenRequest &&request) {
+                    const std::string id = ServingPath::requestIdHeader(request);
+                    if (runs++ == 0) {
+                        from->stream_->write(fmt::format("HTTP/1.1 200 OK\r\n{}{}{}\r\nid: 1\n\n",
+                                                         id, stream, signatureHeader));
+                        from->loop_.timers().once(20ms, [from] { from->stream_->close(true); });
+                        return;
+                    }
+                    const std::size_t lineEnd = answer.find("\r\n") + 2;
+                    from->stream_->write("HTTP/1.1 " + answer.substr(0, lineEnd) + id
+                                         + answer.substr(lineEnd));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendRequest("POST", "/tell/" + name);
+            turnUntil(path.loop_, 3s, [&] {
+                return client->ended_
+                    || client->received_.find("\r\n0\r\n\r\n") != std::string::npos;
+            });
+            BOOST_TEST(runs >= 2);
+            BOOST_TEST(client->ended_);
+            BOOST_TEST(client->received_.ends_with("id: 1\n\n\r\n"), client->received_);
+            BOOST_TEST(client->received_.rfind("HTTP/1.1") == 0);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_that_a_target_repeats_is_not_taken_for_the_response_to_a_later_request)
+{
+    ServingPath path(44);
+    path.waitUntilServing();
+    path.registerTarget(1, "i-1", "draining");
+    turnFor(path.loop_, 1200ms);
+    const std::string refusal = "X-Eelgrasscove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string otherId = "X-Eelgrasscove-Request-Id: older\r\n";
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"busy", "HTTP/1.1 503 No\r\n" + refusal},
+        {"many", "HTTP/1.1 429 No\r\n" + refusal},
+        {"other_target", "HTTP/1.1 421 No\r\nX-Eelgrasscove-Instance-Id: i-7\r\n" + refusal},
+        {"older_id", "HTTP/1.1 503 No\r\n" + otherId + refusal},
+        {"older_id_421", "HTTP/1.1 421 No\r\n" + otherId + "Content-Length: 0\r\n\r\n"},
+    };
+    for (const auto &[name, repeated] : rows) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            // Leaves a connection that is kept.
+            BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+            const auto normalHandler = path.handlers_[0];
+            int runs = 0;
+            path.handlers_[0] = [&runs, &repeated = repeated](const auto &from,
+                                                              SeenRequest &&request) {
+                ++runs;
+                from->stream_->write(repeated);
+                from->loop_.timers().once(50ms, [from, request] {
+                    from->answer(200, ServingPath::requestIdHeader(request) + signatureHeader,
+                                 "right");
+                });
+            };
+            const auto client = path.sendAndAwaitHead("POST", "/book/" + name);
+            BOOST_TEST(client->status() == 200);
+            BOOST_TEST(client->received_.ends_with("right"));
+            BOOST_TEST(runs == 1);
+            path.handlers_[0] = normalHandler;
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_without_the_id_of_the_request_does_not_count_as_not_run)
+{
+    ServingPath path(45);
+    path.waitUntilServing();
+    const std::vector<std::pair<unsigned, std::string>> rows = {
+        {503, "X-Eelgrasscove-Not-Executed: 1\r\n"},
+        {429, "X-Eelgrasscove-Not-Executed: 1\r\n"},
+        {421, ""},
+    };
+    for (const auto &[status, headers] : rows) {
+        BOOST_TEST_CONTEXT(status)
+        {
+            std::size_t runs = 0;
+            for (auto &handler : path.handlers_) {
+                handler = [&runs, status = status, &headers = headers](const auto &from,
+                                                                       SeenRequest &&) {
+                    ++runs;
+                    // On a connection that is not kept.
+                    from->answer(status, headers + "Connection: close\r\n", "");
+                };
+            }
+            // The connection that remains from before is used first.
+            for (Server *target : path.targets_) {
+                for (const auto &connection : target->connections_)
+                    connection->stream_->close();
+            }
+            turnFor(path.loop_, 50ms);
+            BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 502);
+            BOOST_TEST(runs == 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(status_that_promises_not_run_is_not_forwarded_without_the_targets_statement)
+{
+    ServingPath path(46);
+    path.waitUntilServing();
+    for (const unsigned status : {408U, 429U, 503U}) {
+        for (auto &handler : path.handlers_) {
+            handler = [status](const auto &from, SeenRequest &&request) {
+                from->answer(status, ServingPath::requestIdHeader(request) + signatureHeader, "");
+            };
+        }
+        const auto client = path.sendAndAwaitHead("POST", "/book/a");
+        BOOST_TEST(client->status() == 502);
+        BOOST_TEST(client->received_.find(signatureHeader) == std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_repeated_on_its_connection_does_not_answer_the_same_request_sent_again)
+{
+    ServingPath path(47);
+    path.waitUntilServing();
+    path.registerTarget(1, "i-1", "draining");
+    turnFor(path.loop_, 1200ms);
+    std::shared_ptr<ServerConnection> refusedOn;
+    int runs = 0;
+    path.handlers_[0] = [&](const auto &from, SeenRequest &&request) {
+        const std::string id = ServingPath::requestIdHeader(request);
+        const std::string refusal = id + "X-Eelgrasscove-Not-Executed: 1\r\n";
+        if (!refusedOn) {
+            refusedOn = from;
+            from->answer(503, refusal, "");
+            return;
+        }
+        ++runs;
+        if (from == refusedOn)
+            from->answer(503, refusal, "");
+        from->loop_.timers().once(100ms,
+                                  [from, id] { from->answer(200, id + signatureHeader, "right"); });
+    };
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+    BOOST_TEST(runs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(connection_with_unread_bytes_or_a_close_is_not_used_for_the_next_request)
+{
+    const std::string head = "X-Eelgrasscove-Request-Id: second\r\nContent-Length: 5\r\n\r\n";
+    for (const std::string &late :
+         {"HTTP/1.1 503 No\r\nX-Eelgrasscove-Not-Executed: 1\r\n" + head + "wrong",
+          std::string()}) {
+        BOOST_TEST_CONTEXT(late)
+        {
+            auto &loop = *new EventLoop;
+            auto &target =
+                *new Server(loop, late.empty() ? "127.0.0.1:17898" : "127.0.0.1:17897",
+                            [](const auto &from, SeenRequest &&request) {
+                                from->answer(200, ServingPath::requestIdHeader(request), "right");
+                            });
+            auto &pool = *new TargetPool(loop, target.address_);
+            std::map<std::string, std::pair<ExchangeEnd, unsigned>> ends;
+            std::map<std::string, unsigned> statuses;
+            const auto send = [&](const std::string &id) {
+                pool.send(
+                    "GET / HTTP/1.1\r\nHost: a\r\nX-Eelgrasscove-Request-Id: " + id + "\r\n\r\n",
+                    id,
+                    {[&statuses, id](HttpHead &&received) { statuses[id] = received.status_; },
+                     nullptr,
+                     [&ends, &statuses, id](ExchangeEnd end, auto) {
+                         ends[id] = {end, statuses[id]};
+                     }});
+            };
+            send("first");
+            BOOST_REQUIRE(turnUntil(loop, 2s, [&] { return ends.contains("first"); }));
+            // Reaches the socket of the pool, which has no turn to read it before the next request.
+            if (late.empty())
+                target.connections_[0]->stream_->close();
+            else
+                target.connections_[0]->stream_->write(late);
+            send("second");
+            BOOST_REQUIRE(turnUntil(loop, 2s, [&] { return ends.contains("second"); }));
+            BOOST_TEST((ends["second"].first == ExchangeEnd::Complete));
+            BOOST_TEST(ends["second"].second == 200);
+            BOOST_TEST(target.connections_.size() == 2);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_entry_in_the_target_list_leaves_the_others_in_use)
+{
+    const std::string deep(500'000, '[');
+    const std::string begin = R"({"service":"ledger","zone":"here","state":"ready",)";
+    const std::map<std::string, std::string> odd = {
+        {"servers/a-nested", deep},
+        {"servers/a-nested-object", R"({"service":)" + deep + std::string(500'000, ']') + "}"},
+        {"servers/a-bytes", "\xff\xfe\x01"},
+        {"servers/a-port", begin + R"("slots":6,"born":9,"address":"127.0.0.1:70000"})"},
+        {"servers/a-host", begin + R"("slots":6,"born":9,"address":"127.0.0.1.9:80"})"},
+        {"servers/a-number", begin + R"("slots":1e300,"born":9,"address":"127.0.0.1:1"})"},
+        {"servers/a-slots", begin + R"("slots":4294967296,"born":9,"address":"127.0.0.1:1"})"},
+        {"servers/a-type", begin + R"("slots":6,"born":"9","address":"127.0.0.1:1"})"},
+    };
+    ServingPath path(48, odd);
+    path.waitUntilServing();
+    for (const auto &[key, value] : odd) {
+        path.store_.put(key + "-late", value);
+        turnFor(path.loop_, 50ms);
+    }
+    turnFor(path.loop_, 1200ms);
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    // Later changes of the list are still adopted.
+    path.registerTarget(0, "i-0", "draining");
+    turnFor(path.loop_, 1200ms);
+    path.targets_[0]->seen_.clear();
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(entry_of_an_unknown_service_does_not_replace_the_target_at_its_address)
+{
+    ServingPath path(49);
+    path.waitUntilServing();
+    for (int target = 0; target < 2; ++target) {
+        path.store_.put("servers/x-" + std::to_string(target),
+                        fmt::format(R"({{"service":"nowhere","address":"{}","zone":"here",)"
+                                    R"("slots":6,"state":"ready","born":9}})",
+                                    path.address(1 + target)));
+    }
+    turnFor(path.loop_, 1200ms);
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+}
+
 BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_forwarded)
 {
     ServingPath path(8);
