Send nothing more to a target that says that it leaves

A list entry without the mark, or a report of the agent that was made before, brought a target back that had been listed as leaving.

Cause: the header was not read. Leaving was read from the newest list entry and the newest report only, and a request that waited for its connection to a target went out on it whatever had been learned meanwhile.

Change: leaving is a fact about one instance of a target (id and start) in Source/Edge/targetnotice.h, read from the list, the agent's reports and the head of every response. It is never taken back and is remembered while the instance is not listed; a new start under the same id is a new instance. exclusionOf() in targetstate.h decides for every path whether a target may get requests and names the reason. A request whose connection is still being opened is withdrawn and placed anew as not sent, without use of the retry budget. Load requests to the agent of such an engine stop. The header is not forwarded, as it concerns the connection between entry and target.

Why it works: placement, the queue, repeats, resumed streams and copies of adapters all choose among the targets for which exclusionOf() has no reason, and every head passes applyResponseNotice() before its response is handled.

Shown by ServingPathTest on the code before (first failing check of each):

target_that_says_in_any_response_that_it_leaves_gets_no_more_requests: check path.targets_[0]->seen_.empty() has failed target_that_leaves_while_it_streams_gets_no_more_requests: check ServingPath::headerOf(*client, "Server-Leaving") == "" has failed [1 != ] queued_request_is_not_sent_to_a_target_that_leaves: check path.targets_[0]->seen_.size() == atLeaving has failed [9 != 8] request_is_not_repeated_at_a_target_that_leaves: check path.sendAndAwaitHead("POST", "/look/a")->status() == 502 has failed [200 != 502] stream_is_not_resumed_at_a_target_that_leaves: check path.targets_[0]->seen_.empty() has failed request_on_a_connection_being_opened_does_not_go_out_to_a_target_that_leaves: check path.targets_[0]->seen_.size() == 1 has failed [2 != 1] target_that_leaves_stays_so_when_listed_again_until_it_starts_anew: check path.targets_[0]->seen_.empty() has failed target_listed_as_leaving_stays_so_when_a_later_list_does_not_say_it: check path.targets_[0]->seen_.empty() has failed entry_that_starts_anew_learns_again_that_a_target_leaves: check path.targets_[0]->seen_.empty() has failed engine_that_leaves_is_not_asked_to_load_adapters: check agent.loadRequests() == 0 has failed [96 != 0]

They pass now. The tests of the new functions in EdgeDecisions and PlatformWire do not compile on the code before. In one run of the whole ServingPathTest answer_without_end_does_not_use_up_the_entrys_memory failed (server.closed() == server.answers() [1 != 2]); it failed in one of six runs of the code before as well, and in none of six runs alone of this one.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -218,6 +218,7 @@
         for (const auto &[id, target] : targets_)
             target->pool_.closeExpired(now);
         removeExpiredCrashSuspects(crashSuspects_, now);
+        removeExpiredNotices(rememberedNotices_, now);
         removeMissingTargets(now);
         removeDepartedPeers(now);
     });
@@ -394,11 +395,11 @@
                         listed.address_, "data_centre", listed.dataCentre_);
     }
     TargetState &state = target->state_;
-    if (listed.draining_ != state.listed_.draining_ && listed.draining_)
-        eventLog().note("target.leaving", "target", id, "revision", item.revision_);
-    state.listed_ = listed;
+    adoptListed(state, listed);
     state.missingSince_.reset();
     markReplacedTargets(state);
+    if (listed.draining_)
+        applyLeaving(instanceOf(state), LeavingSource::List);
     if (state.hasAgentReport_)
         return;
     state.models_.clear();
@@ -425,6 +426,7 @@
         target->crashedAt_ = bootNow();
         eventLog().note("target.replaced", "target", id, "by", newer.listed_.id_, "address",
                         newer.listed_.address_);
+        withdrawUnsent(*target);
     }
 }
 
@@ -464,6 +466,8 @@
     const std::shared_ptr<EdgeTarget> target = found->second;
     eventLog().note("target.gone", "target", id, "service", target->state_.listed_.service_);
     target->crashedAt_ = bootNow();
+    rememberNotice(rememberedNotices_, instanceOf(target->state_), target->state_.notice_,
+                   bootNow());
     std::erase(targetsOfService_[target->state_.listed_.service_], target);
     targets_.erase(found);
 }
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -218,6 +218,16 @@
     void recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now);
     void detachFromTarget(EdgeRequest &request);
 
+    // edgenotices.cpp: what targets say about the requests that they want.
+    /// Sets the target's list entry, and what is remembered of its instance if that is another.
+    void adoptListed(TargetState &state, ListedTarget listed);
+    void applyResponseNotice(const TargetInstance &sentTo, const HttpHead &head);
+    void applyLeaving(const TargetInstance &instance, LeavingSource source);
+    /// Returns the listed target that is this instance, or null.
+    std::shared_ptr<EdgeTarget> findInstance(const TargetInstance &instance);
+    /// Places requests anew whose connections to the target are still being opened.
+    void withdrawUnsent(EdgeTarget &target);
+
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     void applyEngineState(EngineStateMessage &&report, const Endpoint &from);
@@ -251,6 +261,7 @@
     std::unordered_map<std::string, Time> versionNamedAt_;
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
+    RememberedNotices rememberedNotices_;
     /// Another entry, as listed in the store.
     struct Peer
     {
@@ -305,6 +316,9 @@
     Time shutdownStartedAt_;
 };
 
+/// The instance of the target that is listed.
+TargetInstance instanceOf(const TargetState &target);
+
 /// The properties of a queued request that determine its position in the queue.
 WaitingRequest waitingRequestOf(const EdgeRequest &request);
 
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -77,6 +77,10 @@
     state.memoryTokens_ = report.memoryTokens_;
     state.pendingLoads_ = report.pendingLoads_;
     state.lateRatio_ = report.lateRatio_;
+    if (report.isDraining_) {
+        applyLeaving({state.listed_.id_, report.startedAt_}, LeavingSource::Report);
+        withdrawUnsent(*target);
+    }
     recordLoad(state, report.running_, report.waiting_, now);
     if (report.hasLists_) {
         state.residencyNumber_ = report.residencyNumber_;
@@ -149,6 +153,8 @@
         if (message.loadRequests_.size() == maxLoadRequestsPerMessage)
             break;
     }
+    if (declinesRequests(exclusionOf(state, now)))
+        requestsByAdapter.clear();
     for (const auto &[adapter, runs] : target.runningAdapters_)
         target.usedAdapters_.insert(adapter);
     // An empty message is sent only to keep the agent from removing this entry.
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -421,7 +421,10 @@
     countMetric("eelgrasscove_sends_total");
     request->connection_ = target->pool_.send(
         formatRequest(*request, state, now), request->id_,
-        {[this, request](HttpHead &&head) { onResponseHead(request, std::move(head)); },
+        {[this, instance = instanceOf(state)](const HttpHead &head) {
+             applyResponseNotice(instance, head);
+         },
+         [this, request](HttpHead &&head) { onResponseHead(request, std::move(head)); },
          [this, request](std::string_view bytes) { onResponseBody(request, bytes); },
          [this, request](ExchangeEnd end, std::string_view reason) {
              onExchangeEnd(request, end, reason);
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -14,7 +14,8 @@
 using namespace std::chrono_literals;
 
 /// Headers of a target's response that are not forwarded to the client.
-constexpr std::array<std::string_view, 2> internalHeaders = {wire::loadHeader, wire::notRunHeader};
+constexpr std::array<std::string_view, 3> internalHeaders = {wire::loadHeader, wire::notRunHeader,
+                                                             wire::leavingHeader};
 
 constexpr unsigned wrongTargetStatus = 421;
 
@@ -153,6 +154,14 @@
         finishResponse(request);
         return;
     }
+    if (end == ExchangeEnd::Withdrawn) {
+        // No repeat in the retry budget, as the target has not seen it.
+        --request->sends_;
+        request->triedTargets_.erase(target->state_.listed_.id_);
+        countMetric("eelgrasscove_sends_withdrawn_total");
+        onRequestNotRun(request, reason);
+        return;
+    }
     eventLog().note("send.failed", "id", request->id_, "target", target->state_.listed_.id_, "end",
                     nameOf(exchangeEndNames, end), "reason", reason, "sent_ms_ago",
                     (now - request->sentAt_).count() / 1000);
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -315,9 +315,10 @@
     const Candidates candidates = collectCandidates(targets, query, now);
     Placement placement;
     if (candidates.usable_.empty() && (query.adapter_.empty() || candidates.loaders_.empty())) {
-        const bool hasTarget = std::any_of(targets.begin(), targets.end(), [](const auto *target) {
-            return !target->isReplaced_ && !target->listed_.draining_ && !target->isDraining_;
-        });
+        const bool hasTarget =
+            std::any_of(targets.begin(), targets.end(), [now](const auto *target) {
+                return !declinesRequests(exclusionOf(*target, now));
+            });
         placement.kind_ = hasTarget ? PlacementKind::AwaitTarget : PlacementKind::None;
         return placement;
     }
--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -97,6 +97,8 @@
     const std::string_view id = head.header(wire::requestIdHeader);
     // A second response to an earlier request, or an interim response (status 1xx).
     isSkipping_ = (!id.empty() && id != requestId_) || head.status_ < 200;
+    if (callbacks_.onAnyHead_)
+        callbacks_.onAnyHead_(head);
     if (!isSkipping_ && callbacks_.onHead_)
         callbacks_.onHead_(std::move(head));
 }
@@ -245,6 +247,15 @@
     return connection;
 }
 
+void TargetPool::withdrawUnsent(std::string_view reason)
+{
+    const auto connections = all_;
+    for (const auto &connection : connections) {
+        if (connection->isInUse_ && !connection->isConnected_)
+            connection->finish(ExchangeEnd::Withdrawn, reason);
+    }
+}
+
 void TargetPool::closeExpired(Time now)
 {
     const auto idle = idle_;
--- a/Source/Edge/targetpool.h
+++ b/Source/Edge/targetpool.h
@@ -24,17 +24,22 @@
     Broken,
     /// The received bytes are not a valid HTTP response to the request.
     Garbled,
+    /// Ended by withdrawUnsent(); no byte was sent.
+    Withdrawn,
 };
 
-constexpr NameTable<ExchangeEnd, 4> exchangeEndNames = {{
+constexpr NameTable<ExchangeEnd, 5> exchangeEndNames = {{
     {ExchangeEnd::Complete, "complete"},
     {ExchangeEnd::NeverSent, "never_sent"},
     {ExchangeEnd::Broken, "broken"},
     {ExchangeEnd::Garbled, "garbled"},
+    {ExchangeEnd::Withdrawn, "withdrawn"},
 }};
 
 struct ExchangeCallbacks
 {
+    /// Receives each head on the connection, also one that is skipped, before onHead_ does.
+    std::function<void(const HttpHead &)> onAnyHead_;
     std::function<void(HttpHead &&)> onHead_;
     std::function<void(std::string_view)> onBody_;
     std::function<void(ExchangeEnd end, std::string_view reason)> onEnded_;
@@ -104,6 +109,9 @@
     std::shared_ptr<TargetConnection> send(std::string bytes, std::string requestId,
                                            ExchangeCallbacks callbacks);
 
+    /// Ends the exchanges whose connections are still being opened.
+    void withdrawUnsent(std::string_view reason);
+
     /// Closes idle connections that are past their keep-alive time.
     void closeExpired(Time now);
 
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -36,15 +36,45 @@
 
 } // namespace
 
-bool isUsable(const TargetState &target, Time now)
+TargetExclusion exclusionOf(const TargetState &target, Time now)
 {
-    if (target.isReplaced_ || target.listed_.draining_ || target.isDraining_ || !target.isUp_)
-        return false;
+    if (target.isReplaced_)
+        return TargetExclusion::Replaced;
+    if (target.listed_.draining_ || target.notice_.leaving_ == LeavingSource::List)
+        return TargetExclusion::ListedAsLeaving;
+    if (target.isDraining_ || target.notice_.leaving_ == LeavingSource::Report)
+        return TargetExclusion::ReportedAsLeaving;
+    if (target.notice_.leaving_)
+        return TargetExclusion::RespondedAsLeaving;
+    if (!target.isUp_)
+        return TargetExclusion::Down;
     const std::uint32_t maxRequests =
         target.hasAgentReport_ ? agentMaxRequestsWhileSilent : maxRequestsWhileSilent;
     if (target.outstanding_ >= maxRequests && isSilent(target, now))
+        return TargetExclusion::Silent;
+    return now < target.avoidUntil_ ? TargetExclusion::Avoided : TargetExclusion::None;
+}
+
+bool isUsable(const TargetState &target, Time now)
+{
+    return exclusionOf(target, now) == TargetExclusion::None;
+}
+
+bool declinesRequests(TargetExclusion exclusion)
+{
+    switch (exclusion) {
+    case TargetExclusion::Replaced:
+    case TargetExclusion::ListedAsLeaving:
+    case TargetExclusion::ReportedAsLeaving:
+    case TargetExclusion::RespondedAsLeaving:
+        return true;
+    case TargetExclusion::None:
+    case TargetExclusion::Down:
+    case TargetExclusion::Silent:
+    case TargetExclusion::Avoided:
         return false;
-    return now >= target.avoidUntil_;
+    }
+    return false;
 }
 
 bool isSilent(const TargetState &target, Time now)
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -4,6 +4,7 @@
 /// target's responses, and decides whether requests may be sent to the target. Pure functions: no
 /// clock, I/O or threads.
 
+#include "Edge/targetnotice.h"
 #include "Net/tcpstream.h"
 #include "Peer/namehash.h"
 
@@ -24,6 +25,8 @@
     std::optional<Time> missingSince_;
     /// Another target has taken over its address, though the list still contains this one.
     bool isReplaced_ = false;
+    /// What this instance has said about the requests that it wants.
+    TargetNotice notice_;
 
     // Reported by the agent, where there is one.
     /// A report of the agent has been received.
@@ -67,9 +70,48 @@
     Time lastSentAt_;
 };
 
+/// Why a target gets no requests.
+enum class TargetExclusion {
+    /// It may get requests.
+    None,
+    /// Another target has taken over its address.
+    Replaced,
+    /// The target list says that it leaves.
+    ListedAsLeaving,
+    /// Its agent says that it leaves.
+    ReportedAsLeaving,
+    /// It has said in a response that it leaves.
+    RespondedAsLeaving,
+    /// Its agent says that it doesn't respond.
+    Down,
+    /// It has not been heard of for too long for the requests that it has.
+    Silent,
+    /// It was silent recently.
+    Avoided,
+};
+
+constexpr NameTable<TargetExclusion, 8> targetExclusionNames = {{
+    {TargetExclusion::None, "none"},
+    {TargetExclusion::Replaced, "replaced"},
+    {TargetExclusion::ListedAsLeaving, "listed_as_leaving"},
+    {TargetExclusion::ReportedAsLeaving, "reported_as_leaving"},
+    {TargetExclusion::RespondedAsLeaving, "responded_as_leaving"},
+    {TargetExclusion::Down, "down"},
+    {TargetExclusion::Silent, "silent"},
+    {TargetExclusion::Avoided, "avoided"},
+}};
+
+/// Returns why the target may get no requests, irrespective of its load and failures. Requests,
+/// queued ones and load requests are all sent by this decision.
+TargetExclusion exclusionOf(const TargetState &target, Time now);
+
 /// Whether new requests may be sent to the target, irrespective of its load and failures.
 bool isUsable(const TargetState &target, Time now);
 
+/// Whether the target is sound but takes no requests, so that one that has not gone out to it yet
+/// is to be placed anew.
+bool declinesRequests(TargetExclusion exclusion);
+
 /// Whether nothing has been received from the target or its agent for longer than is possible while
 /// the target works.
 bool isSilent(const TargetState &target, Time now);
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <functional>
 
 using namespace eelgrasscove;
 using namespace std::chrono_literals;
@@ -257,6 +258,61 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_leaves_gets_no_requests_loads_or_copies)
+{
+    for (const LeavingSource source :
+         {LeavingSource::List, LeavingSource::Report, LeavingSource::Response}) {
+        BOOST_TEST_CONTEXT(nameOf(leavingSourceNames, source))
+        {
+            Fleet fleet;
+            TargetState &leaving = fleet.add("a");
+            leaving.adapters_[nameHash("base/x")] = 1;
+            BOOST_TEST(recordLeaving(leaving.notice_, source));
+            // Later states of the same instance that do not say so change nothing.
+            leaving.listed_.draining_ = false;
+            leaving.isDraining_ = false;
+            BOOST_TEST((choosePlacement(fleet.all(), queryFor("base/x"), now).kind_
+                        == PlacementKind::None));
+            // It is idle, and preferred for some of the adapters.
+            TargetState &busy = fleet.add("b");
+            busy.running_ = 9;
+            for (int number = 0; number < 20; ++number) {
+                const auto query = queryFor("base/a" + std::to_string(number));
+                BOOST_TEST(choosePlacement(fleet.all(), query, now).target_ == &busy);
+            }
+            busy.adapters_[nameHash("base/x")] = 1;
+            const Placement place = choosePlacement(fleet.all(), queryFor("base/x"), now);
+            BOOST_TEST((place.kind_ == PlacementKind::Send));
+            BOOST_TEST(place.target_ == &busy);
+            BOOST_TEST((place.replicaTarget_ == nullptr));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(each_reason_to_exclude_a_target_has_its_name)
+{
+    const auto nameFor = [](const std::function<void(TargetState &)> &change) {
+        Fleet fleet;
+        TargetState &target = fleet.add("a");
+        change(target);
+        return nameOf(targetExclusionNames, exclusionOf(target, now));
+    };
+    BOOST_TEST(nameFor([](auto &) {}) == "none");
+    BOOST_TEST(nameFor([](auto &target) { target.isReplaced_ = true; }) == "replaced");
+    BOOST_TEST(nameFor([](auto &target) { target.listed_.draining_ = true; })
+               == "listed_as_leaving");
+    BOOST_TEST(nameFor([](auto &target) { target.isDraining_ = true; }) == "reported_as_leaving");
+    BOOST_TEST(nameFor([](auto &target) { recordLeaving(target.notice_, LeavingSource::Response); })
+               == "responded_as_leaving");
+    BOOST_TEST(nameFor([](auto &target) { target.isUp_ = false; }) == "down");
+    BOOST_TEST(nameFor([](auto &target) {
+                   target.outstanding_ = 1;
+                   target.lastContactAt_ = now - 1s;
+               })
+               == "silent");
+    BOOST_TEST(nameFor([](auto &target) { target.avoidUntil_ = now + 1s; }) == "avoided");
+}
+
 BOOST_AUTO_TEST_CASE(requests_wait_for_an_engine_that_is_loading_its_model)
 {
     Fleet fleet;
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -5,6 +5,7 @@
 #include "../Shared/servingstandins.h"
 #include "Observe/metrics.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -57,16 +58,23 @@
         publishRules(1, "\"k1\"", 0);
         for (const auto &[key, value] : items)
             store_.put(key, value);
+        edge_ = startEntry(4);
+    }
+
+    /// Starts an entry with three addresses from the offset on, the first for clients.
+    Edge *startEntry(int offset)
+    {
         ServingSettings settings;
         settings.vm_ = "edge-1";
         settings.dataCentre_ = "here";
-        settings.callersListen_ = address(4);
-        settings.readinessListen_ = address(5);
-        settings.peersListen_ = address(6);
+        settings.callersListen_ = address(offset);
+        settings.readinessListen_ = address(offset + 1);
+        settings.peersListen_ = address(offset + 2);
         settings.store_ = address(0);
         settings.bounds_.revoke_ = 1500ms;
-        edge_ = new Edge(loop_, settings, "");
-        BOOST_REQUIRE(edge_->start());
+        auto *entry = new Edge(loop_, settings, "");
+        BOOST_REQUIRE(entry->start());
+        return entry;
     }
 
     std::string address(int offset) const
@@ -129,7 +137,7 @@
                                         const std::string &headers = "Authorization: Bearer k1\r\n",
                                         const std::string &body = "")
     {
-        auto client = std::make_shared<Client>(loop_, address(4));
+        auto client = std::make_shared<Client>(loop_, address(callersOffset_));
         client->send(fmt::format("{} {} HTTP/1.1\r\nHost: desk.example\r\n"
                                  "X-Eelgrasscove-Request-Id: r{}\r\n"
                                  "X-Eelgrasscove-Deadline-Remaining: 4000\r\n{}"
@@ -180,21 +188,113 @@
         return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size() + 2));
     }
 
+    /// Sends requests one after the other until the target has received one.
+    void sendUntilReceived(int target, const std::string &path = "/look/a")
+    {
+        targets_[target]->seen_.clear();
+        for (int request = 0; request < 10 && targets_[target]->seen_.empty(); ++request)
+            sendAndAwaitHead("POST", path);
+        BOOST_REQUIRE(!targets_[target]->seen_.empty());
+        for (Server *each : targets_)
+            each->seen_.clear();
+    }
+
+    /// Whether the first target gets requests while the second has some and does not respond.
+    bool isFirstTargetUsed()
+    {
+        handlers_[1] = [](const auto &, SeenRequest &&) {};
+        constexpr int sent = 3;
+        std::vector<std::shared_ptr<Client>> clients;
+        clients.reserve(sent);
+        for (int request = 0; request < sent; ++request)
+            clients.push_back(sendRequest("POST", "/look/a"));
+        return turnUntil(loop_, 500ms, [&] { return !targets_[0]->seen_.empty(); });
+    }
+
     std::size_t receivedRequests() const
     {
         return targets_[0]->seen_.size() + targets_[1]->seen_.size();
     }
 
+    /// The value of a header in the response that the client received, or an empty string.
+    static std::string headerOf(const Client &client, const std::string &name)
+    {
+        const std::string field = "\r\n" + name + ": ";
+        const std::size_t at = client.received_.find(field);
+        if (at == std::string::npos)
+            return {};
+        const std::size_t begin = at + field.size();
+        return client.received_.substr(begin, client.received_.find("\r\n", begin) - begin);
+    }
+
     EventLoop &loop_;
     int basePort_;
     Store &store_;
     std::vector<Server *> targets_;
     std::vector<ServerConnection::Handler> handlers_;
     Edge *edge_ = nullptr;
+    /// Offset of the entry's address that requests are sent to.
+    int callersOffset_ = 4;
     int requests_ = 0;
     std::uint64_t reports_ = 0;
 };
 
+/// A target's handler that gives the same response to every request.
+ServerConnection::Handler respondingWith(unsigned status, const std::string &headers)
+{
+    return [status, headers](const auto &from, SeenRequest &&request) {
+        from->answer(status, ServingPath::requestIdHeader(request) + signatureHeader + headers,
+                     "done");
+    };
+}
+
+const std::string leavingHeader = "Server-Leaving: 1\r\n";
+const std::string notExecutedHeader = "X-Eelgrasscove-Not-Executed: 1\r\n";
+
+/// Requests that a target has received and not responded to.
+struct HeldRequests
+{
+    ServerConnection::Handler handler()
+    {
+        return [this](const auto &from, SeenRequest &&request) {
+            held_.emplace_back(from, ServingPath::requestIdHeader(request));
+        };
+    }
+
+    void respondToFirst(unsigned status, const std::string &headers)
+    {
+        BOOST_REQUIRE(!held_.empty());
+        const auto [from, idHeader] = held_.front();
+        held_.pop_front();
+        from->answer(status, idHeader + signatureHeader + headers, "done");
+    }
+
+    std::deque<std::pair<std::shared_ptr<ServerConnection>, std::string>> held_;
+};
+
+/// Sends a request so that the entry reads it in the same pass of the event loop as a response of
+/// the first target with these headers, and has not yet connected to the target for it.
+std::shared_ptr<Client> sendWhileTargetResponds(ServingPath &path,
+                                                std::array<HeldRequests, 2> &held, unsigned status,
+                                                const std::string &headers)
+{
+    for (int target = 0; target < 2; ++target)
+        path.handlers_[target] = held[target].handler();
+    const auto first = path.sendRequest("POST", "/look/a");
+    BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return path.receivedRequests() == 1; }));
+    const auto second = path.sendRequest("POST", "/look/b");
+    BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return path.receivedRequests() == 2; }));
+    BOOST_REQUIRE(path.targets_[0]->seen_.size() == 1);
+    auto client = std::make_shared<Client>(path.loop_, path.address(4));
+    client->send("POST /look/c HTTP/1.1\r\nHost: desk.example\r\n");
+    turnFor(path.loop_, 100ms);
+    client->send("X-Eelgrasscove-Request-Id: pending\r\nAuthorization: Bearer k1\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    held[0].respondToFirst(status, headers);
+    turnFor(path.loop_, 200ms);
+    return client;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(forwarded_request_keeps_client_headers_and_drops_forged_system_headers)
@@ -542,6 +642,235 @@
     BOOST_TEST(path.targets_[1]->seen_[0].head_.header("X-Eelgrasscove-Expect-Instance") == "i-9");
 }
 
+BOOST_AUTO_TEST_CASE(target_that_says_in_any_response_that_it_leaves_gets_no_more_requests)
+{
+    struct Row
+    {
+        const char *response_;
+        unsigned status_;
+        std::string headers_;
+    };
+    const std::vector<Row> rows = {
+        {"success", 200, leavingHeader},
+        {"refusal", 503, leavingHeader + notExecutedHeader},
+        {"error", 500, leavingHeader},
+    };
+    int number = 60;
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.response_)
+        {
+            ServingPath path(number++);
+            path.waitUntilServing();
+            path.handlers_[0] = respondingWith(row.status_, row.headers_);
+            path.sendUntilReceived(0);
+            for (int request = 0; request < 6; ++request)
+                BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+            BOOST_TEST(path.targets_[0]->seen_.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(target_that_leaves_while_it_streams_gets_no_more_requests)
+{
+    ServingPath path(63);
+    path.waitUntilServing();
+    path.handlers_[0] = [](const auto &from, SeenRequest &&request) {
+        from->stream_->write("HTTP/1.1 200 OK\r\n" + ServingPath::requestIdHeader(request)
+                             + signatureHeader + leavingHeader
+                             + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n");
+    };
+    const auto client = path.sendRequest("POST", "/ask/a");
+    BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return client->status() == 200; }));
+    BOOST_REQUIRE(path.targets_[0]->seen_.size() == 1);
+    BOOST_TEST(ServingPath::headerOf(*client, "Server-Leaving") == "");
+    // The response says so also if its client leaves before its end.
+    client->stream_->close();
+    turnFor(path.loop_, 50ms);
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(queued_request_is_not_sent_to_a_target_that_leaves)
+{
+    ServingPath path(64);
+    path.waitUntilServing();
+    // The expected wait follows from the rate of responses.
+    for (int request = 0; request < 40; ++request)
+        path.sendAndAwaitHead("GET", "/open/a");
+    std::array<HeldRequests, 2> held;
+    for (int target = 0; target < 2; ++target) {
+        path.targets_[target]->seen_.clear();
+        path.handlers_[target] = held[target].handler();
+    }
+    std::vector<std::shared_ptr<Client>> clients;
+    for (int request = 0; request < 18; ++request) {
+        clients.push_back(path.sendRequest("POST", "/look/a"));
+        turnFor(path.loop_, 5ms);
+    }
+    const std::size_t received = path.receivedRequests();
+    BOOST_REQUIRE(received < clients.size());
+    const std::size_t atLeaving = path.targets_[0]->seen_.size();
+    held[0].respondToFirst(200, leavingHeader);
+    turnFor(path.loop_, 150ms);
+    BOOST_TEST(path.targets_[0]->seen_.size() == atLeaving);
+    held[1].respondToFirst(200, "");
+    BOOST_TEST(
+        turnUntil(path.loop_, 300ms, [&] { return path.receivedRequests() == received + 1; }));
+    BOOST_TEST(path.targets_[0]->seen_.size() == atLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(request_is_not_repeated_at_a_target_that_leaves)
+{
+    ServingPath path(65);
+    path.waitUntilServing();
+    path.handlers_[0] = respondingWith(200, leavingHeader);
+    path.sendUntilReceived(0);
+    path.handlers_[1] = [](const auto &from, SeenRequest &&) { from->stream_->close(true); };
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/look/a")->status() == 502);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_is_not_resumed_at_a_target_that_leaves)
+{
+    ServingPath path(66);
+    path.waitUntilServing();
+    path.handlers_[0] = respondingWith(200, leavingHeader);
+    path.sendUntilReceived(0);
+    path.handlers_[1] = [](const auto &from, SeenRequest &&request) {
+        from->stream_->write("HTTP/1.1 200 OK\r\n" + ServingPath::requestIdHeader(request)
+                             + signatureHeader
+                             + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n");
+        from->loop_.timers().once(50ms, [from] { from->stream_->close(true); });
+    };
+    const auto client = path.sendRequest("POST", "/tell/a");
+    BOOST_TEST(turnUntil(path.loop_, 3s, [&] { return client->ended_; }));
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(request_on_a_connection_being_opened_does_not_go_out_to_a_target_that_leaves)
+{
+    ServingPath path(67);
+    path.waitUntilServing();
+    std::array<HeldRequests, 2> held;
+    const auto client = sendWhileTargetResponds(path, held, 200, leavingHeader);
+    BOOST_TEST(path.targets_[0]->seen_.size() == 1);
+    BOOST_TEST(path.targets_[1]->seen_.size() == 2);
+    while (!held[1].held_.empty())
+        held[1].respondToFirst(200, "");
+    BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return client->status() == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(target_that_leaves_stays_so_when_listed_again_until_it_starts_anew)
+{
+    ServingPath path(68);
+    path.waitUntilServing();
+    path.handlers_[0] = respondingWith(200, leavingHeader);
+    path.sendUntilReceived(0);
+    path.registerTarget(0, "i-0");
+    turnFor(path.loop_, 1200ms);
+    for (int request = 0; request < 3; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+    // The entry forgets the target when it is removed from the list of a store in contact.
+    turnFor(path.loop_, 1200ms);
+    path.store_.remove("servers/i-0");
+    turnFor(path.loop_, 1200ms);
+    path.registerTarget(0, "i-0");
+    turnFor(path.loop_, 1200ms);
+    for (int request = 0; request < 3; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+    path.registerTarget(0, "i-0", "ready", 2);
+    turnFor(path.loop_, 1200ms);
+    BOOST_TEST(path.isFirstTargetUsed());
+}
+
+BOOST_AUTO_TEST_CASE(other_target_at_the_address_of_one_that_left_gets_requests)
+{
+    ServingPath path(69);
+    path.waitUntilServing();
+    path.handlers_[0] = respondingWith(200, leavingHeader);
+    path.sendUntilReceived(0);
+    path.registerTarget(0, "i-9", "ready", 5);
+    turnFor(path.loop_, 1200ms);
+    BOOST_TEST(path.isFirstTargetUsed());
+}
+
+BOOST_AUTO_TEST_CASE(target_listed_as_leaving_stays_so_when_a_later_list_does_not_say_it)
+{
+    ServingPath path(70);
+    path.waitUntilServing();
+    path.registerTarget(0, "i-0", "draining");
+    turnFor(path.loop_, 1200ms);
+    path.store_.forgetHistory();
+    path.registerTarget(0, "i-0", "ready");
+    path.store_.cutWatches();
+    turnFor(path.loop_, 2s);
+    for (int request = 0; request < 3; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_starts_anew_learns_again_that_a_target_leaves)
+{
+    ServingPath path(71);
+    path.waitUntilServing();
+    path.handlers_[0] = respondingWith(200, leavingHeader);
+    path.sendUntilReceived(0);
+    path.startEntry(7);
+    path.callersOffset_ = 7;
+    path.waitUntilServing();
+    path.sendAndAwaitHead("POST", "/book/a");
+    path.targets_[0]->seen_.clear();
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(engine_that_leaves_is_not_asked_to_load_adapters)
+{
+    ServingPath path(72);
+    const std::string host = "127.0.0.2:";
+    Agent agent(path.loop_, host + std::to_string(path.basePort_ + 6), path.address(6));
+    Server engine(path.loop_, host + std::to_string(path.basePort_ + 1),
+                  respondingWith(200, leavingHeader));
+    path.store_.put("servers/e-0",
+                    fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                                R"("state":"ready","born":1,)"
+                                R"("models":[{{"name":"m","version":1}}]}})",
+                                engine.address_.text()));
+    path.waitUntilServing();
+    EngineStateMessage state;
+    state.target_ = nameHash("e-0");
+    state.startedAt_ = 1;
+    state.isUp_ = true;
+    state.residencyNumber_ = 1;
+    state.hasLists_ = true;
+    state.adapters_ = {{nameHash("m/a1"), 1}};
+    state.models_ = {nameHash("m")};
+    agent.report(state);
+    turnFor(path.loop_, 100ms);
+    const auto sendFor = [&](const std::string &model) {
+        return path.sendAndAwaitHead(
+            "POST", "/advise/a",
+            "Authorization: Bearer k1\r\nX-Eelgrasscove-Model-Name: " + model + "\r\n");
+    };
+    // Awaits an adapter that the engine does not have, while it learns that the engine leaves.
+    const auto waiting = path.sendRequest(
+        "POST", "/advise/a", "Authorization: Bearer k1\r\nX-Eelgrasscove-Model-Name: m/a2\r\n");
+    BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return agent.loadRequests() > 0; }));
+    BOOST_REQUIRE(sendFor("m/a1")->status() == 200);
+    turnFor(path.loop_, 100ms);
+    agent.messages_.clear();
+    // A report that was made before the engine knew that it leaves.
+    agent.report(state);
+    turnFor(path.loop_, 300ms);
+    BOOST_TEST(sendFor("m/a3")->status() == 503);
+    BOOST_TEST(agent.loadRequests() == 0);
+    BOOST_TEST(engine.seen_.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(account_over_its_limit_is_refused_with_retry_after)
 {
     ServingPath path(13);
@@ -577,7 +906,7 @@
             TargetPool pool(loop, {"127.0.0.1", server.port()});
             std::optional<ExchangeEnd> ended;
             pool.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "own",
-                      {nullptr, nullptr, [&](ExchangeEnd end, auto) { ended = end; }});
+                      {nullptr, nullptr, nullptr, [&](ExchangeEnd end, auto) { ended = end; }});
             BOOST_TEST(turnUntil(loop, 2s, [&] { return ended && server.closed() == 1; }));
             BOOST_TEST((ended == ExchangeEnd::Garbled));
             BOOST_TEST(server.sentBytes() < 16ULL * 1024 * 1024);
--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -3,8 +3,10 @@
 /// Stand-ins for the users' platform, on the event loop of the test: its store, a target, an engine
 /// and a client. They use the published protocol and make its faults.
 
+#include "Net/datagramsocket.h"
 #include "Net/httpreader.h"
 #include "Net/tcpstream.h"
+#include "Peer/peermessages.h"
 #include "Platform/base64.h"
 
 #include <fmt/core.h>
@@ -333,6 +335,45 @@
     Server server_;
 };
 
+/// The agent of an engine: sends an entry reports and keeps what the entry sends.
+class Agent
+{
+public:
+    /// The entry sends to the engine's host at its own port for datagrams.
+    Agent(EventLoop &loop, const std::string &address, const std::string &entry)
+    {
+        Endpoint own;
+        require(parseEndpoint(address, own) && parseEndpoint(entry, entry_), "addresses");
+        const int opened = socket_.open(loop, own, [this](auto bytes, const auto &) {
+            const auto message = decodePeerMessage(bytes);
+            if (message && std::holds_alternative<EntryLoadRequests>(*message))
+                messages_.push_back(std::get<EntryLoadRequests>(*message));
+        });
+        require(opened == 0, "the agent's address to be free");
+    }
+
+    void report(EngineStateMessage state)
+    {
+        state.number_ = ++reports_;
+        socket_.send(encodePeerMessage(state), entry_);
+    }
+
+    std::size_t loadRequests() const
+    {
+        std::size_t requests = 0;
+        for (const EntryLoadRequests &message : messages_)
+            requests += message.loadRequests_.size();
+        return requests;
+    }
+
+    std::vector<EntryLoadRequests> messages_;
+
+private:
+    DatagramSocket socket_;
+    Endpoint entry_;
+    std::uint64_t reports_ = 0;
+};
+
 /// A client with one connection.
 class Client
 {
