Test repeats, streams and agents' reports at targets that leave or pause

What callers would see: nothing new. A repeat and a resumed stream at a target that pauses, and an engine whose agent no longer reports that it leaves, had no test of the whole path.

Change: two tests of ServingPathTest cover these, and one of EdgeDecisions names the reasons for which requests are withdrawn.

--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -354,6 +354,15 @@
     BOOST_TEST((choosePlacement(fleet.all(), queryFor(""), now).kind_ == PlacementKind::None));
 }
 
+BOOST_AUTO_TEST_CASE(only_targets_that_take_no_requests_have_theirs_withdrawn)
+{
+    for (const auto &[exclusion, name] : targetExclusionNames) {
+        const bool isWithdrawn =
+            name == "replaced" || name == "paused" || name.ends_with("leaving");
+        BOOST_TEST(declinesRequests(exclusion) == isWithdrawn, name);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(each_reason_to_exclude_a_target_has_its_name)
 {
     const auto nameFor = [](const std::function<void(TargetState &)> &change) {
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -835,11 +835,14 @@
     Agent agent(path.loop_, host + std::to_string(path.basePort_ + 6), path.address(6));
     Server engine(path.loop_, host + std::to_string(path.basePort_ + 1),
                   respondingWith(200, leavingHeader));
-    path.store_.put("servers/e-0",
-                    fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
-                                R"("state":"ready","born":1,)"
-                                R"("models":[{{"name":"m","version":1}}]}})",
-                                engine.address_.text()));
+    Server other(path.loop_, host + std::to_string(path.basePort_ + 2), respondingWith(200, ""));
+    for (const auto &[id, server] : {std::pair("e-0", &engine), std::pair("e-1", &other)}) {
+        path.store_.put(std::string("servers/") + id,
+                        fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                                    R"("state":"ready","born":1,)"
+                                    R"("models":[{{"name":"m","version":1}}]}})",
+                                    server->address_.text()));
+    }
     path.waitUntilServing();
     EngineStateMessage state;
     state.target_ = nameHash("e-0");
@@ -850,6 +853,14 @@
     state.adapters_ = {{nameHash("m/a1"), 1}};
     state.models_ = {nameHash("m")};
     agent.report(state);
+    // The agent of the other engine says that it leaves, and then no more.
+    EngineStateMessage leaving = state;
+    leaving.target_ = nameHash("e-1");
+    leaving.adapters_ = {{nameHash("m/a9"), 1}};
+    leaving.isDraining_ = true;
+    agent.report(leaving);
+    leaving.isDraining_ = false;
+    agent.report(leaving);
     turnFor(path.loop_, 100ms);
     const auto sendFor = [&](const std::string &model) {
         return path.sendAndAwaitHead(
@@ -865,8 +876,11 @@
     agent.messages_.clear();
     // A report that was made before the engine knew that it leaves.
     agent.report(state);
+    agent.report(leaving);
     turnFor(path.loop_, 300ms);
     BOOST_TEST(sendFor("m/a3")->status() == 503);
+    BOOST_TEST(sendFor("m/a9")->status() == 503);
+    BOOST_TEST(other.seen_.empty());
     BOOST_TEST(agent.loadRequests() == 0);
     BOOST_TEST(engine.seen_.size() == 1);
 }
@@ -886,6 +900,20 @@
             BOOST_TEST(client->status() == (headers.empty() ? 503 : 200));
             // Another target may take the client's next request at once.
             BOOST_TEST(ServingPath::headerOf(*client, "Retry-After") == "");
+            // Neither a repeat nor a resumed stream goes to the target.
+            path.handlers_[1] = [](const auto &from, SeenRequest &&) {
+                from->stream_->close(true);
+            };
+            BOOST_TEST(path.sendAndAwaitHead("POST", "/look/a")->status() == 502);
+            path.handlers_[1] = [](const auto &from, SeenRequest &&request) {
+                from->stream_->write("HTTP/1.1 200 OK\r\n" + ServingPath::requestIdHeader(request)
+                                     + signatureHeader
+                                     + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n");
+                from->loop_.timers().once(50ms, [from] { from->stream_->close(true); });
+            };
+            const auto stream = path.sendRequest("POST", "/tell/a");
+            BOOST_TEST(turnUntil(path.loop_, 900ms, [&] { return stream->ended_; }));
+            BOOST_TEST(path.targets_[0]->seen_.size() == 1);
             HeldRequests held;
             path.handlers_[1] = held.handler();
             std::vector<std::shared_ptr<Client>> clients;
