--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -110,6 +110,8 @@
                         "request", requestId_, "response", id, "status", head.status_);
     }
     isSkipping_ = isOther || isInterim;
+    if (callbacks_.onAnyHead_)
+        callbacks_.onAnyHead_(head);
     if (isSkipping_)
         return;
     if (head.status_ == wrongTargetStatus || head.hasHeader(wire::notRunHeader)) {
@@ -277,6 +279,15 @@
     return nullptr;
 }
 
+void TargetPool::withdrawUnsent(std::string_view reason)
+{
+    const auto connections = all_;
+    for (const auto &connection : connections) {
+        if (connection->isInUse_ && !connection->isConnected_)
+            connection->finish(ExchangeEnd::Withdrawn, reason);
+    }
+}
+
 void TargetPool::closeExpired(Time now)
 {
     const auto idle = idle_;
