Wait for the closes of all connections in the test of answers without end

The test waited for the first close and then compared the number of closes with that of answers. A repeated request has two connections; the second close may be read just after the first: check server.closed() == server.answers() has failed [1 != 2], seen once in 6 runs of alone, and in two runs beside other work. The comparison stays, with the same second for all closes.

--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1539,7 +1539,9 @@
             const Time sentAt = bootNow();
             BOOST_TEST(path.sendAndAwaitHead("POST", target)->status() == 502);
             BOOST_TEST((bootNow() - sentAt < 900ms));
-            BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return server.closed() > 0; }));
+            BOOST_TEST(turnUntil(path.loop_, 1s, [&] {
+                return server.closed() > 0 && server.closed() == server.answers();
+            }));
             BOOST_TEST(server.closed() == server.answers());
             BOOST_TEST(server.sentBytes() < mostTakenBytes);
         }
