Don't lose a sound part to trials without a verdict

What callers would have seen: requests with a sound part that was held by chance stay refused for as long as they are asked for.

On the other side a part was cleared too easily: by a response with a status of 4xx, of a plain service, without framing, or by the first event of a resumed stream.

A stream known to be sound is resumed although one of its parts is held later. The crash of an instance is told by its newest known start. A refusal names its suspect in request.held, and its Retry-After ends with the next trial.

--- a/Source/Edge/crashsuspects.cpp
+++ b/Source/Edge/crashsuspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 #include <xxhash.h>
 
 namespace eelgrasscove {
@@ -10,19 +11,18 @@
 
 using namespace std::chrono_literals;
 
-/// Crashes at which a suspect that was never in a sound response is held: two unrelated crashes
-/// with the same suspect are rare, and the operator's limits apply from the third on.
+/// Crashes at which a suspect that was never in a sound response is held.
 constexpr std::size_t crashLimit = 2;
 /// The same for a suspect that has been in sound responses, which is more likely a bystander.
 constexpr std::size_t soundCrashLimit = 4;
 
-/// Crashes from which a suspect that was never in a sound response gets no trials: the operator
-/// allows three requests to reach targets after the fifth crash.
-constexpr std::size_t lastTrialCrashes = 4;
-/// Trials of one suspect without a clearance; with the operator's limit as above.
-constexpr std::uint32_t maxTrials = 2;
-/// Pause before a trial, and for each trial made before. Crashed targets are back after it.
+/// Crashes up to which a held suspect gets trials, each of which may add one. The operator allows
+/// three requests to reach targets after the fifth crash.
+constexpr std::size_t maxTrialCrashes = 3;
+constexpr std::size_t maxSoundTrialCrashes = 5;
+/// Pause before the first trial, which doubles with each trial made before.
 constexpr Duration trialPause = 5s;
+constexpr std::uint32_t maxPauseDoublings = 6;
 
 constexpr std::size_t maxCrashIds = 8;
 constexpr std::size_t maxRecords = 1024;
@@ -33,8 +33,10 @@
 /// Time after which a suspect without crashes and requests is forgotten. Longer than the longest
 /// client deadline, after which a client does not retry a request.
 constexpr Duration retentionPeriod = 10min;
-/// Time for which the clearance of a suspect is reported to the peers.
+/// Time for which the clearance of a suspect, or a crash by which it isn't held, is reported to the
+/// peers.
 constexpr Duration clearanceReportPeriod = 10s;
+constexpr Duration crashReportPeriod = 60s;
 
 std::optional<Time> lastSoundAt(const SoundParts &sound, SuspectId id)
 {
@@ -56,13 +58,14 @@
 
 void setTrialPause(CrashRecord &record, Duration jitter, Time now)
 {
-    record.trialAfter_ = now + trialPause * (record.trials_ + 1) + jitter;
+    record.trialAfter_ =
+        now + trialPause * (1 << std::min(record.trials_, maxPauseDoublings)) + jitter;
 }
 
-bool mayTry(const CrashRecord &record, Time now)
+bool hasTrialsLeft(const CrashRecord &record)
 {
-    const bool isLikelySound = record.clearances_ > 0 || record.crashes_.size() <= lastTrialCrashes;
-    return isLikelySound && record.trials_ < maxTrials && now >= record.trialAfter_;
+    return record.crashes_.size()
+        <= (record.clearances_ > 0 ? maxSoundTrialCrashes : maxTrialCrashes);
 }
 
 bool insertCrash(CrashRecord &record, CrashId crash)
@@ -155,17 +158,24 @@
 
 CrashVerdict judgeRequest(const CrashSuspects &suspects, const RequestSuspects &request, Time now)
 {
-    std::size_t held = 0;
-    bool canTry = true;
+    if (!findHeldSuspect(suspects, request))
+        return CrashVerdict::Allowed;
+    return timeUntilTrial(suspects, request, now) <= Duration::zero() ? CrashVerdict::Trial
+                                                                      : CrashVerdict::Held;
+}
+
+Duration timeUntilTrial(const CrashSuspects &suspects, const RequestSuspects &request, Time now)
+{
+    std::size_t suspected = 0;
+    Duration time = retentionPeriod;
     forEachRecord(suspects.records_, request, [&](SuspectId, const CrashRecord &record) {
-        if (!isHeld(record))
+        if (record.crashes_.empty())
             return;
-        ++held;
-        canTry = canTry && mayTry(record, now);
+        ++suspected;
+        if (isHeld(record) && hasTrialsLeft(record))
+            time = std::max(record.trialAfter_ - now, Duration::zero());
     });
-    if (held == 0)
-        return CrashVerdict::Allowed;
-    return held == 1 && canTry ? CrashVerdict::Trial : CrashVerdict::Held;
+    return suspected == 1 ? time : retentionPeriod;
 }
 
 void recordTrial(CrashSuspects &suspects, const RequestSuspects &request, Duration retryJitter,
@@ -228,15 +238,16 @@
     using Entry = std::pair<const SuspectId, CrashRecord>;
     std::vector<const Entry *> entries;
     for (const Entry &entry : suspects.records_) {
-        if (!entry.second.crashes_.empty()
-            || now - entry.second.lastSeenAt_ < clearanceReportPeriod)
+        const Duration period =
+            entry.second.crashes_.empty() ? clearanceReportPeriod : crashReportPeriod;
+        if (isHeld(entry.second) || now - entry.second.lastSeenAt_ < period)
             entries.push_back(&entry);
     }
     std::sort(entries.begin(), entries.end(), [](const Entry *left, const Entry *right) {
-        const bool isLeftHeld = isHeld(left->second);
-        if (isLeftHeld != isHeld(right->second))
-            return isLeftHeld;
-        return left->second.lastSeenAt_ > right->second.lastSeenAt_;
+        const auto rank = [](const CrashRecord &record) {
+            return std::tuple(isHeld(record), record.crashes_.size(), record.lastSeenAt_);
+        };
+        return rank(left->second) > rank(right->second);
     });
     entries.resize(std::min(entries.size(), maxReportedRecords));
     std::vector<ReportedCrashRecord> report;
@@ -259,6 +270,12 @@
     record.lastSeenAt_ = std::max(record.lastSeenAt_, now - age);
     if (reported.clearances_ < record.clearances_)
         return;
+    if (reported.clearances_ == 0 && !reported.crashes_.empty()
+        && lastSoundAt(suspects.sound_, reported.suspect_)) {
+        record.clearances_ = 1;
+        suspects.haveChanged_ = true;
+        return;
+    }
     bool hasNews = false;
     if (reported.clearances_ > record.clearances_) {
         record.clearances_ = reported.clearances_;
--- a/Source/Edge/crashsuspects.h
+++ b/Source/Edge/crashsuspects.h
@@ -10,7 +10,6 @@
 
 #include "Peer/peermessages.h"
 
-#include <eelgrasscove/nametable.h>
 #include <eelgrasscove/time.h>
 
 #include <cstdint>
@@ -28,10 +27,10 @@
 /// of clearances is valid; records with equal numbers complement each other.
 struct CrashRecord
 {
-    /// Times that responses have shown the suspect to be sound; also 1 where that was known before
-    /// the first crash.
+    /// Times that responses have shown the suspect to be sound; 1 where that was known before the
+    /// first crash. Above 0, more crashes are needed to hold the suspect.
     std::uint32_t clearances_ = 0;
-    /// Requests sent as a trial since the last clearance.
+    /// Requests sent as a trial since the last clearance. Each doubles the pause before the next.
     std::uint32_t trials_ = 0;
     /// Distinct crashes since the last clearance, in ascending order.
     std::vector<CrashId> crashes_;
@@ -73,12 +72,6 @@
     Held,
 };
 
-constexpr NameTable<CrashVerdict, 3> crashVerdictNames = {{
-    {CrashVerdict::Allowed, "allowed"},
-    {CrashVerdict::Trial, "trial"},
-    {CrashVerdict::Held, "held"},
-}};
-
 /// Returns a hash of the request's path, caller and body, which is equal for each repetition of the
 /// request.
 SuspectId requestHash(std::string_view path, std::string_view caller, std::string_view body);
@@ -91,10 +84,14 @@
 std::optional<SuspectId> findHeldSuspect(const CrashSuspects &suspects,
                                          const RequestSuspects &request);
 
-/// Decides whether a request may be sent. A request with several held suspects is never a trial, as
-/// its crash would not tell which of them was the cause.
+/// Decides whether a request may be sent. A request with a second suspect that has crashes is never
+/// a trial, as its crash would not tell which of them was the cause.
 CrashVerdict judgeRequest(const CrashSuspects &suspects, const RequestSuspects &request, Time now);
 
+/// Returns the time after which a held request may be sent as a trial; the retention period where
+/// no trial will be made.
+Duration timeUntilTrial(const CrashSuspects &suspects, const RequestSuspects &request, Time now);
+
 /// Records that a request is sent as a trial. retryJitter is a random time that keeps the entries
 /// from making their next trials at the same moment.
 void recordTrial(CrashSuspects &suspects, const RequestSuspects &request, Duration retryJitter,
@@ -116,7 +113,8 @@
 /// Returns the records to send to the peers, held suspects first, bounded in number.
 std::vector<ReportedCrashRecord> crashReport(const CrashSuspects &suspects, Time now);
 
-/// Merges a record that a peer reported.
+/// Merges a record that a peer reported. A suspect that this entry knows to be sound counts as
+/// cleared, although the peer did not know it.
 void mergeCrashRecord(CrashSuspects &suspects, const ReportedCrashRecord &reported,
                       Duration retryJitter, Time now);
 
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -100,7 +100,11 @@
     bool tokensCharged_ = false;
     RequestSuspects suspects_;
     /// A target went on writing its response or completed it, so the request crashes no targets.
-    bool isShownSound_ = false;
+    bool isKnownSound_ = false;
+    /// Sent, or to be sent again after a target did not run it, as a trial of a held suspect.
+    bool isTrial_ = false;
+    /// Time of the first event of the current send.
+    Time sendFirstEventAt_;
     /// Random number in [0, 1) that selects one of the services among which a route is shared.
     double serviceDraw_ = 0;
 
@@ -308,9 +312,9 @@
     std::optional<Time> rulesConfirmedByPeerAt_;
     /// Highest revision of a change of the operator's keys that a peer knows.
     std::uint64_t peersOperatorRevision_ = 0;
-    /// Time since which a peer knows a change of the operator's keys that this entry doesn't know,
-    /// or of the last query for it.
+    /// Time since which a peer knows a change of the operator's keys that this entry doesn't know.
     std::optional<Time> missesChangesSince_;
+    Time confirmRequestedAt_;
 
     AdapterDemand demand_;
     TokenAllowance allowance_;
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -37,7 +37,8 @@
 /// silent: two passes of checkRequests() and the way to the client.
 constexpr Duration silentTargetMargin = 150ms;
 
-/// Retry-After of a request that is held back because it or a part of its prompt crashes targets.
+/// Longest Retry-After of a request that is held back because it or a part of its prompt crashes
+/// targets.
 constexpr Duration heldRetryAfter = 30s;
 
 /// Fraction of its remaining wait for which a request may be queued until a target's pause ends;
@@ -167,8 +168,12 @@
         refuse(*request, 503, "deadline passed on arrival", minRetryAfter);
         return;
     }
-    request->suspects_ = {requestHash(request->head_.target_, request->key_, request->body_),
-                          sharedPartHashes(request->head_.header(wire::promptPartsHeader))};
+    request->suspects_.request_ =
+        requestHash(request->head_.target_, request->key_, request->body_);
+    // Only engines read the parts of a prompt.
+    if (!request->model_.empty())
+        request->suspects_.parts_ =
+            sharedPartHashes(request->head_.header(wire::promptPartsHeader));
     if (refuseIfHeld(*request, now))
         return;
     if (!checkAllowance(*request, now))
@@ -305,12 +310,16 @@
 
 bool Edge::refuseIfHeld(EdgeRequest &request, Time now)
 {
-    if (judgeRequest(crashSuspects_, request.suspects_, now) != CrashVerdict::Held)
+    if (request.isKnownSound_ || request.isTrial_)
+        return false;
+    const std::optional<SuspectId> held = findHeldSuspect(crashSuspects_, request.suspects_);
+    if (!held || judgeRequest(crashSuspects_, request.suspects_, now) != CrashVerdict::Held)
         return false;
     recordHeld(crashSuspects_, request.suspects_, now);
     countMetric("eelgrasscove_requests_held_total");
+    eventLog().note("request.held", "id", request.id_, "hash", *held);
     refuse(request, 503, "request or part of its prompt crashed targets repeatedly",
-           heldRetryAfter);
+           std::min(heldRetryAfter, timeUntilTrial(crashSuspects_, request.suspects_, now)));
     return true;
 }
 
@@ -436,7 +445,9 @@
                minRetryAfter);
         return;
     }
-    if (judgeRequest(crashSuspects_, request->suspects_, now) == CrashVerdict::Trial) {
+    if (!request->isTrial_ && !request->isKnownSound_
+        && judgeRequest(crashSuspects_, request->suspects_, now) == CrashVerdict::Trial) {
+        request->isTrial_ = true;
         recordTrial(crashSuspects_, request->suspects_, trialJitter(), now);
         eventLog().note("suspect.tried", "id", request->id_, "target", target->state_.listed_.id_);
         // The peers have to know of the trial before they make one of their own.
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -32,7 +32,7 @@
 
 /// Time within which a crash of the target is attributed to a request whose connection broke.
 constexpr Duration crashSuspicionTimeout = 2s;
-/// The agent may report the crash before the broken connection is read.
+/// Time by which the agent's report of a crash may come before the broken connection is read.
 constexpr Duration crashReportLead = 500ms;
 
 /// A target that still writes events this long after the first one has not been crashed by the
@@ -159,6 +159,12 @@
     return !id || isLaterEventId(*id, request.lastEventId_);
 }
 
+/// Returns whether the response states where it ends. Otherwise a crash can't be told from its end.
+bool isFramed(const HttpHead &response)
+{
+    return response.hasHeader("Content-Length") || response.hasHeader("Transfer-Encoding");
+}
+
 /// Returns whether a stream whose connection or framing ended in order was broken off all the same:
 /// inside an event, or before the first one where only the end of the connection marks its end.
 bool isBrokenOff(const EdgeRequest &request)
@@ -167,9 +173,7 @@
         return false;
     if (request.responseBody_.find_first_not_of("\r\n") != std::string::npos)
         return true;
-    const HttpHead &head = request.response_;
-    return request.stage_ == RequestStage::Sent && !head.hasHeader("Content-Length")
-        && !head.hasHeader("Transfer-Encoding");
+    return request.stage_ == RequestStage::Sent && !isFramed(request.response_);
 }
 
 } // namespace
@@ -245,6 +249,8 @@
     const std::string_view events = std::string_view(bytes).substr(0, completeSize);
     if (std::string id = lastEventIdOf(events); !id.empty())
         request.lastEventId_ = std::move(id);
+    if (request.stage_ == RequestStage::Sent)
+        request.sendFirstEventAt_ = now;
     request.stage_ = RequestStage::Streaming;
     if (request.firstEventForwarded_) {
         request.longestPause_ = std::max(request.longestPause_, now - request.lastEventAt_);
@@ -256,7 +262,7 @@
                             events);
     }
     request.lastEventAt_ = now;
-    if (now - request.firstEventAt_ >= soundStreamTime)
+    if (now - request.sendFirstEventAt_ >= soundStreamTime)
         recordSoundRequest(request, now);
     bytes.erase(0, completeSize);
 }
@@ -294,7 +300,8 @@
         return;
     }
     ++request->runs_;
-    if (!request->isShownSound_) {
+    request->isTrial_ = false;
+    if (!request->isKnownSound_) {
         crashSuspicions_.push_back(
             {request->id_, request->suspects_, target, crashIdOf(target->state_), now});
     }
@@ -331,6 +338,7 @@
         return;
     }
     ++request->runs_;
+    request->isTrial_ = false;
     if (claimsNotRun(request->response_)) {
         recordOutcome(state, errorWeight);
         onRequestFailed(
@@ -358,7 +366,8 @@
         }
     } else {
         recordOutcome(state, 0);
-        recordSoundRequest(*request, bootNow());
+        if (isSuccess(status) && isFramed(request->response_))
+            recordSoundRequest(*request, bootNow());
     }
     if (!session) {
         endRequest(*request, status, "client disconnected");
@@ -465,9 +474,9 @@
 
 void Edge::recordSoundRequest(EdgeRequest &request, Time now)
 {
-    if (request.isShownSound_)
+    if (request.isKnownSound_)
         return;
-    request.isShownSound_ = true;
+    request.isKnownSound_ = true;
     for (const SuspectId suspect : recordSound(crashSuspects_, request.suspects_, now))
         eventLog().note("suspect.cleared", "hash", suspect, "id", request.id_);
 }
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -118,7 +118,8 @@
 
 CrashId crashIdOf(const TargetState &target)
 {
-    const std::uint64_t startedAt = target.listed_.startedAt_;
+    // Both are the target's own start time; the list lags behind the agent.
+    const std::uint64_t startedAt = std::max(target.listed_.startedAt_, target.startedAt_);
     return XXH32(&startedAt, sizeof startedAt, nameHash(target.listed_.id_));
 }
 
--- a/Tests/EdgeDecisions/crashsuspectstest.cpp
+++ b/Tests/EdgeDecisions/crashsuspectstest.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(crashcounts)
+BOOST_AUTO_TEST_SUITE(crashsuspects)
 
 BOOST_AUTO_TEST_CASE(the_request_hash_depends_on_path_caller_and_body)
 {
@@ -175,6 +175,43 @@
     BOOST_TEST(trials <= 2);
 }
 
+BOOST_AUTO_TEST_CASE(trials_that_end_without_a_verdict_are_followed_by_others)
+{
+    CrashSuspects suspects = suspectsOfTwoCrashes(requestWith(7, {3}));
+    const RequestSuspects sound = requestWith(8, {3});
+    int trials = 0;
+    for (Time now(11s); now < Time(120s); now += 1s) {
+        recordHeld(suspects, sound, now);
+        if (verdictAt(suspects, sound, now) != CrashVerdict::Trial)
+            continue;
+        ++trials;
+        recordTrial(suspects, sound, 0s, now);
+    }
+    BOOST_TEST(trials >= 4);
+    BOOST_TEST(trials <= 5);
+}
+
+BOOST_AUTO_TEST_CASE(request_with_another_part_that_was_at_a_crash_is_not_a_trial)
+{
+    CrashSuspects suspects = suspectsOfTwoCrashes(requestWith(7, {3}));
+    recordCrash(suspects, requestWith(9, {4}), 3, Time(12s), 0s, Time(12s));
+    BOOST_TEST((verdictAt(suspects, requestWith(8, {3, 4}), Time(60s)) == CrashVerdict::Held));
+    BOOST_TEST((verdictAt(suspects, requestWith(8, {3, 5}), Time(60s)) == CrashVerdict::Trial));
+}
+
+BOOST_AUTO_TEST_CASE(part_known_here_to_be_sound_is_not_held_by_reports_of_entries_that_do_not_know)
+{
+    CrashSuspects informed;
+    recordSound(informed, requestWith(1, {3}), Time(9s));
+    const CrashSuspects restarted = suspectsOfTwoCrashes(requestWith(7, {3}));
+    exchange(restarted, informed, Time(11s));
+    BOOST_TEST((verdictAt(informed, requestWith(8, {3}), Time(11s)) == CrashVerdict::Allowed));
+    CrashSuspects third;
+    exchange(restarted, third, Time(11s));
+    exchange(informed, third, Time(11s));
+    BOOST_TEST((verdictAt(third, requestWith(8, {3}), Time(11s)) == CrashVerdict::Allowed));
+}
+
 BOOST_AUTO_TEST_CASE(request_with_two_held_parts_is_not_a_trial)
 {
     CrashSuspects suspects = suspectsOfTwoCrashes(requestWith(7, {3, 4}));
