Space queries for confirmations by half a second

An entry that the store turns away sent up to five queries a second, each on a new connection, while its confirmation was old; refused calls are priced. One interval now bounds them, whatever the reason of the query.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -64,6 +64,8 @@
 /// before the store is queried. It is longer than the coalescing period of the rules, and shorter
 /// by more than a response of the store than the bound on the adoption of new rules.
 constexpr Duration maxLagBehindPeers = 500ms;
+/// Minimum interval between these requests, so that a store that turns this entry away gets few.
+constexpr Duration minConfirmInterval = 500ms;
 constexpr Duration targetsWatchTimeout = 10s;
 constexpr Duration peersWatchTimeout = 20s;
 /// Target updates are coalesced for this fraction of the operator's bound on draining targets. An
@@ -312,12 +314,11 @@
     else if (!missesChangesSince_)
         missesChangesSince_ = now;
     const bool isBehind = missesChangesSince_ && now - *missesChangesSince_ >= maxLagBehindPeers;
-    // A store that turns this entry away gets no more than one query per lag period.
-    if (isBehind)
-        missesChangesSince_ = now;
     const bool isOld = now - rulesConfirmedAt() > settings_.bounds_.revoke_ * confirmAgeFraction;
-    if (isOld || isBehind)
-        operatorFeed_->confirmNow();
+    if ((!isOld && !isBehind) || now - confirmRequestedAt_ < minConfirmInterval)
+        return;
+    confirmRequestedAt_ = now;
+    operatorFeed_->confirmNow();
 }
 
 bool Edge::areRulesFresh(Time now) const
