Don't hold a sound part for the crashes beside a deadly one

In a series of crashes a sound part that many requests share reached four before a response cleared it, and more crashes than allow trials.

Change: crashes at which a stronger suspect was present don't count against others. A held suspect that was never in a sound response is stronger than one that was; among equals, the one with more crashes is. Up to 16 crashes are kept of a suspect.

Failed before: sound_requests_beside_deadly_ones_do_not_have_their_part_held (verdict of a sound request with the shared part == Allowed has failed).

--- a/Source/Edge/crashsuspects.cpp
+++ b/Source/Edge/crashsuspects.cpp
@@ -24,7 +24,7 @@
 constexpr Duration trialPause = 5s;
 constexpr std::uint32_t maxPauseDoublings = 6;
 
-constexpr std::size_t maxCrashIds = 8;
+constexpr std::size_t maxCrashIds = 16;
 constexpr std::size_t maxRecords = 1024;
 constexpr std::size_t maxSoundParts = 4096;
 constexpr std::size_t maxReportedRecords = 32;
@@ -62,9 +62,40 @@
         now + trialPause * (1 << std::min(record.trials_, maxPauseDoublings)) + jitter;
 }
 
-bool hasTrialsLeft(const CrashRecord &record)
+std::size_t crashLimitOf(const CrashRecord &record)
 {
+    return record.clearances_ > 0 ? soundCrashLimit : crashLimit;
+}
+
+/// Whether a suspect rather than the other is the cause of a crash at which both were present.
+bool isStronger(const CrashRecord &record, const CrashRecord &other)
+{
+    if (record.crashes_.size() < crashLimitOf(record))
+        return false;
+    const bool wasSound = record.clearances_ > 0;
+    return wasSound == (other.clearances_ > 0) ? record.crashes_.size() > other.crashes_.size()
+                                               : !wasSound;
+}
+
+/// Returns the number of crashes that no stronger suspect explains.
+std::size_t unexplainedCrashes(const CrashSuspects &suspects, const CrashRecord &record)
+{
+    const auto isExplained = [&](CrashId crash) {
+        return std::any_of(suspects.records_.begin(), suspects.records_.end(),
+                           [&](const auto &other) {
+                               const std::vector<CrashId> &crashes = other.second.crashes_;
+                               return isStronger(other.second, record)
+                                   && std::binary_search(crashes.begin(), crashes.end(), crash);
+                           });
+    };
     return record.crashes_.size()
+        - static_cast<std::size_t>(
+               std::count_if(record.crashes_.begin(), record.crashes_.end(), isExplained));
+}
+
+bool hasTrialsLeft(const CrashSuspects &suspects, const CrashRecord &record)
+{
+    return unexplainedCrashes(suspects, record)
         <= (record.clearances_ > 0 ? maxSoundTrialCrashes : maxTrialCrashes);
 }
 
@@ -140,9 +171,10 @@
     return parts;
 }
 
-bool isHeld(const CrashRecord &record)
+bool isHeld(const CrashSuspects &suspects, const CrashRecord &record)
 {
-    return record.crashes_.size() >= (record.clearances_ > 0 ? soundCrashLimit : crashLimit);
+    const std::size_t limit = crashLimitOf(record);
+    return record.crashes_.size() >= limit && unexplainedCrashes(suspects, record) >= limit;
 }
 
 std::optional<SuspectId> findHeldSuspect(const CrashSuspects &suspects,
@@ -150,7 +182,7 @@
 {
     std::optional<SuspectId> held;
     forEachRecord(suspects.records_, request, [&](SuspectId id, const CrashRecord &record) {
-        if (isHeld(record))
+        if (isHeld(suspects, record))
             held = id;
     });
     return held;
@@ -172,7 +204,7 @@
         if (record.crashes_.empty())
             return;
         ++suspected;
-        if (isHeld(record) && hasTrialsLeft(record))
+        if (isHeld(suspects, record) && hasTrialsLeft(suspects, record))
             time = std::max(record.trialAfter_ - now, Duration::zero());
     });
     return suspected == 1 ? time : retentionPeriod;
@@ -182,7 +214,7 @@
                  Time now)
 {
     forEachRecord(suspects.records_, request, [&](SuspectId, CrashRecord &record) {
-        if (!isHeld(record))
+        if (!isHeld(suspects, record))
             return;
         ++record.trials_;
         setTrialPause(record, retryJitter, now);
@@ -193,7 +225,7 @@
 void recordHeld(CrashSuspects &suspects, const RequestSuspects &request, Time now)
 {
     forEachRecord(suspects.records_, request, [&](SuspectId, CrashRecord &record) {
-        if (isHeld(record))
+        if (isHeld(suspects, record))
             record.lastSeenAt_ = now;
     });
 }
@@ -222,7 +254,7 @@
     forEachRecord(suspects.records_, request, [&](SuspectId id, CrashRecord &record) {
         if (record.crashes_.empty())
             return;
-        if (isHeld(record))
+        if (isHeld(suspects, record))
             cleared.push_back(id);
         ++record.clearances_;
         record.trials_ = 0;
@@ -240,12 +272,13 @@
     for (const Entry &entry : suspects.records_) {
         const Duration period =
             entry.second.crashes_.empty() ? clearanceReportPeriod : crashReportPeriod;
-        if (isHeld(entry.second) || now - entry.second.lastSeenAt_ < period)
+        if (isHeld(suspects, entry.second) || now - entry.second.lastSeenAt_ < period)
             entries.push_back(&entry);
     }
     std::sort(entries.begin(), entries.end(), [](const Entry *left, const Entry *right) {
         const auto rank = [](const CrashRecord &record) {
-            return std::tuple(isHeld(record), record.crashes_.size(), record.lastSeenAt_);
+            return std::tuple(record.crashes_.size() >= crashLimitOf(record),
+                              record.crashes_.size(), record.lastSeenAt_);
         };
         return rank(left->second) > rank(right->second);
     });
@@ -302,7 +335,7 @@
         return;
     std::vector<std::pair<Time, SuspectId>> oldestFirst;
     for (const auto &[id, record] : suspects.records_) {
-        if (!isHeld(record))
+        if (!isHeld(suspects, record))
             oldestFirst.emplace_back(record.lastSeenAt_, id);
     }
     std::sort(oldestFirst.begin(), oldestFirst.end());
--- a/Source/Edge/crashsuspects.h
+++ b/Source/Edge/crashsuspects.h
@@ -118,8 +118,9 @@
 void mergeCrashRecord(CrashSuspects &suspects, const ReportedCrashRecord &reported,
                       Duration retryJitter, Time now);
 
-/// Whether requests with the suspect are held back.
-bool isHeld(const CrashRecord &record);
+/// Whether requests with the suspect are held back. Crashes at which a stronger suspect was present
+/// don't count: it explains them, and the other requests at the target were bystanders.
+bool isHeld(const CrashSuspects &suspects, const CrashRecord &record);
 
 /// Removes records that are older than the retention period, and the oldest beyond the limit.
 void removeExpiredCrashSuspects(CrashSuspects &suspects, Time now);
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -240,10 +240,12 @@
     applyPeerUsage(allowance_, vm, std::move(usage));
     for (const ReportedCrashRecord &reported : state.crashRecords_) {
         const auto known = crashSuspects_.records_.find(reported.suspect_);
-        const bool wasHeld = known != crashSuspects_.records_.end() && isHeld(known->second);
+        const bool wasHeld =
+            known != crashSuspects_.records_.end() && isHeld(crashSuspects_, known->second);
         mergeCrashRecord(crashSuspects_, reported, trialJitter(), now);
         const auto merged = crashSuspects_.records_.find(reported.suspect_);
-        if (!wasHeld && merged != crashSuspects_.records_.end() && isHeld(merged->second))
+        if (!wasHeld && merged != crashSuspects_.records_.end()
+            && isHeld(crashSuspects_, merged->second))
             logHeldSuspect(reported.suspect_, vm);
     }
 }
--- a/Tests/EdgeDecisions/crashsuspectstest.cpp
+++ b/Tests/EdgeDecisions/crashsuspectstest.cpp
@@ -243,6 +243,20 @@
     BOOST_TEST((verdictAt(suspects, requestWith(9, {60}), Time(11s)) == CrashVerdict::Allowed));
 }
 
+BOOST_AUTO_TEST_CASE(sound_requests_beside_deadly_ones_do_not_have_their_part_held)
+{
+    constexpr SuspectId shared = 50;
+    CrashSuspects suspects;
+    recordSound(suspects, requestWith(1, {shared}), Time(9s));
+    for (CrashId crash = 1; crash <= 8; ++crash) {
+        const Time at(10s + crash * 50ms);
+        recordCrash(suspects, requestWith(100 + crash, {shared, 3}), crash, at, 0s, at);
+        recordCrash(suspects, requestWith(200 + crash, {shared}), crash, at, 0s, at);
+    }
+    BOOST_TEST((verdictAt(suspects, requestWith(2, {shared}), Time(11s)) == CrashVerdict::Allowed));
+    BOOST_TEST((verdictAt(suspects, requestWith(4, {3}), Time(11s)) == CrashVerdict::Held));
+}
+
 BOOST_AUTO_TEST_CASE(records_sound_parts_and_reports_are_bounded)
 {
     CrashSuspects suspects;
