--- a/Source/Edge/crashsuspects.h
+++ b/Source/Edge/crashsuspects.h
@@ -85,7 +85,7 @@
                                          const RequestSuspects &request);
 
 /// Decides whether a request may be sent. A request with a second suspect that has crashes is never
-/// a trial, as its crash would not tell which of them was the cause.
+/// a trial, as its crash would not identify the cause.
 CrashVerdict judgeRequest(const CrashSuspects &suspects, const RequestSuspects &request, Time now);
 
 /// Returns the time after which a held request may be sent as a trial; the retention period where
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -159,7 +159,8 @@
     return !id || isLaterEventId(*id, request.lastEventId_);
 }
 
-/// Returns whether the response states where it ends. Otherwise a crash can't be told from its end.
+/// Returns whether the response states where it ends. Otherwise a crash can't be distinguished
+/// from its end.
 bool isFramed(const HttpHead &response)
 {
     return response.hasHeader("Content-Length") || response.hasHeader("Transfer-Encoding");
--- a/Source/Edge/targetnotice.h
+++ b/Source/Edge/targetnotice.h
@@ -55,7 +55,8 @@
     auto operator<=>(const TargetInstance &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
-/// Whether both may be the start of one instance. An unknown start does not tell instances apart.
+/// Whether both may be the start of one instance. An unknown start does not distinguish
+/// instances.
 bool isSameStart(std::uint64_t left, std::uint64_t right);
 
 /// Records that the target leaves. Returns false if that was known.
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -89,7 +89,7 @@
     OnTrial,
     /// Its agent says that it doesn't respond.
     Down,
-    /// It has not been heard of for too long for the requests that it has.
+    /// Nothing has been received from it for longer than is possible while it works on requests.
     Silent,
     /// It was silent recently.
     Avoided,
