Send state messages once to each other data centre and relay them there

Cause: each entry sent its state to every other entry, with echoes for all of them, and each agent sent its state to every entry. The bytes between data centres grew with the square of the entries, those of the echoes with the cube: by the code, 68 x 57 x 5 messages a second of some 750 bytes on the large deployment, and as much again by 120 agents.

Change: a message goes directly to the members of the sender's own data centre and to one member of each other one, which relays it unchanged (Source/Peer/dissemination.h). The relay rotates with each message, so there is no election, and a lost or unreachable member costs a message in as many as its data centre has. A message contains the echoes for its destination only. Numbers and time stamps are the sender's, so a repeated, late or replayed datagram changes nothing, as before. Entries that wait for adapters get new lists without a relay. Bytes and datagrams are counted by message and by whether they leave the data centre.

Ruled out: fixed or elected relays (their loss costs every message until it is noticed); longer periods (bytes still grow with the square, and the allowance needs contact within 0.7 s).

The layout version is 4: messages of other versions are ignored, and such entries share allowances as without contact, as in earlier changes of the layout.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -2,6 +2,8 @@
 
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
+#include "Peer/datagrammetrics.h"
+#include "Peer/dissemination.h"
 #include "Vm/servingprogram.h"
 #include "platform/ruleswire.h"
 #include "platform/storewire.h"
@@ -32,10 +34,15 @@
 constexpr Duration maxIdleStatePeriod = 500ms;
 /// The same while the engine has requests, so that entries detect a frozen engine sooner.
 constexpr Duration maxBusyStatePeriod = 200ms;
-/// Minimum pause between two states sent to one entry because of a changed load, per known entry:
-/// with N entries the pause is N times as long, up to the maximum below.
-constexpr Duration loadUpdatePausePerEntry = 22ms;
+/// Minimum pause between two states sent because of a changed load, per recipient: with N of them
+/// the pause is N times as long, up to the maximum below.
+constexpr Duration loadUpdatePausePerRecipient = 22ms;
 constexpr Duration maxLoadUpdatePause = 400ms;
+/// An entry is chosen as a relay if it has sent a message within this time: entries send at least
+/// one a second.
+constexpr Duration relayContactTimeout = 1200ms;
+/// An entry that has sent a load request within this time gets states without a relay.
+constexpr Duration directStateTime = 500ms;
 constexpr Duration logFlushPeriod = 500ms;
 /// Consecutive failed polls after which the engine counts as down.
 constexpr std::uint32_t failedPollsUntilDown = 2;
@@ -106,7 +113,8 @@
 
 Agent::Agent(EventLoop &loop, ServingSettings settings)
     : loop_(loop), settings_(std::move(settings)), store_(endpointOf(settings_.store_)),
-      storeClient_(loop, store_), engineClient_(loop, endpointOf(settings_.engine_)),
+      dataCentre_(nameHash(settings_.dataCentre_)), storeClient_(loop, store_),
+      engineClient_(loop, endpointOf(settings_.engine_)),
       orderClient_(loop, endpointOf(settings_.engine_)), stateNumber_(unixMicros())
 { }
 
@@ -315,7 +323,10 @@
     if (isNew)
         eventLog().note("entry.heard", "entry", loadRequests->vm_, "address", from.text());
     entry->second.address_ = from;
+    entry->second.dataCentre_ = loadRequests->dataCentre_;
     entry->second.lastContactAt_ = now;
+    if (!loadRequests->loadRequests_.empty())
+        entry->second.loadRequestedAt_ = now;
     entry->second.knownResidencyNumber_ = loadRequests->knownResidencyNumber_;
     // The report contains no target id. Entries read it from the target list; it is valid for the
     // same start of the engine.
@@ -335,7 +346,7 @@
     }
 }
 
-EngineStateMessage Agent::engineStateFor(const KnownEntry &entry)
+EngineStateMessage Agent::makeState(bool hasLists)
 {
     EngineStateMessage state;
     state.target_ = targetId_.empty() ? 0 : nameHash(targetId_);
@@ -349,7 +360,7 @@
     state.memoryTokens_ = report_.memoryTokens_;
     state.lateRatio_ = static_cast<float>(lateRatio_);
     state.residencyNumber_ = residencyNumber_;
-    state.hasLists_ = entry.knownResidencyNumber_ != residencyNumber_;
+    state.hasLists_ = hasLists;
     for (const auto &[adapter, request] : plan_.requestedAdapters_) {
         if (isIncoming(report_, adapter))
             continue;
@@ -376,23 +387,56 @@
     std::erase_if(entries_, [&](const auto &entry) {
         return now - entry.second.lastContactAt_ > entryTimeout;
     });
+    std::map<NameHash, std::vector<KnownEntry *>> entriesOf;
+    for (auto &[vm, entry] : entries_)
+        entriesOf[entry.dataCentre_].push_back(&entry);
+    std::erase_if(sentStates_, [&](const auto &sent) { return !entriesOf.contains(sent.first); });
+    const auto own = entriesOf.find(dataCentre_);
+    const std::size_t recipients =
+        entriesOf.size() + (own == entriesOf.end() ? 0 : own->second.size() - 1);
     // The more entries there are, the less often each needs the load that the others cause here.
     const Duration pause =
-        std::min(loadUpdatePausePerEntry * static_cast<int>(entries_.size()), maxLoadUpdatePause);
-    for (auto &[vm, entry] : entries_) {
-        const Duration sinceSent = now - entry.stateSentAt_;
-        entry.hasLoadChanged_ = entry.hasLoadChanged_ || hasLoadChanged;
-        const bool hasNewLists = entry.knownResidencyNumber_ != residencyNumber_;
-        const bool isDue = isUrgent || hasNewLists || sinceSent >= maxPeriod
-            || (entry.hasLoadChanged_ && sinceSent >= pause);
-        if (!isDue)
-            continue;
-        entry.stateSentAt_ = now;
-        entry.hasLoadChanged_ = false;
-        socket_.send(encodePeerMessage(engineStateFor(entry)), entry.address_);
-        // Assumed to arrive; the entry's next message corrects this if the datagram was lost.
-        entry.knownResidencyNumber_ = residencyNumber_;
+        std::min(loadUpdatePausePerRecipient * static_cast<int>(recipients), maxLoadUpdatePause);
+    for (const auto &[dataCentre, entries] : entriesOf) {
+        SentState &sent = sentStates_[dataCentre];
+        sent.hasLoadChanged_ = sent.hasLoadChanged_ || hasLoadChanged;
+        sendStateToDataCentre(dataCentre, entries, isUrgent, pause, now);
+    }
+}
+
+void Agent::sendStateToDataCentre(NameHash dataCentre, const std::vector<KnownEntry *> &entries,
+                                  bool isUrgent, Duration loadUpdatePause, Time now)
+{
+    const bool hasRequests = report_.running_ + report_.waiting_ > 0;
+    const Duration maxPeriod = hasRequests ? maxBusyStatePeriod : maxIdleStatePeriod;
+    const bool hasNewLists =
+        std::any_of(entries.begin(), entries.end(), [this](const KnownEntry *entry) {
+            return entry->knownResidencyNumber_ != residencyNumber_;
+        });
+    SentState &sent = sentStates_[dataCentre];
+    const Duration sinceSent = now - sent.sentAt_;
+    if (!isUrgent && !hasNewLists && sinceSent < maxPeriod
+        && (!sent.hasLoadChanged_ || sinceSent < loadUpdatePause))
+        return;
+    std::vector<Member> members;
+    for (const KnownEntry *entry : entries) {
+        // Without the id, a relayed report can't be attributed to its target.
+        const bool isDirect =
+            targetId_.empty() || (hasNewLists && now - entry->loadRequestedAt_ < directStateTime);
+        members.push_back({entry->address_, dataCentre,
+                           now - entry->lastContactAt_ < relayContactTimeout, isDirect});
+    }
+    std::string bytes = encodePeerMessage(makeState(hasNewLists));
+    for (const Recipient &recipient : chooseRecipients(members, dataCentre_, ++sent.messages_)) {
+        setRoute(bytes, recipient.isRelay_ ? DatagramRoute::ToRelay : DatagramRoute::Direct);
+        countDatagrams("engine_state", dataCentre == dataCentre_, 1, bytes.size());
+        socket_.send(bytes, members[recipient.member_].endpoint_);
     }
+    sent.sentAt_ = now;
+    sent.hasLoadChanged_ = false;
+    // Assumed to arrive; the entry's next message corrects this if the datagram was lost.
+    for (KnownEntry *entry : entries)
+        entry->knownResidencyNumber_ = residencyNumber_;
 }
 
 int runAgent(int argc, char **argv)
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -31,10 +31,16 @@
     struct KnownEntry
     {
         Endpoint address_;
+        NameHash dataCentre_ = 0;
         Time lastContactAt_;
         std::uint64_t knownResidencyNumber_ = 0;
-        Time stateSentAt_;
-        /// The engine's load has changed since the last state was sent.
+    };
+
+    /// What has been sent to the entries of one data centre.
+    struct SentState
+    {
+        Time sentAt_;
+        /// The engine's load has changed since then.
         bool hasLoadChanged_ = false;
     };
 
@@ -48,12 +54,17 @@
                              const std::optional<HttpResponse> &response);
     void handleDatagram(std::string_view bytes, const Endpoint &from);
     void sendStateToEntries(bool isUrgent, bool hasLoadChanged);
-    EngineStateMessage engineStateFor(const KnownEntry &entry);
+    /// Sends the state to the entries of a data centre if it is due.
+    void sendStateToDataCentre(NameHash dataCentre, const std::vector<KnownEntry *> &entries,
+                               bool isUrgent, Duration loadUpdatePause, Time now);
+    EngineStateMessage makeState(bool hasLists);
     void schedulePoll();
 
     EventLoop &loop_;
     ServingSettings settings_;
     Endpoint store_;
+    /// Hash of the name of the data centre.
+    NameHash dataCentre_ = 0;
     DatagramSocket socket_;
     TextServer metrics_;
     HttpCaller storeClient_;
@@ -65,6 +76,7 @@
     wire::EngineReport report_;
     ResidencyPlan plan_;
     std::map<std::string, KnownEntry> entries_;
+    std::map<NameHash, SentState> sentStates_;
     /// Fraction of the most recent streams, over all entries, that were late.
     double lateRatio_ = 0;
     std::uint64_t stateNumber_ = 0;
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -86,6 +86,7 @@
       random_(std::random_device{}())
 {
     parseEndpoint(settings_.peersListen_, peersAddress_);
+    dataCentre_ = nameHash(settings_.dataCentre_);
     startedAt_ = bootNow();
     allowance_.startedAt_ = startedAt_;
     applyBounds();
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -250,13 +250,20 @@
 
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
-    void applyEngineState(EngineStateMessage &&report, const Endpoint &from);
+    /// Sends a message to the other entries of this data centre.
+    void relay(std::string_view bytes);
+    void applyEngineState(EngineStateMessage &&report, const Endpoint &from, DatagramRoute route);
+    /// Returns the target that the report is of, or null.
+    std::shared_ptr<EdgeTarget> findReported(const EngineStateMessage &report, const Endpoint &from,
+                                             DatagramRoute route);
     /// Places queued requests at the targets whose resident adapters have changed.
     void placeAtChangedTargets();
     void applyEntryState(EntryState &&state);
     void sendLoadRequests(EdgeTarget &target, Time now);
     void requestLoad(EdgeTarget &target, const std::string &adapter, Time now);
     void sendEntryStates(Time now);
+    /// Echoes of the latest messages of the peers in the data centre.
+    std::vector<PeerEcho> echoesFor(NameHash dataCentre, Time now) const;
     void countConfirmedCrashes(Time now);
     void recordSoundRequest(EdgeRequest &request, Time now);
     void logHeldSuspect(SuspectId suspect, std::string_view source) const;
@@ -267,6 +274,8 @@
     ServingSettings settings_;
     std::string settingsFile_;
     Endpoint peersAddress_;
+    /// Hash of the name of the data centre.
+    NameHash dataCentre_ = 0;
     TcpListener callerListener_;
     DatagramSocket peersSocket_;
     TextServer readinessServer_;
@@ -298,6 +307,8 @@
     /// was received.
     struct PeerContact
     {
+        /// 0 before the first message.
+        NameHash dataCentre_ = 0;
         std::int64_t timestampMicros_ = 0;
         Time receivedAt_;
         /// Latest time, by this entry's clock, at which the peer is known to have had a message of
@@ -307,7 +318,7 @@
     std::map<std::string, PeerContact> peerContacts_;
     std::map<NameHash, std::string> vmByHash_;
     std::map<NameHash, std::string> accountByHash_;
-    std::uint32_t statesSent_ = 0;
+    std::uint64_t statesSent_ = 0;
     /// Latest time at which, according to a peer, this entry knew all of the operator's changes.
     std::optional<Time> rulesConfirmedByPeerAt_;
     /// Highest revision of a change of the operator's keys that a peer knows.
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -1,5 +1,7 @@
 #include "Edge/edge.h"
 #include "Observe/eventlog.h"
+#include "Peer/datagrammetrics.h"
+#include "Peer/dissemination.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,9 +19,9 @@
 /// Maximum interval between messages to an agent, which removes an entry that is silent for longer.
 constexpr Duration maxMessageInterval = 1s;
 
-/// Every third message contains echoes of the peers' messages, which is often enough, as a peer
-/// counts as out of contact only after a longer time.
-constexpr std::uint32_t echoInterval = 3;
+/// A peer is chosen as a relay if a message of it has been received within this time, five
+/// intervals of the messages.
+constexpr Duration relayContactTimeout = 1s;
 
 /// Maximum number of queued requests tried after reports of new resident adapters.
 constexpr std::size_t maxTriedPerReports = 64;
@@ -29,6 +31,17 @@
 
 } // namespace
 
+std::vector<PeerEcho> Edge::echoesFor(NameHash dataCentre, Time now) const
+{
+    std::vector<PeerEcho> echoes;
+    for (const auto &[vm, contact] : peerContacts_) {
+        if (contact.dataCentre_ == dataCentre)
+            echoes.push_back(
+                {nameHash(vm), contact.timestampMicros_, (now - contact.receivedAt_).count()});
+    }
+    return echoes;
+}
+
 void Edge::onDatagram(std::string_view bytes, const Endpoint &from)
 {
     std::optional<PeerMessage> message = decodePeerMessage(bytes);
@@ -36,21 +49,49 @@
         eventLog().note("datagram.ignored", "from", from.text(), "bytes", bytes.size());
         return;
     }
+    const DatagramRoute route = routeOf(bytes).value_or(DatagramRoute::Direct);
+    if (route == DatagramRoute::ToRelay)
+        relay(bytes);
     if (auto *engine = std::get_if<EngineStateMessage>(&*message))
         applyEngineState(std::move(*engine), from);
     else if (auto *entry = std::get_if<EntryState>(&*message))
         applyEntryState(std::move(*entry));
 }
 
-void Edge::applyEngineState(EngineStateMessage &&report, const Endpoint &from)
+void Edge::relay(std::string_view bytes)
+{
+    std::string copy(bytes);
+    setRoute(copy, DatagramRoute::Relayed);
+    std::uint64_t recipients = 0;
+    for (const auto &[vm, peer] : peers_) {
+        const auto contact = peerContacts_.find(vm);
+        if (contact == peerContacts_.end() || contact->second.dataCentre_ != dataCentre_)
+            continue;
+        peersSocket_.send(copy, peer.endpoint_);
+        ++recipients;
+    }
+    countDatagrams("relayed", true, recipients, copy.size());
+}
+
+std::shared_ptr<EdgeTarget> Edge::findReported(const EngineStateMessage &report,
+                                               const Endpoint &from, DatagramRoute route)
 {
     std::shared_ptr<EdgeTarget> target;
     for (const auto &[id, each] : targets_) {
         const TargetState &state = each->state_;
-        if (state.endpoint_.host_ == from.host_ && !state.isReplaced_
-            && (report.target_ == 0 || nameHash(id) == report.target_))
+        const bool isNamed = nameHash(id) == report.target_;
+        const bool isSender = state.endpoint_.host_ == from.host_;
+        const bool isReported =
+            route == DatagramRoute::Direct ? isSender && (report.target_ == 0 || isNamed) : isNamed;
+        if (isReported && !state.isReplaced_)
             target = each;
     }
+    return target;
+}
+
+void Edge::applyEngineState(EngineStateMessage &&report, const Endpoint &from, DatagramRoute route)
+{
+    const std::shared_ptr<EdgeTarget> target = findReported(report, from, route);
     if (!target)
         return;
     TargetState &state = target->state_;
@@ -129,6 +170,7 @@
         return;
     EntryLoadRequests message;
     message.vm_ = settings_.vm_;
+    message.dataCentre_ = dataCentre_;
     message.target_ = state.listed_.id_;
     message.targetStartedAt_ = state.listed_.startedAt_;
     message.knownResidencyNumber_ = state.residencyNumber_;
@@ -164,13 +206,17 @@
     target.usedAdapters_.clear();
     message.streams_ = std::exchange(target.streams_, 0);
     message.lateStreams_ = std::exchange(target.lateStreams_, 0);
-    peersSocket_.send(encodePeerMessage(message), {state.endpoint_.host_, peersAddress_.port_});
+    std::string bytes = encodePeerMessage(message);
+    countDatagrams("load_requests", state.listed_.dataCentre_ == settings_.dataCentre_, 1,
+                   bytes.size());
+    peersSocket_.send(std::move(bytes), {state.endpoint_.host_, peersAddress_.port_});
 }
 
 void Edge::sendEntryStates(Time now)
 {
     EntryState state;
     state.vm_ = nameHash(settings_.vm_);
+    state.dataCentre_ = dataCentre_;
     state.timestampMicros_ = now.time_since_epoch().count();
     state.startedAtMicros_ = startedAt_.time_since_epoch().count();
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
@@ -179,19 +225,40 @@
     state.operatorRevision_ = operatorFeed_->lastChangeRevision();
     for (const auto &[account, tokens] : collectUsageReport(allowance_))
         state.usage_.push_back({nameHash(account), static_cast<float>(tokens)});
-    if (++statesSent_ % echoInterval == 0) {
-        for (const auto &[vm, contact] : peerContacts_)
-            state.echoes_.push_back(
-                {nameHash(vm), contact.timestampMicros_, (now - contact.receivedAt_).count()});
+    const bool isFull = ++statesSent_ % fullMessageInterval == 0;
+    if (isFull) {
         state.topAdapterRates_ = topAdapterRates(demand_, now);
         removeExpiredPeerRates(demand_, now);
     }
-    if (crashSuspects_.haveChanged_ || statesSent_ % echoInterval == 0)
+    if (crashSuspects_.haveChanged_ || isFull)
         state.crashRecords_ = crashReport(crashSuspects_, now);
     crashSuspects_.haveChanged_ = false;
-    const std::string bytes = encodePeerMessage(state);
-    for (const auto &[vm, peer] : peers_)
-        peersSocket_.send(bytes, peer.endpoint_);
+    std::vector<Member> members;
+    for (const auto &[vm, peer] : peers_) {
+        const auto contact = peerContacts_.find(vm);
+        const bool isKnown = contact != peerContacts_.end();
+        members.push_back({peer.endpoint_, isKnown ? contact->second.dataCentre_ : 0,
+                           isKnown && now - contact->second.receivedAt_ < relayContactTimeout,
+                           false});
+    }
+    // Only the echoes differ between data centres.
+    std::map<NameHash, std::string> encodedFor;
+    for (const Recipient &recipient : chooseRecipients(members, dataCentre_, statesSent_)) {
+        const Member &member = members[recipient.member_];
+        const bool isOwn = member.dataCentre_ == dataCentre_;
+        std::string &encoded = encodedFor[member.dataCentre_];
+        if (encoded.empty()) {
+            // A message that is relayed may be the only one of several that arrives.
+            state.echoes_ =
+                isFull || !isOwn ? echoesFor(member.dataCentre_, now) : std::vector<PeerEcho>{};
+            encoded = encodePeerMessage(state);
+        }
+        std::string bytes = encoded;
+        if (recipient.isRelay_)
+            setRoute(bytes, DatagramRoute::ToRelay);
+        countDatagrams("entry_state", isOwn, 1, bytes.size());
+        peersSocket_.send(std::move(bytes), member.endpoint_);
+    }
 }
 
 void Edge::applyEntryState(EntryState &&state)
@@ -205,6 +272,7 @@
     if (state.timestampMicros_ <= contact.timestampMicros_)
         return;
     contact.timestampMicros_ = state.timestampMicros_;
+    contact.dataCentre_ = state.dataCentre_;
     contact.receivedAt_ = now;
     peersOperatorRevision_ = std::max(peersOperatorRevision_, state.operatorRevision_);
     const bool knowsPeersChanges = state.operatorRevision_ <= operatorFeed_->revision();
--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -13,10 +13,13 @@
 namespace {
 
 /// First byte of every datagram; changed whenever the layout of a message changes.
-constexpr char layoutVersion = 3;
+constexpr char layoutVersion = 4;
 
-/// Size of the header before the message: layout version, message type and checksum.
-constexpr std::size_t headerBytes = 2 + sizeof(std::uint32_t);
+// Header before the message: layout version, route, message type and checksum of the message.
+constexpr std::size_t routeAt = 1;
+constexpr std::size_t typeAt = 2;
+constexpr std::size_t checksumAt = 3;
+constexpr std::size_t headerBytes = checksumAt + sizeof(std::uint32_t);
 
 std::uint32_t checksumOf(std::string_view body)
 {
@@ -47,25 +50,43 @@
     std::string bytes;
     bytes.reserve(headerBytes + body.size());
     bytes += layoutVersion;
+    bytes += static_cast<char>(DatagramRoute::Direct);
     bytes += static_cast<char>(message.index());
     bytes.append(reinterpret_cast<const char *>(&checksum), sizeof checksum);
     bytes += body;
     return bytes;
 }
 
-std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+std::optional<DatagramRoute> routeOf(std::string_view bytes)
 {
     if (bytes.size() < headerBytes || bytes[0] != layoutVersion)
         return std::nullopt;
+    const auto route = static_cast<DatagramRoute>(bytes[routeAt]);
+    for (const auto &[known, name] : datagramRouteNames) {
+        if (route == known)
+            return route;
+    }
+    return std::nullopt;
+}
+
+void setRoute(std::string &bytes, DatagramRoute route)
+{
+    bytes.at(routeAt) = static_cast<char>(route);
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    if (!routeOf(bytes))
+        return std::nullopt;
     const std::string_view body = bytes.substr(headerBytes);
     std::uint32_t checksum = 0;
-    std::memcpy(&checksum, bytes.data() + 2, sizeof checksum);
+    std::memcpy(&checksum, bytes.data() + checksumAt, sizeof checksum);
     // Verified before parsing, as a corrupted length would make the archive allocate an arbitrary
     // amount of memory.
     if (checksum != checksumOf(body))
         return std::nullopt;
     try {
-        switch (bytes[1]) {
+        switch (bytes[typeAt]) {
         case 0:
             return deserialize<EngineStateMessage>(body);
         case 1:
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -5,6 +5,8 @@
 
 #include "Peer/namehash.h"
 
+#include <eelgrasscove/nametable.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -59,9 +61,9 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(target_, number_, startedAt_, isUp_, isDraining_, running_, waiting_, usedTokens_,
-                memoryTokens_, pendingLoads_, lateRatio_, residencyNumber_, hasLists_, adapters_,
-                incoming_, models_);
+        archive(target_, number_, startedAt_, isUp_, isDraining_, running_, waiting_, unread_,
+                usedTokens_, memoryTokens_, pendingLoads_, lateRatio_, residencyNumber_, hasLists_,
+                adapters_, incoming_, models_);
     }
 };
 
@@ -85,6 +87,7 @@
 struct EntryLoadRequests
 {
     std::string vm_;
+    NameHash dataCentre_ = 0;
     /// The id and the start time of the engine in the target list.
     std::string target_;
     std::uint64_t targetStartedAt_ = 0;
@@ -100,8 +103,8 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, target_, targetStartedAt_, knownResidencyNumber_, loadRequests_, usedAdapters_,
-                streams_, lateStreams_);
+        archive(vm_, dataCentre_, target_, targetStartedAt_, knownResidencyNumber_, loadRequests_,
+                usedAdapters_, streams_, lateStreams_);
     }
 };
 
@@ -170,6 +173,7 @@
 struct EntryState
 {
     NameHash vm_ = 0;
+    NameHash dataCentre_ = 0;
     /// The sender's boot clock when the message was sent, and at the sender's start.
     std::int64_t timestampMicros_ = 0;
     std::int64_t startedAtMicros_ = 0;
@@ -187,15 +191,38 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, timestampMicros_, startedAtMicros_, rulesVersion_, rulesAgeMicros_,
-                operatorRevision_, usage_, echoes_, topAdapterRates_, crashRecords_);
+        archive(vm_, dataCentre_, timestampMicros_, startedAtMicros_, rulesVersion_,
+                rulesAgeMicros_, operatorRevision_, usage_, echoes_, topAdapterRates_,
+                crashRecords_);
     }
 };
 
 using PeerMessage = std::variant<EngineStateMessage, EntryLoadRequests, EntryState>;
 
+/// How a datagram comes from the sender of its message to the receiver.
+enum class DatagramRoute : std::uint8_t {
+    /// Without a relay.
+    Direct,
+    /// The receiver is to relay it to the other members of its data centre.
+    ToRelay,
+    /// By a relay; the datagram's source address is the relay's.
+    Relayed,
+};
+
+constexpr NameTable<DatagramRoute, 3> datagramRouteNames = {{
+    {DatagramRoute::Direct, "direct"},
+    {DatagramRoute::ToRelay, "to_relay"},
+    {DatagramRoute::Relayed, "relayed"},
+}};
+
 std::string encodePeerMessage(const PeerMessage &message);
 
+/// Returns the route of an encoded message; empty if the bytes are not one of this layout version.
+std::optional<DatagramRoute> routeOf(std::string_view bytes);
+
+/// Sets the route of an encoded message, which is Direct at first.
+void setRoute(std::string &bytes, DatagramRoute route);
+
 /// Decodes a datagram; empty if the bytes are not a valid message of this layout version.
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes);
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -185,6 +186,20 @@
         close(sender);
     }
 
+    /// Sends a datagram to the entry from another address.
+    void sendDatagram(const std::string &bytes, const char *host = "127.0.0.1") const
+    {
+        const int sender = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        sockaddr_in own{};
+        uv_ip4_addr(host, 0, &own);
+        BOOST_REQUIRE(bind(sender, reinterpret_cast<const sockaddr *>(&own), sizeof own) == 0);
+        sockaddr_in entry{};
+        uv_ip4_addr("127.0.0.1", basePort_ + 6, &entry);
+        sendto(sender, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&entry),
+               sizeof entry);
+        close(sender);
+    }
+
     static std::uint64_t metric(const std::string &name)
     {
         const std::string text = metricsText();
@@ -273,6 +288,8 @@
 
     EntryState state_;
     int received_ = 0;
+    /// Senders of the messages that came by a relay.
+    std::vector<NameHash> relayedFrom_;
 
 private:
     sockaddr_in loopback(int offset) const
@@ -291,6 +308,11 @@
             const auto *received = message ? std::get_if<EntryState>(&*message) : nullptr;
             if (received == nullptr)
                 continue;
+            const std::string_view view(bytes.data(), static_cast<std::size_t>(size));
+            if (routeOf(view) == DatagramRoute::Relayed) {
+                relayedFrom_.push_back(received->vm_);
+                continue;
+            }
             ++received_;
             state_.timestampMicros_ = bootNow().time_since_epoch().count();
             state_.echoes_ = {{received->vm_, received->timestampMicros_, 0}};
@@ -1716,3 +1738,48 @@
     // One watch after each change and at most one at the end of a wait of 2.25 s.
     BOOST_TEST(path.store_.calls("path_prefix=op/") - callsBefore <= 6);
 }
+
+BOOST_AUTO_TEST_CASE(message_to_be_relayed_reaches_the_peers_of_the_data_centre_once)
+{
+    ServingPath path(35);
+    PeerEntry neighbour(path);
+    neighbour.state_.dataCentre_ = nameHash("here");
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return neighbour.received_ > 1; }));
+    EntryState distant;
+    distant.vm_ = nameHash("edge-9");
+    distant.dataCentre_ = nameHash("there");
+    std::string bytes = encodePeerMessage(distant);
+    for (const auto &[route, relayed] :
+         {std::pair(DatagramRoute::ToRelay, 1), {DatagramRoute::Relayed, 0}}) {
+        neighbour.relayedFrom_.clear();
+        setRoute(bytes, route);
+        path.sendDatagram(bytes);
+        turnFor(path.loop_, 300ms);
+        BOOST_TEST(
+            std::count(neighbour.relayedFrom_.begin(), neighbour.relayedFrom_.end(), distant.vm_)
+            == relayed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(relayed_report_of_an_engine_is_attributed_by_its_id)
+{
+    ServingPath path(36);
+    path.registerEngine();
+    path.waitUntilServing();
+    EngineStateMessage state;
+    state.target_ = nameHash("e-0");
+    state.number_ = 1;
+    state.startedAt_ = 1;
+    state.isUp_ = true;
+    state.residencyNumber_ = 1;
+    state.hasLists_ = true;
+    state.adapters_ = {{nameHash("m/a1"), 1}};
+    state.models_ = {nameHash("m")};
+    std::string bytes = encodePeerMessage(state);
+    setRoute(bytes, DatagramRoute::Relayed);
+    path.sendDatagram(bytes, "127.0.0.3");
+    turnFor(path.loop_, 100ms);
+    const auto client = path.sendAdapterRequest();
+    BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
+}
