Refuse requests that come late in a shutdown, and answer all that remain

Cause, as reported by operators of similar systems: after SIGTERM the listener closes after 2.5 s, but a connection on which a request had begun to arrive stayed open until the request was read, and the request was sent to a target like any other. At the end of the grace time the process left, and such requests, also those that may not be repeated, ended without an answer. The same happened to requests that had waited in the queue for long.

Test: ServingPath stopping_entry_sends_no_late_requests_and_answers_those_that_have_not_ended, which failed before (the late request reached a target; the other got no answer at the end).

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -50,6 +50,9 @@
 constexpr Duration minShutdownTime = 2500ms;
 /// Part of the grace time that is reserved for closing the remaining connections.
 constexpr Duration closeReserve = 700ms;
+/// Fraction of the grace time after which no further requests are sent to targets, as they might
+/// not end within the rest of it.
+constexpr double lastSendFraction = 0.5;
 
 /// Timeout of the watch on the rules, as a fraction of the operator's bound for withdrawn keys. The
 /// end of a watch confirms that there are no newer rules. Entries report their confirmations to
@@ -275,10 +278,11 @@
         for (const auto &session : sessions)
             session->closeIfIdle();
     }
-    if (!done && since < settings_.bounds_.grace_ - closeReserve)
+    if (isStopped_ || (!done && since < settings_.bounds_.grace_ - closeReserve))
         return;
-    shutdownStartedAt_ = bootNow() + 1h;
+    isStopped_ = true;
     eventLog().note("process.stopped", "requests", requests_.size());
+    endRemainingRequests();
     registration_->revoke([this] {
         eventLog().flush();
         loop_.stop();
@@ -290,6 +294,28 @@
     });
 }
 
+bool Edge::acceptsRequests(Time now) const
+{
+    return !isShuttingDown_ || now - shutdownStartedAt_ < minShutdownTime;
+}
+
+bool Edge::sendsRequests(Time now) const
+{
+    return !isShuttingDown_
+        || now - shutdownStartedAt_ < settings_.bounds_.grace_ * lastSendFraction;
+}
+
+void Edge::endRemainingRequests()
+{
+    const auto remaining = requests_;
+    for (const EdgeRequestPtr &request : remaining) {
+        if (request->stage_ == RequestStage::Waiting && request->runs_ == 0)
+            refuse(*request, 503, "entry stops", {});
+        else
+            refuse(*request, 502, "entry stops before the end of the response", {});
+    }
+}
+
 void Edge::onHangUp()
 {
     Result<ServingSettings, std::vector<SettingsError>> read = readServingSettings(settingsFile_);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -156,6 +156,12 @@
     void onTerminate();
     void onHangUp();
     void checkShutdown();
+    /// Whether new requests are accepted; the last part of a shutdown is for those in progress.
+    bool acceptsRequests(Time now) const;
+    /// Whether accepted requests are still sent to targets.
+    bool sendsRequests(Time now) const;
+    /// Answers all requests that have not ended when the process stops.
+    void endRemainingRequests();
     void applyOperatorItem(const wire::StoreItem &item);
     void applyRules(const std::string &text);
     void applyTargetItem(const wire::StoreItem &item);
@@ -354,6 +360,7 @@
 
     bool isShuttingDown_ = false;
     Time shutdownStartedAt_;
+    bool isStopped_ = false;
 };
 
 /// The instance of the target that is listed.
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -157,6 +157,10 @@
         refuse(*request, 400, "request has no id header", {});
         return;
     }
+    if (!acceptsRequests(now)) {
+        refuseAndCloseConnection(*request, "entry stops");
+        return;
+    }
     if (!resolveRoute(*request))
         return;
     const Duration left = parseTimeLeft(request->head_, request->route_.timeout_);
@@ -440,6 +444,10 @@
     if (!session || session->endIfClientLeft())
         return;
     const Time now = bootNow();
+    if (!sendsRequests(now)) {
+        refuse(*request, request->runs_ > 0 ? 502 : 503, "entry stops", {});
+        return;
+    }
     if (request->sends_ > 0 && !tryAcquireRetry(retryBudget_, request->service_, now)) {
         refuse(*request, request->runs_ > 0 ? 502 : 503, "retry budget of the service exhausted",
                minRetryAfter);
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1739,6 +1739,31 @@
     BOOST_TEST(path.store_.calls("path_prefix=op/") - callsBefore <= 6);
 }
 
+BOOST_AUTO_TEST_CASE(stopping_entry_sends_no_late_requests_and_answers_those_that_have_not_ended)
+{
+    ServingPath path(33, {}, {.revoke_ = 5s, .grace_ = 4s});
+    path.waitUntilServing();
+    const auto late = std::make_shared<Client>(path.loop_, path.address(4));
+    late->send("POST /tell/late HTTP/1.1\r\nHost: desk.example\r\n");
+    turnFor(path.loop_, 100ms);
+    kill(getpid(), SIGTERM);
+    turnFor(path.loop_, 1700ms);
+    // In progress until the end of the grace time.
+    for (auto &handler : path.handlers_)
+        handler = [](const auto &, SeenRequest &&) {};
+    const auto unanswered = path.sendRequest("POST", "/look/a");
+    BOOST_REQUIRE(turnUntil(path.loop_, 500ms, [&] { return path.receivedRequests() == 1; }));
+    turnFor(path.loop_, 900ms);
+    late->send("Authorization: Bearer k1\r\nX-Eelgrasscove-Request-Id: late\r\n"
+               "Content-Length: 0\r\n\r\n");
+    BOOST_TEST(turnUntil(path.loop_, 500ms, [&] { return late->status() != 0; }));
+    BOOST_TEST(late->status() == 503);
+    BOOST_TEST(late->received_.find("Connection: close") != std::string::npos);
+    turnUntil(path.loop_, 1500ms, [&] { return unanswered->ended_; });
+    BOOST_TEST(unanswered->status() == 502);
+    BOOST_TEST(path.receivedRequests() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(message_to_be_relayed_reaches_the_peers_of_the_data_centre_once)
 {
     ServingPath path(35);
