Don't let requests begin on an adapter version past its bound

Cause: the version is checked when a request is sent, and acts when the engine begins it, which is up to seconds later behind other prompts. Class: a permission checked at hand-over and used later.

Change: an older version is used only where the predicted begin is within the bound, and a send that has not begun 400 ms before the bound is ended; streams that can be resumed are repeated within the retry budget, others are answered 502, as they may just have begun.

Looked for the same class: keys, routes and rules count from when the client sent the request, and a target that leaves from when the request reaches it, so a wait at the target doesn't matter there; deadlines are kept by the target. Requests on connections that are being opened are covered.

Tests: ServingPath request_does_not_wait_at_its_target_past_the_bound_of_a_replaced_version (failed before), EdgeDecisions a_replaced_version_is_not_used_where_the_request_would_begin_past_its_bound and requests_may_begin_on_a_version_until_the_bound_of_the_next_one.

--- a/Source/Edge/adapterversions.cpp
+++ b/Source/Edge/adapterversions.cpp
@@ -14,6 +14,18 @@
     return version;
 }
 
+Time beginDeadline(const AdapterVersionHistory &history, std::uint64_t version, Duration bound)
+{
+    // When the required version was named is no longer known.
+    if (version < history.required_)
+        return Time{};
+    for (const NamedVersion &named : history.recent_) {
+        if (named.version_ > version)
+            return named.namedAt_ + bound;
+    }
+    return Time::max();
+}
+
 bool recordVersion(AdapterVersionHistory &history, const NamedVersion &named, Duration overlap,
                    Time now)
 {
--- a/Source/Edge/adapterversions.h
+++ b/Source/Edge/adapterversions.h
@@ -32,6 +32,10 @@
 /// the given period after that version was named, whatever has been named since.
 std::uint64_t minUsableVersion(const AdapterVersionHistory &history, Duration overlap, Time now);
 
+/// Returns the time until which requests may begin on the version: the given bound after the first
+/// newer version was named. Time::max() if there is no newer one.
+Time beginDeadline(const AdapterVersionHistory &history, std::uint64_t version, Duration bound);
+
 /// Records a version. Returns false, without effect, if it is not newer than all before.
 bool recordVersion(AdapterVersionHistory &history, const NamedVersion &named, Duration overlap,
                    Time now);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -206,8 +206,18 @@
     std::uint64_t newestVersionOf(const std::string &adapter) const;
     /// Period for which the predecessors of a newly named adapter version may still be used.
     Duration versionOverlap() const;
+    /// The same for the time at which requests begin at their targets.
+    Duration versionBeginBound() const;
     void enqueueOrRefuse(const EdgeRequestPtr &request, const Placement &placement);
-    void sendToTarget(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target);
+    void sendToTarget(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target,
+                      Duration predictedFirstEvent);
+    /// Takes a request, which has begun or will not, out of its target's unread prompts.
+    void removeFromBacklog(EdgeRequest &request);
+    /// Whether the request, sent on an adapter version that has been replaced, may no longer begin.
+    bool isOutdated(const EdgeRequest &request, Time now) const;
+    /// Ends the send of an outdated request, and repeats it if it may be repeated.
+    void withdrawOutdated(const EdgeRequestPtr &request, Time now);
+    EngineModel &serviceModelOf(const std::string &service);
     std::string formatRequest(const EdgeRequest &request, const TargetState &target,
                               Time now) const;
     void placeWaitingRequests(const std::string &service, std::size_t maxRequests);
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -56,6 +56,11 @@
 /// next version may have been named.
 constexpr double versionOverlapFraction = 0.7;
 
+/// Time before the operator's bound by which a request on an older adapter version has to begin, or
+/// its send ends: two passes of checkRequests(), a delay of the event loop and the way to the
+/// target.
+constexpr Duration versionBeginMargin = 400ms;
+
 /// Weight of a timeout in the target's failure ratio: the same as that of an error.
 constexpr double timeoutWeight = 1.0;
 
@@ -291,6 +296,14 @@
     if (versions != adapterVersions_.end()) {
         query.newestVersion_ = versions->second.newest_;
         query.minVersion_ = minUsableVersion(versions->second, versionOverlap(), now);
+        query.versions_ = &versions->second;
+        query.versionBound_ = versionBeginBound();
+    }
+    if (!request.model_.empty()) {
+        query.promptTokens_ = request.promptTokens_;
+        query.objective_ = request.route_.objective_;
+        const auto model = serviceModels_.find(request.service_);
+        query.serviceModel_ = model == serviceModels_.end() ? nullptr : &model->second;
     }
     return query;
 }
@@ -307,6 +320,16 @@
                                                 * versionOverlapFraction);
 }
 
+Duration Edge::versionBeginBound() const
+{
+    return settings_.bounds_.version_ - versionBeginMargin;
+}
+
+EngineModel &Edge::serviceModelOf(const std::string &service)
+{
+    return serviceModels_[service];
+}
+
 std::vector<TargetState *> Edge::targetStates(const std::string &service)
 {
     std::vector<TargetState *> states;
@@ -639,6 +662,40 @@
     }
 }
 
+void Edge::removeFromBacklog(EdgeRequest &request)
+{
+    if (!request.isInBacklog_)
+        return;
+    request.isInBacklog_ = false;
+    PromptBacklog &backlog = request.target_->state_.promptBacklog_;
+    --backlog.ownRequests_;
+    backlog.ownTokens_ -= request.promptTokens_;
+    if (backlog.ownRequests_ == 0)
+        backlog.ownTokens_ = 0;
+}
+
+bool Edge::isOutdated(const EdgeRequest &request, Time now) const
+{
+    if (request.adapter_.empty())
+        return false;
+    const auto versions = adapterVersions_.find(request.adapter_);
+    return versions != adapterVersions_.end()
+        && now >= beginDeadline(versions->second, request.adapterVersion_, versionBeginBound());
+}
+
+void Edge::withdrawOutdated(const EdgeRequestPtr &request, Time now)
+{
+    countMetric("eelgrasscove_sends_outdated_total");
+    eventLog().note("send.outdated", "id", request->id_, "target",
+                    request->target_->state_.listed_.id_, "adapter", request->adapter_, "version",
+                    request->adapterVersion_, "newest_version", newestVersionOf(request->adapter_),
+                    "sent_ms_ago", (now - request->sentAt_).count() / 1000);
+    // The target may just have begun, so the request counts as run.
+    ++request->runs_;
+    request->isTrial_ = false;
+    onRequestFailed(request, 502, "not begun before the bound of its adapter version");
+}
+
 void Edge::checkRequests(Time now)
 {
     for (const auto &[service, queue] : waitingRequests_) {
@@ -654,6 +711,8 @@
             if (now > request->waitUntil_)
                 refuse(*request, request->runs_ > 0 ? 504 : 503,
                        "maximum wait in the queue exceeded", minRetryAfter);
+        } else if (request->stage_ == RequestStage::Sent && isOutdated(*request, now)) {
+            withdrawOutdated(request, now);
         } else if (isStreamLost(*request, now)) {
             recordOutcome(request->target_->state_, timeoutWeight);
             refuse(*request, 504, "target silent until the client's time limit", {});
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -161,9 +161,17 @@
     return std::max(query.minVersion_, query.newestVersion_);
 }
 
-bool hasUsableVersion(const TargetState &target, const PlacementQuery &query, NameHash adapter)
+/// Whether a request sent now begins on a version that may be used then.
+bool hasUsableVersion(const TargetState &target, const PlacementQuery &query, NameHash adapter,
+                      Time now)
 {
-    return hasVersion(target, adapter, query.minVersion_);
+    const auto resident = target.adapters_.find(adapter);
+    if (resident == target.adapters_.end() || resident->second < query.minVersion_)
+        return false;
+    if (query.versions_ == nullptr || resident->second >= query.versions_->newest_)
+        return true;
+    const Time begin = now + predictedFirstEvent(target, query, query.promptTokens_, now);
+    return begin <= beginDeadline(*query.versions_, resident->second, query.versionBound_);
 }
 
 bool hasNewestVersion(const TargetState &target, const PlacementQuery &query, NameHash adapter)
@@ -292,7 +300,7 @@
         if (!query.model_.empty() && !target->models_.contains(model))
             continue;
         candidates.usable_.push_back(target);
-        if (query.adapter_.empty() || hasUsableVersion(*target, query, adapter))
+        if (query.adapter_.empty() || hasUsableVersion(*target, query, adapter, now))
             candidates.ready_.push_back(target);
     }
     return candidates;
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -28,6 +28,15 @@
     std::uint64_t minVersion_ = 0;
     /// The newest adapter version; 0 where not specified.
     std::uint64_t newestVersion_ = 0;
+    /// Named versions of the adapter, or null, and the time after the naming of a newer version
+    /// until which requests may begin on an older one.
+    const AdapterVersionHistory *versions_ = nullptr;
+    Duration versionBound_{};
+    /// Tokens of the request's prompt, and the time to the first event that the operator aims at.
+    double promptTokens_ = 0;
+    Duration objective_ = std::chrono::seconds(1);
+    /// What has been learned of all engines of the service together; null for plain services.
+    const EngineModel *serviceModel_ = nullptr;
     /// Requests for the adapter per second, at all entries together.
     double requestsPerSecond_ = 0;
     /// Ids of the targets to which this request has been sent already.
--- a/Tests/EdgeDecisions/adapterversionstest.cpp
+++ b/Tests/EdgeDecisions/adapterversionstest.cpp
@@ -61,3 +61,17 @@
     BOOST_TEST(recordVersion(history, {3, Time(18s)}, overlap, Time(21s)));
     BOOST_TEST(minUsableVersion(history, overlap, Time(22s)) == 3U);
 }
+
+BOOST_AUTO_TEST_CASE(requests_may_begin_on_a_version_until_the_bound_of_the_next_one)
+{
+    AdapterVersionHistory history;
+    BOOST_TEST((beginDeadline(history, 1, 4s) == Time::max()));
+    recordVersion(history, {2, Time(10s)}, 3s, Time(10s));
+    recordVersion(history, {3, Time(12s)}, 3s, Time(12s));
+    BOOST_TEST((beginDeadline(history, 3, 4s) == Time::max()));
+    BOOST_TEST((beginDeadline(history, 2, 4s) == Time(16s)));
+    BOOST_TEST((beginDeadline(history, 1, 4s) == Time(14s)));
+    // Version 3 has become the required one.
+    recordVersion(history, {4, Time(20s)}, 3s, Time(20s));
+    BOOST_TEST((beginDeadline(history, 2, 4s) == Time{}));
+}
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -444,3 +444,87 @@
     }
     BOOST_TEST((choosePlacement(fleet.all(), queryFor(""), now).kind_ == PlacementKind::Send));
 }
+
+namespace {
+
+/// The model of an engine that reads ten prompt tokens in a millisecond.
+EngineModel modelOfTenTokensPerMilli()
+{
+    EngineModel model;
+    for (int sample = 0; sample < 40; ++sample) {
+        const int thousands = 1 + sample % 3;
+        recordFirstEvent(model, 1000.0 * thousands, 100ms * thousands);
+    }
+    model.meanPromptTokens_ = 2000;
+    return model;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_goes_to_the_engine_that_can_read_its_prompt_soonest)
+{
+    const EngineModel model = modelOfTenTokensPerMilli();
+    Fleet fleet;
+    TargetState &busy = fleet.add("a");
+    TargetState &free = fleet.add("b");
+    for (TargetState *target : {&busy, &free}) {
+        target->listed_.slots_ = 64;
+        target->adapters_[nameHash("base/x")] = 1;
+    }
+    // Fewer requests run at the engine that still has to read two prompts.
+    busy.running_ = 2;
+    recordUnread(busy.promptBacklog_, 2, now);
+    free.running_ = 6;
+    PlacementQuery query = queryFor("base/x");
+    query.promptTokens_ = 2000;
+    query.serviceModel_ = &model;
+    const Placement placement = choosePlacement(fleet.all(), query, now);
+    BOOST_TEST(placement.target_->listed_.id_ == "b");
+    BOOST_TEST((placement.firstEvent_ > 180ms && placement.firstEvent_ < 220ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_waits_at_the_entry_while_its_engine_has_enough_prompts_to_read)
+{
+    const EngineModel model = modelOfTenTokensPerMilli();
+    Fleet fleet;
+    TargetState &target = fleet.add("a");
+    target.listed_.slots_ = 64;
+    target.adapters_[nameHash("base/x")] = 1;
+    PlacementQuery query = queryFor("base/x");
+    query.promptTokens_ = 2000;
+    query.serviceModel_ = &model;
+    // 0.4 s of reading is within half of an objective of 1 s, 0.6 s is not.
+    recordUnread(target.promptBacklog_, 2, now);
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
+    recordUnread(target.promptBacklog_, 3, now);
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::AwaitRoom));
+    // An idle engine gets a replica of the adapter.
+    fleet.add("b").listed_.slots_ = 64;
+    const Placement placement = choosePlacement(fleet.all(), query, now);
+    BOOST_REQUIRE(placement.replicaTarget_ != nullptr);
+    BOOST_TEST(placement.replicaTarget_->listed_.id_ == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_replaced_version_is_not_used_where_the_request_would_begin_past_its_bound)
+{
+    const EngineModel model = modelOfTenTokensPerMilli();
+    Fleet fleet;
+    TargetState &target = fleet.add("a");
+    target.listed_.slots_ = 64;
+    target.adapters_[nameHash("base/x")] = 1;
+    AdapterVersionHistory versions;
+    recordVersion(versions, {1, now - 20s}, 3500ms, now);
+    recordVersion(versions, {2, now - 3s}, 3500ms, now);
+    PlacementQuery query = queryFor("base/x");
+    query.promptTokens_ = 2000;
+    query.objective_ = 10s;
+    query.serviceModel_ = &model;
+    query.versions_ = &versions;
+    query.versionBound_ = 4600ms;
+    recordUnread(target.promptBacklog_, 6, now);
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
+    recordUnread(target.promptBacklog_, 8, now);
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ != PlacementKind::Send));
+    target.adapters_[nameHash("base/x")] = 2;
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
+}
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1739,6 +1739,27 @@
     BOOST_TEST(path.store_.calls("path_prefix=op/") - callsBefore <= 6);
 }
 
+BOOST_AUTO_TEST_CASE(request_does_not_wait_at_its_target_past_the_bound_of_a_replaced_version)
+{
+    ServingPath path(32, {}, {.revoke_ = 5s, .version_ = 1500ms});
+    path.registerEngine();
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    turnFor(path.loop_, 100ms);
+    // The engine has the request in its queue and does not begin it.
+    path.handlers_[0] = [](const auto &, SeenRequest &&) {};
+    const auto client = path.sendAdapterRequest();
+    BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
+    path.store_.put("op/version/m.a1", R"({"model":"m","adapter":"a1","version":2})");
+    const auto &connection = path.targets_[0]->connections_.back();
+    turnFor(path.loop_, 500ms);
+    BOOST_TEST(!connection->ended_);
+    BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return connection->ended_; }));
+    BOOST_TEST(turnUntil(path.loop_, 500ms, [&] { return client->status() != 0; }));
+    // It may have begun, and streams of this route can't be resumed.
+    BOOST_TEST(client->status() == 502);
+}
+
 BOOST_AUTO_TEST_CASE(stopping_entry_sends_no_late_requests_and_answers_those_that_have_not_ended)
 {
     ServingPath path(33, {}, {.revoke_ = 5s, .grace_ = 4s});
