Test responses that end within their head

Operators of similar systems saw a 200 with an empty or short body, framed as whole, when a target stopped in the middle of its answer's head. It can't happen here: the end of a connection counts as the end of a response only after its whole head.

--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1785,6 +1785,27 @@
     BOOST_TEST(path.receivedRequests() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(response_that_ends_within_its_head_is_never_taken_for_a_complete_one)
+{
+    ServingPath path(34);
+    path.waitUntilServing();
+    const std::string head = "HTTP/1.1 200 OK\r\n" + signatureHeader
+        + "X-Eelgrasscove-Request-Id: {}\r\nContent-Type: text/event-stream\r\n";
+    for (const std::string route : {"/book/", "/ask/"}) {
+        for (std::size_t size = 0; size < head.size(); size += 7) {
+            for (auto &handler : path.handlers_) {
+                handler = [&](const auto &from, SeenRequest &&request) {
+                    const auto id = request.head_.header("X-Eelgrasscove-Request-Id");
+                    from->stream_->write(fmt::format(fmt::runtime(head), id).substr(0, size));
+                    from->breakOff();
+                };
+            }
+            const auto client = path.sendAndAwaitHead("POST", route + "a");
+            BOOST_TEST(client->status() == 502, route << " cut after " << size << " bytes");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(message_to_be_relayed_reaches_the_peers_of_the_data_centre_once)
 {
     ServingPath path(35);
