Try engines again once they have no prompts to read

Cause: room at an engine was decided by the predicted first event of an empty prompt, which contains the constant part of the line. After all power was lost, first events were slow for a while, the constant part rose above half of the objective, and no engine had room any more: nothing was sent, so nothing new was learned.

Change: room is decided by the reading time of the backlog alone, which is zero without one. First events that come much later than predicted count as three times the prediction, so that a frozen engine does not distort its speed.

Test: EdgeDecisions an_engine_that_was_slow_is_tried_again_once_it_has_no_prompts_to_read.

--- a/Source/Edge/enginemodel.cpp
+++ b/Source/Edge/enginemodel.cpp
@@ -25,19 +25,45 @@
 /// A report of unread requests is used for this time: two reports may be lost.
 constexpr Duration unreadReportTimeout = 700ms;
 
-/// Returns milliseconds for the number of prompt tokens.
-double evaluate(const LineFit &fit, double x)
+/// A first event that comes later than this multiple of the prediction, by more than the margin, is
+/// recorded as if it had come then: one that a frozen engine delays says little of its speed.
+constexpr double maxLatenessFactor = 3;
+constexpr double latenessMarginMillis = 300;
+
+/// Returns milliseconds for each prompt token.
+double slopeOf(const LineFit &fit)
 {
     const double meanX = fit.x_ / fit.weight_;
     const double meanY = fit.y_ / fit.weight_;
     const double variance = fit.xx_ / fit.weight_ - meanX * meanX;
     if (meanX <= 0)
-        return meanY;
+        return 0;
     // Time never falls with tokens, and is never negative with none.
-    double slope = meanY / meanX;
-    if (variance > minRelativeVariance * meanX * meanX)
-        slope = std::clamp((fit.xy_ / fit.weight_ - meanX * meanY) / variance, 0.0, slope);
-    return std::max(meanY + slope * (x - meanX), 0.0);
+    const double slope = meanY / meanX;
+    if (variance <= minRelativeVariance * meanX * meanX)
+        return slope;
+    return std::clamp((fit.xy_ / fit.weight_ - meanX * meanY) / variance, 0.0, slope);
+}
+
+/// Returns milliseconds for the number of prompt tokens.
+double evaluate(const LineFit &fit, double x)
+{
+    const double meanX = fit.x_ / fit.weight_;
+    const double meanY = fit.y_ / fit.weight_;
+    return std::max(meanY + slopeOf(fit) * (x - meanX), 0.0);
+}
+
+/// Returns the model to predict by, or null if too little has been learned.
+const EngineModel *modelInUse(const EngineModel &model, const EngineModel &serviceModel)
+{
+    if (model.samples_ >= minEngineSamples)
+        return &model;
+    return serviceModel.samples_ >= minServiceSamples ? &serviceModel : nullptr;
+}
+
+Duration durationOf(double millis)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
 }
 
 } // namespace
@@ -53,10 +79,12 @@
 
 void recordFirstEvent(EngineModel &model, double promptTokens, Duration elapsed)
 {
-    const double millis = std::chrono::duration<double, std::milli>(elapsed).count();
+    double millis = std::chrono::duration<double, std::milli>(elapsed).count();
     if (model.samples_ >= minEngineSamples) {
-        const double error = std::abs(evaluate(model.firstEvent_, promptTokens) - millis);
-        model.meanErrorMillis_ += (error - model.meanErrorMillis_) * averageWeight;
+        const double predicted = evaluate(model.firstEvent_, promptTokens);
+        model.meanErrorMillis_ +=
+            (std::abs(predicted - millis) - model.meanErrorMillis_) * averageWeight;
+        millis = std::min(millis, predicted * maxLatenessFactor + latenessMarginMillis);
     }
     addPoint(model.firstEvent_, promptTokens, millis);
     ++model.samples_;
@@ -89,13 +117,17 @@
 Duration predictFirstEvent(const EngineModel &model, const EngineModel &serviceModel,
                            double promptTokens)
 {
-    const EngineModel *used = &model;
-    if (model.samples_ < minEngineSamples)
-        used = &serviceModel;
-    if (used == &serviceModel && serviceModel.samples_ < minServiceSamples)
-        return Duration::zero();
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(evaluate(used->firstEvent_, promptTokens)));
+    const EngineModel *used = modelInUse(model, serviceModel);
+    return used == nullptr ? Duration::zero()
+                           : durationOf(evaluate(used->firstEvent_, promptTokens));
+}
+
+Duration predictReading(const EngineModel &model, const EngineModel &serviceModel,
+                        double promptTokens)
+{
+    const EngineModel *used = modelInUse(model, serviceModel);
+    return used == nullptr ? Duration::zero()
+                           : durationOf(slopeOf(used->firstEvent_) * promptTokens);
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/enginemodel.h
+++ b/Source/Edge/enginemodel.h
@@ -71,4 +71,9 @@
 Duration predictFirstEvent(const EngineModel &model, const EngineModel &serviceModel,
                            double promptTokens);
 
+/// Predicts the time in which the engine reads promptTokens: the part of predictFirstEvent() that
+/// grows with them.
+Duration predictReading(const EngineModel &model, const EngineModel &serviceModel,
+                        double promptTokens);
+
 } // namespace eelgrasscove
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -107,6 +107,17 @@
     return predictFirstEvent(target.engineModel_, *query.serviceModel_, unread + tokens);
 }
 
+/// Predicts the time for which the target still reads prompts that it has got. Without any it is
+/// zero, whatever has been learned of the target, so that it is tried again after a slow time.
+Duration predictedReading(const TargetState &target, const PlacementQuery &query, Time now)
+{
+    if (query.serviceModel_ == nullptr)
+        return Duration::zero();
+    const double unread =
+        unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
+    return predictReading(target.engineModel_, *query.serviceModel_, unread);
+}
+
 /// Returns the part of the request's objective that passes until its first event at the target.
 double waitFraction(const TargetState &target, const PlacementQuery &query, Time now)
 {
@@ -129,7 +140,7 @@
         std::max(minPromptsAhead,
                  std::chrono::duration_cast<Duration>(query.objective_ * promptsAheadFraction));
     return estimatedLoad(target, query.entries_, now) < requestCapacity(target)
-        && predictedFirstEvent(target, query, 0, now) <= maxAhead;
+        && predictedReading(target, query, now) <= maxAhead;
 }
 
 /// Returns the additional cost of the target for its failures and late streams.
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -528,3 +528,20 @@
     target.adapters_[nameHash("base/x")] = 2;
     BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
 }
+
+BOOST_AUTO_TEST_CASE(an_engine_that_was_slow_is_tried_again_once_it_has_no_prompts_to_read)
+{
+    EngineModel model;
+    for (int sample = 0; sample < 40; ++sample)
+        recordFirstEvent(model, 1000.0 * (1 + sample % 3), 3s);
+    model.meanPromptTokens_ = 2000;
+    Fleet fleet;
+    TargetState &target = fleet.add("a");
+    target.listed_.slots_ = 64;
+    target.engineModel_ = model;
+    target.adapters_[nameHash("base/x")] = 1;
+    PlacementQuery query = queryFor("base/x");
+    query.promptTokens_ = 2000;
+    query.serviceModel_ = &model;
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
+}
