Give engines one prompt after another, for the pauses of their streams

Requests were sent while half of the objective for first events (0.5 s) was unread.

Change: an engine that has a prompt to read gets another only while both together take no longer than 0.6 of the objective for pauses; else the request waits at the entry (await_reading), which is no reason to refuse it or to load a replica. A request with less than 0.4 of its objective left follows the former limit, as engines must not run dry when there is more work than time. The cost of unread prompts is relative to the shorter objective.

--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -302,6 +302,8 @@
     if (!request.model_.empty()) {
         query.promptTokens_ = request.promptTokens_;
         query.objective_ = request.route_.objective_;
+        query.pauseObjective_ = request.route_.pauseObjective_;
+        query.objectiveLeft_ = request.objectiveAt_ - now;
         const auto model = serviceModels_.find(request.service_);
         query.serviceModel_ = model == serviceModels_.end() ? nullptr : &model->second;
     }
@@ -442,7 +444,7 @@
             refuse(*request, 503, "every target pauses or leaves", wait);
             return;
         }
-    } else if (isNewInQueue) {
+    } else if (isNewInQueue && placement.kind_ == PlacementKind::AwaitRoom) {
         const WaitingRequest own = waitingRequestOf(*request);
         const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &other) {
             return other->waitReason_ == PlacementKind::AwaitRoom
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -50,11 +50,19 @@
 /// median: a slow target pauses all its streams during prefill at a load that others sustain.
 constexpr double lateStreamCost = 1.5;
 
-/// Time for which an engine should have prompts to read, so that it does not run dry between two
-/// reports, and the same as a fraction of the objective. Further requests wait at the entry, where
-/// they can still be sent elsewhere or be passed by more urgent ones.
+/// Time for which an engine may have prompts to read, as a fraction of the objective for pauses.
+/// The events of its streams wait while it reads, so a second prompt right after another delays
+/// them by both. Further requests wait at the entry, where they can still be sent elsewhere or be
+/// passed by more urgent ones.
+constexpr double pauseFraction = 0.6;
+
+/// The same for a request that would be late if it waited for longer: time for which an engine may
+/// have prompts to read before this one, so that it does not run dry between two reports, and as a
+/// fraction of the objective for the first event.
 constexpr Duration minPromptsAhead = std::chrono::milliseconds(300);
 constexpr double promptsAheadFraction = 0.5;
+/// Such a request has less than this part of its objective left.
+constexpr double urgentFraction = 0.4;
 
 /// Median ratios of a service's targets. Faults that all targets have in common, such as failing
 /// requests or streams that are late from overload, are not attributed to a single target.
@@ -118,29 +126,68 @@
     return predictReading(target.engineModel_, *query.serviceModel_, unread);
 }
 
-/// Returns the part of the request's objective that passes until its first event at the target.
+/// Returns the predicted time to the first event at the target as a part of the objective for
+/// pauses or for first events, whichever is shorter: the prompts that the request waits for, and
+/// its own, delay the target's streams as well.
 double waitFraction(const TargetState &target, const PlacementQuery &query, Time now)
 {
-    if (query.objective_ <= Duration::zero())
+    const Duration objective = std::min(query.objective_, query.pauseObjective_);
+    if (objective <= Duration::zero())
         return 0;
     const Duration wait = predictedFirstEvent(target, query, query.promptTokens_, now);
-    return std::chrono::duration<double>(wait) / std::chrono::duration<double>(query.objective_);
+    return std::chrono::duration<double>(wait) / std::chrono::duration<double>(objective);
+}
+
+/// Whether the request's first event will be late if the request waits for much longer.
+bool isUrgent(const PlacementQuery &query)
+{
+    return query.objectiveLeft_ < query.objective_ * urgentFraction;
 }
 
-/// Returns the load of slots and memory or of prompts to be read, whichever is higher.
+/// Whether the target may get another prompt before it has read those that it has.
+bool mayReadNext(const TargetState &target, const PlacementQuery &query, Time now)
+{
+    const Duration reading = predictedReading(target, query, now);
+    if (reading <= Duration::zero())
+        return true;
+    const auto part = [](Duration whole, double fraction) {
+        return std::chrono::duration_cast<Duration>(whole * fraction);
+    };
+    if (isUrgent(query))
+        return reading <= std::max(minPromptsAhead, part(query.objective_, promptsAheadFraction));
+    const Duration own =
+        predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_);
+    return reading + own <= part(query.pauseObjective_, pauseFraction);
+}
+
+/// Returns the load of slots and memory, or the part of the objective that passes until the first
+/// event, whichever is higher.
 double engineLoad(const TargetState &target, const PlacementQuery &query, Time now)
 {
-    return std::max(loadFraction(target, query, now), waitFraction(target, query, now));
+    const double slots = loadFraction(target, query, now);
+    if (query.objective_ <= Duration::zero())
+        return slots;
+    const Duration wait = predictedFirstEvent(target, query, query.promptTokens_, now);
+    return std::max(slots,
+                    std::chrono::duration<double>(wait)
+                        / std::chrono::duration<double>(query.objective_));
 }
 
 /// Whether a request sent now fills capacity of the target rather than waits there.
 bool hasRoom(const TargetState &target, const PlacementQuery &query, Time now)
 {
-    const Duration maxAhead =
-        std::max(minPromptsAhead,
-                 std::chrono::duration_cast<Duration>(query.objective_ * promptsAheadFraction));
     return estimatedLoad(target, query.entries_, now) < requestCapacity(target)
-        && predictedReading(target, query, now) <= maxAhead;
+        && mayReadNext(target, query, now);
+}
+
+/// Returns whether a request is to be sent to the target, which has its adapter, or for what it
+/// waits.
+PlacementKind kindOfReady(const TargetState &target, const PlacementQuery &query, Time now)
+{
+    if (hasRoom(target, query, now))
+        return PlacementKind::Send;
+    const bool isFull = estimatedLoad(target, query.entries_, now) >= requestCapacity(target);
+    return isFull || isUrgent(query) ? PlacementKind::AwaitRoom : PlacementKind::AwaitReading;
 }
 
 /// Returns the additional cost of the target for its failures and late streams.
@@ -414,8 +461,7 @@
         placement.load_ = engineLoad(*placement.target_, query, now);
         placement.firstEvent_ =
             predictedFirstEvent(*placement.target_, query, query.promptTokens_, now);
-        placement.kind_ = hasRoom(*placement.target_, query, now) ? PlacementKind::Send
-                                                                  : PlacementKind::AwaitRoom;
+        placement.kind_ = kindOfReady(*placement.target_, query, now);
         if (placement.replicaTarget_ == nullptr && needsReplica(candidates, query, placement)) {
             TargetState *replica =
                 cheapestLoader(candidates.loaders_, query, candidates.medians_, now);
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -32,9 +32,13 @@
     /// until which requests may begin on an older one.
     const AdapterVersionHistory *versions_ = nullptr;
     Duration versionBound_{};
-    /// Tokens of the request's prompt, and the time to the first event that the operator aims at.
+    /// Tokens of the request's prompt, and the operator's aims for the time to the first event and
+    /// for the pauses between events.
     double promptTokens_ = 0;
     Duration objective_ = std::chrono::seconds(1);
+    Duration pauseObjective_ = std::chrono::milliseconds(300);
+    /// Time that is left until the first event is late.
+    Duration objectiveLeft_ = std::chrono::seconds(1);
     /// What has been learned of all engines of the service together; null for plain services.
     const EngineModel *serviceModel_ = nullptr;
     /// Requests for the adapter per second, at all entries together.
@@ -52,6 +56,8 @@
     AwaitAdapter,
     /// All targets that could serve the request are full.
     AwaitRoom,
+    /// The targets that could serve the request have enough prompts to read for now.
+    AwaitReading,
     /// There are targets, but none accepts requests now: they are starting, loading the model or
     /// avoided after faults.
     AwaitTarget,
@@ -61,10 +67,11 @@
     None,
 };
 
-constexpr NameTable<PlacementKind, 6> placementKindNames = {{
+constexpr NameTable<PlacementKind, 7> placementKindNames = {{
     {PlacementKind::Send, "send"},
     {PlacementKind::AwaitAdapter, "await_adapter"},
     {PlacementKind::AwaitRoom, "await_room"},
+    {PlacementKind::AwaitReading, "await_reading"},
     {PlacementKind::AwaitTarget, "await_target"},
     {PlacementKind::AwaitPauseEnd, "await_pause_end"},
     {PlacementKind::None, "none"},
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -484,6 +484,28 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_request_waits_at_the_entry_while_its_engine_has_enough_prompts_to_read)
+{
+    const EngineModel model = modelOfTenTokensPerMilli();
+    Fleet fleet;
+    TargetState &target = fleet.add("a");
+    target.listed_.slots_ = 64;
+    target.adapters_[nameHash("base/x")] = 1;
+    PlacementQuery query = queryFor("base/x");
+    query.promptTokens_ = 500;
+    query.pauseObjective_ = 500ms;
+    query.serviceModel_ = &model;
+    // 0.25 s of reading with its own is within 0.6 of the objective for pauses, 0.45 s is not.
+    recordUnread(target.promptBacklog_, 1, now);
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
+    recordUnread(target.promptBacklog_, 2, now);
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::AwaitReading));
+    // A prompt that is long by itself is read at an engine that has none.
+    recordUnread(target.promptBacklog_, 0, now);
+    query.promptTokens_ = 6000;
+    BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_would_be_late_does_not_wait_for_the_pauses_of_others)
 {
     const EngineModel model = modelOfTenTokensPerMilli();
     Fleet fleet;
@@ -493,6 +515,7 @@
     PlacementQuery query = queryFor("base/x");
     query.promptTokens_ = 2000;
     query.serviceModel_ = &model;
+    query.objectiveLeft_ = 300ms;
     // 0.4 s of reading is within half of an objective of 1 s, 0.6 s is not.
     recordUnread(target.promptBacklog_, 2, now);
     BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
--- a/Tests/LoadPlay/loadplaytest.cpp
+++ b/Tests/LoadPlay/loadplaytest.cpp
@@ -60,6 +60,7 @@
     std::size_t concurrentLoadLimit_ = 16;
     std::uint32_t adapterSlots_ = 26;
     Duration objective_ = 500ms;
+    Duration pauseObjective_ = 300ms;
     /// Prompts are read one after another. Their tokens have a lognormal distribution with this
     /// mean and this standard deviation of the logarithm.
     double meanPromptTokens_ = 800;
@@ -316,6 +317,8 @@
             query.adapter_ = request.adapter_;
             query.promptTokens_ = request.promptTokens_;
             query.objective_ = load_.objective_;
+            query.pauseObjective_ = load_.pauseObjective_;
+            query.objectiveLeft_ = request.arrivedAt_ + load_.objective_ - now_;
             if (policy_ != Policy::BySlots)
                 query.serviceModel_ = &serviceModel_;
             query.requestsPerSecond_ = requestRateOf(demand_, nameHash(request.adapter_), now_);
@@ -329,7 +332,7 @@
             };
             if (place.replicaTarget_ != nullptr)
                 requestLoad(indexOf(place.replicaTarget_), request.adapter_);
-            request.awaitsRoom_ = place.kind_ != PlacementKind::AwaitAdapter;
+            request.awaitsRoom_ = place.kind_ == PlacementKind::AwaitRoom;
             if (place.kind_ == PlacementKind::Send)
                 return indexOf(place.target_);
             if (place.kind_ == PlacementKind::AwaitAdapter)
@@ -508,6 +511,7 @@
     load.perSecond_ = 100;
     load.adapterSlots_ = 6;
     load.objective_ = 1s;
+    load.pauseObjective_ = 400ms;
     load.meanPromptTokens_ = 2300;
     load.promptSpread_ = 0.9;
     load.promptTokensPerMilli_ = 19.2;
