Keep datagrams that the socket has no room for

Found by reading while gaps between state messages were traced: the number of datagrams that sendmmsg took was not read, so those after the first that did not fit were lost, the same receivers each time. They are now sent before the next wait, 1,024 at most; what is given up is counted by eelgrasscove_datagrams_unsent_total. It was not the cause of the gaps: the counter stayed at zero.

--- a/Source/Net/datagramsocket.cpp
+++ b/Source/Net/datagramsocket.cpp
@@ -1,5 +1,7 @@
 #include "Net/datagramsocket.h"
 
+#include "Observe/metrics.h"
+
 #include <algorithm>
 #include <array>
 #include <cerrno>
@@ -19,6 +21,10 @@
 /// are served in between.
 constexpr double maxReadFraction = 0.5;
 
+/// Datagrams that are kept while the socket takes no more: a relay passes each message on to some
+/// ten others, so they come in bursts.
+constexpr std::size_t maxUnsentDatagrams = 1024;
+
 /// No message of the system is larger. A longer datagram is truncated and fails its checksum.
 constexpr std::size_t maxDatagramBytes = 8 * 1024;
 
@@ -91,23 +97,44 @@
 
 void DatagramSocket::flush()
 {
-    for (std::size_t first = 0; first < outgoing_.size(); first += batchSize) {
-        const std::size_t count = std::min(batchSize, outgoing_.size() - first);
-        std::array<iovec, batchSize> buffers{};
-        std::array<sockaddr_in, batchSize> receivers{};
-        std::array<mmsghdr, batchSize> messages{};
-        for (std::size_t index = 0; index < count; ++index) {
-            Outgoing &outgoing = outgoing_[first + index];
-            uv_ip4_addr(outgoing.to_.host_.c_str(), outgoing.to_.port_, &receivers[index]);
-            buffers[index] = {outgoing.bytes_.data(), outgoing.bytes_.size()};
-            messages[index].msg_hdr.msg_name = &receivers[index];
-            messages[index].msg_hdr.msg_namelen = sizeof receivers[index];
-            messages[index].msg_hdr.msg_iov = &buffers[index];
-            messages[index].msg_hdr.msg_iovlen = 1;
+    std::size_t first = 0;
+    while (first < outgoing_.size()) {
+        const int sent = sendBatch(first);
+        if (sent > 0) {
+            first += static_cast<std::size_t>(sent);
+        } else if (errno == EAGAIN || errno == ENOBUFS) {
+            break;
+        } else {
+            countMetric("eelgrasscove_datagrams_unsent_total", "cause=\"error\"");
+            ++first;
         }
-        sendmmsg(descriptor_, messages.data(), static_cast<unsigned>(count), MSG_DONTWAIT);
     }
-    outgoing_.clear();
+    outgoing_.erase(outgoing_.begin(), outgoing_.begin() + static_cast<std::ptrdiff_t>(first));
+    // The rest is sent when the socket has room again, the newest if there is too much.
+    if (outgoing_.size() > maxUnsentDatagrams) {
+        const std::size_t dropped = outgoing_.size() - maxUnsentDatagrams;
+        countMetric("eelgrasscove_datagrams_unsent_total", "cause=\"full\"", dropped);
+        outgoing_.erase(outgoing_.begin(),
+                        outgoing_.begin() + static_cast<std::ptrdiff_t>(dropped));
+    }
+}
+
+int DatagramSocket::sendBatch(std::size_t first)
+{
+    const std::size_t count = std::min(batchSize, outgoing_.size() - first);
+    std::array<iovec, batchSize> buffers{};
+    std::array<sockaddr_in, batchSize> receivers{};
+    std::array<mmsghdr, batchSize> messages{};
+    for (std::size_t index = 0; index < count; ++index) {
+        Outgoing &outgoing = outgoing_[first + index];
+        uv_ip4_addr(outgoing.to_.host_.c_str(), outgoing.to_.port_, &receivers[index]);
+        buffers[index] = {outgoing.bytes_.data(), outgoing.bytes_.size()};
+        messages[index].msg_hdr.msg_name = &receivers[index];
+        messages[index].msg_hdr.msg_namelen = sizeof receivers[index];
+        messages[index].msg_hdr.msg_iov = &buffers[index];
+        messages[index].msg_hdr.msg_iovlen = 1;
+    }
+    return sendmmsg(descriptor_, messages.data(), static_cast<unsigned>(count), MSG_DONTWAIT);
 }
 
 } // namespace eelgrasscove
--- a/Source/Net/datagramsocket.h
+++ b/Source/Net/datagramsocket.h
@@ -23,8 +23,9 @@
     int open(EventLoop &loop, const Endpoint &address, ReceiveHandler onReceive,
              Duration readPeriod = Duration::zero());
 
-    /// Queues a datagram; all queued datagrams are sent together before the loop next waits. A
-    /// datagram that the socket doesn't accept is dropped: senders repeat all essential messages.
+    /// Queues a datagram; all queued datagrams are sent together before the loop next waits. Those
+    /// that the socket has no room for are sent later, the oldest are dropped if there are too many:
+    /// senders repeat all essential messages.
     void send(std::string bytes, const Endpoint &to);
 
 private:
@@ -37,6 +38,9 @@
     /// Receives one batch and returns the number of datagrams in it.
     std::size_t receive();
     void flush();
+    /// Sends a batch of the queued datagrams from the given one on. Returns the number sent, or -1
+    /// with errno.
+    int sendBatch(std::size_t first);
 
     int descriptor_ = -1;
     uv_poll_t poll_{};
