Spread the relays of a period over all members of a data centre

Cause: all senders count their messages from their start, so entries that start together chose the same relay in the same period. It got 57 messages at once and sent 570 datagrams over a link of 20 Mbit/s, which dropped a part: gaps of 0.6 to 1.4 s between state messages of other data centres, for which entries did not know the tokens that others admit.

Change: the relay is chosen by the message's number and the sender. Simulation (Dissemination): no member relays more than 20 messages of a period, where the mean is five; before, all of them.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -113,8 +113,8 @@
 
 Agent::Agent(EventLoop &loop, ServingSettings settings)
     : loop_(loop), settings_(std::move(settings)), store_(endpointOf(settings_.store_)),
-      dataCentre_(nameHash(settings_.dataCentre_)), storeClient_(loop, store_),
-      engineClient_(loop, endpointOf(settings_.engine_)),
+      vm_(nameHash(settings_.vm_)), dataCentre_(nameHash(settings_.dataCentre_)),
+      storeClient_(loop, store_), engineClient_(loop, endpointOf(settings_.engine_)),
       orderClient_(loop, endpointOf(settings_.engine_)), stateNumber_(unixMicros())
 { }
 
@@ -426,7 +426,8 @@
                            now - entry->lastContactAt_ < relayContactTimeout, isDirect});
     }
     std::string bytes = encodePeerMessage(makeState(hasNewLists));
-    for (const Recipient &recipient : chooseRecipients(members, dataCentre_, ++sent.messages_)) {
+    for (const Recipient &recipient :
+         chooseRecipients(members, vm_, dataCentre_, ++sent.messages_)) {
         setRoute(bytes, recipient.isRelay_ ? DatagramRoute::ToRelay : DatagramRoute::Direct);
         countDatagrams("engine_state", dataCentre == dataCentre_, 1, bytes.size());
         socket_.send(bytes, members[recipient.member_].endpoint_);
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -66,7 +66,8 @@
     EventLoop &loop_;
     ServingSettings settings_;
     Endpoint store_;
-    /// Hash of the name of the data centre.
+    /// Hashes of the names of the VM and of the data centre.
+    NameHash vm_ = 0;
     NameHash dataCentre_ = 0;
     DatagramSocket socket_;
     TextServer metrics_;
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -244,7 +244,8 @@
     }
     // Only the echoes differ between data centres.
     std::map<NameHash, std::string> encodedFor;
-    for (const Recipient &recipient : chooseRecipients(members, dataCentre_, statesSent_)) {
+    for (const Recipient &recipient :
+         chooseRecipients(members, state.vm_, dataCentre_, statesSent_)) {
         const Member &member = members[recipient.member_];
         const bool isOwn = member.dataCentre_ == dataCentre_;
         std::string &encoded = encodedFor[member.dataCentre_];
--- a/Source/Peer/dissemination.cpp
+++ b/Source/Peer/dissemination.cpp
@@ -16,9 +16,11 @@
 
 } // namespace
 
-std::vector<Recipient> chooseRecipients(const std::vector<Member> &members, NameHash ownDataCentre,
-                                        std::uint64_t messageNumber)
+std::vector<Recipient> chooseRecipients(const std::vector<Member> &members, NameHash sender,
+                                        NameHash ownDataCentre, std::uint64_t messageNumber)
 {
+    // Otherwise one member would relay the messages of all senders of a period.
+    const std::uint64_t position = messageNumber + sender;
     struct DataCentre
     {
         std::vector<std::size_t> all_;
@@ -43,7 +45,7 @@
         if (other.areAllDirect_)
             continue;
         const auto &candidates = other.inContact_.empty() ? other.all_ : other.inContact_;
-        const std::size_t relay = candidates[relayPosition(messageNumber, candidates.size())];
+        const std::size_t relay = candidates[relayPosition(position, candidates.size())];
         // A single member has nobody to relay to.
         recipients.push_back({relay, other.all_.size() > 1});
     }
--- a/Source/Peer/dissemination.h
+++ b/Source/Peer/dissemination.h
@@ -37,11 +37,12 @@
     bool operator==(const Recipient &) const = default;
 };
 
-/// Returns the recipients of the message with the given number. Members of the sender's own data
+/// Returns the recipients of the sender's message with the given number. Members of the sender's own data
 /// centre, and those whose data centre is not known, get it directly; of each other data centre one
-/// member in contact gets it as a relay, or any member if none is in contact.
-std::vector<Recipient> chooseRecipients(const std::vector<Member> &members, NameHash ownDataCentre,
-                                        std::uint64_t messageNumber);
+/// member in contact gets it as a relay, or any member if none is in contact. Senders that count
+/// their messages alike choose different relays at the same time.
+std::vector<Recipient> chooseRecipients(const std::vector<Member> &members, NameHash sender,
+                                        NameHash ownDataCentre, std::uint64_t messageNumber);
 
 /// Every how manieth message contains what need not be in each of them. All relays get such a
 /// message in turn.
--- a/Tests/Dissemination/disseminationtest.cpp
+++ b/Tests/Dissemination/disseminationtest.cpp
@@ -33,6 +33,7 @@
     {
         for (int period = 0; period < periods; ++period) {
             ++now_;
+            relayed_.clear();
             for (std::size_t sender = 0; sender < isAlive_.size(); ++sender) {
                 if (isAlive_[sender])
                     send(sender);
@@ -53,6 +54,8 @@
     std::vector<std::vector<int>> lastReceived_;
     std::vector<std::vector<int>> longestGap_;
     std::size_t betweenDataCentres_ = 0;
+    /// Most messages that one member relayed in a period.
+    std::size_t mostRelayed_ = 0;
 
 private:
     void send(std::size_t sender)
@@ -67,13 +70,15 @@
             indexes.push_back(other);
         }
         for (const Recipient &recipient : chooseRecipients(
-                 members, dataCentreOf(sender, dataCentres_), static_cast<std::uint64_t>(now_))) {
+                 members, nameHash("entry-" + std::to_string(sender)),
+                 dataCentreOf(sender, dataCentres_), static_cast<std::uint64_t>(now_))) {
             const std::size_t receiver = indexes[recipient.member_];
             if (!transfer(sender, receiver))
                 continue;
             lastReceived_[receiver][sender] = now_;
             if (!recipient.isRelay_)
                 continue;
+            mostRelayed_ = std::max(mostRelayed_, ++relayed_[receiver]);
             for (std::size_t other = 0; other < isAlive_.size(); ++other) {
                 const bool isNeighbour =
                     dataCentreOf(other, dataCentres_) == dataCentreOf(receiver, dataCentres_);
@@ -103,6 +108,7 @@
     }
 
     int now_ = 0;
+    std::map<std::size_t, std::size_t> relayed_;
     std::minstd_rand random_;
 };
 
@@ -180,7 +186,8 @@
         const std::vector<Member> fleet(members, Member{{}, 2, true, false});
         std::set<std::size_t> relays;
         for (std::uint64_t number = 0; number < members * 3; ++number) {
-            const auto recipients = chooseRecipients(fleet, 1, number * fullMessageInterval);
+            const auto recipients =
+                chooseRecipients(fleet, 123'457, 1, number * fullMessageInterval);
             BOOST_REQUIRE(recipients.size() == 1);
             relays.insert(recipients.front().member_);
         }
@@ -188,11 +195,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(no_member_relays_the_messages_of_all_senders_of_a_period)
+{
+    for (const std::size_t members : {30U, 68U, 188U}) {
+        Fleet fleet(members, 6, 4);
+        fleet.run(20);
+        // By the mean, five messages for each member; by chance some more.
+        BOOST_TEST(fleet.mostRelayed_ <= 20, members << " members: " << fleet.mostRelayed_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(members_of_unknown_data_centres_get_messages_directly)
 {
     const std::vector<Member> members = {
         {{}, 0, false, false}, {{}, 2, true, false}, {{}, 2, true, true}, {{}, 1, true, false}};
-    const auto recipients = chooseRecipients(members, 1, 0);
+    const auto recipients = chooseRecipients(members, 0, 1, 0);
     const std::vector<Recipient> expected = {{0, false}, {2, false}, {3, false}, {1, true}};
     BOOST_TEST((recipients == expected));
 }
--- a/Tests/EdgeDecisions/tokenallowancetest.cpp
+++ b/Tests/EdgeDecisions/tokenallowancetest.cpp
@@ -67,9 +67,13 @@
                     report(at);
                 request(at, requested[at] * 0.01);
             }
+            deliverDelayed();
         }
     }
 
+    /// Time from a report to its arrival at the other entries.
+    Duration reportDelay_{};
+
     /// Returns the maximum number of tokens admitted in any window.
     double maxInWindow() const
     {
@@ -102,9 +106,19 @@
         for (std::size_t to = 0; to < entries_.size(); ++to) {
             if (to == from || isPartitioned_[to] || isPartitioned_[from])
                 continue;
-            applyPeerUsage(entries_[to], "entry-" + std::to_string(from),
-                           {startedAt_[from].time_since_epoch().count(), now_ - startedAt_[from],
-                            now_, true, tokens});
+            delayed_.push_back({now_ + reportDelay_, from, to, now_ - startedAt_[from], tokens});
+        }
+        deliverDelayed();
+    }
+
+    void deliverDelayed()
+    {
+        while (!delayed_.empty() && delayed_.front().arrivesAt_ <= now_) {
+            const Report &report = delayed_.front();
+            applyPeerUsage(entries_[report.to_], "entry-" + std::to_string(report.from_),
+                           {startedAt_[report.from_].time_since_epoch().count(), report.uptime_,
+                            now_, true, report.tokens_});
+            delayed_.pop_front();
         }
     }
 
@@ -126,7 +140,17 @@
         }
     }
 
+    struct Report
+    {
+        Time arrivesAt_;
+        std::size_t from_ = 0;
+        std::size_t to_ = 0;
+        Duration uptime_{};
+        std::map<std::string, double> tokens_;
+    };
+
     ServingAccount account_;
+    std::deque<Report> delayed_;
     std::vector<TokenAllowance> entries_;
     std::vector<Time> startedAt_;
     std::vector<bool> isPartitioned_;
@@ -161,6 +185,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(reports_that_arrive_late_by_a_relay_do_not_exceed_the_limit)
+{
+    for (const Duration delay : {0ms, 40ms, 80ms}) {
+        for (const double rate : {60000.0, 192000.0}) {
+            constexpr std::size_t count = 68;
+            Entries entries(count, accountWith(rate, rate));
+            entries.reportDelay_ = delay;
+            // A quiet time fills the buckets before the account sends many times its usual.
+            entries.run(10s, std::vector<double>(count, rate * 0.5 / count));
+            entries.run(12s, std::vector<double>(count, rate * 6 / count));
+            BOOST_TEST_MESSAGE("delay " << delay.count() << ", rate " << rate << ": "
+                                        << entries.maxInWindow() / windowBound(rate, rate));
+            BOOST_TEST(entries.maxInWindow() <= windowBound(rate, rate),
+                       "delay " << delay.count() << " us, " << rate << " tokens per second");
+            BOOST_TEST(entries.admittedTokens() >= rate * (5 + 12) * 0.9);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_limit_holds_while_one_entry_is_partitioned_and_afterwards)
 {
     Entries entries(4, accountWith(130000, 130000));
