--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -211,6 +211,8 @@
     void enqueueOrRefuse(const EdgeRequestPtr &request, const Placement &placement);
     void sendToTarget(const EdgeRequestPtr &request, const std::shared_ptr<EdgeTarget> &target,
                       Duration predictedFirstEvent);
+    /// Counts a request that is being sent among its target's unread prompts.
+    void addToBacklog(EdgeRequest &request, Duration predictedFirstEvent, Time now);
     /// Takes a request, which has begun or will not, out of its target's unread prompts.
     void removeFromBacklog(EdgeRequest &request);
     /// Whether the request, sent on an adapter version that has been replaced, may no longer begin.
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -514,17 +514,8 @@
     ++state.outstanding_;
     state.lastSentAt_ = now;
     recordSend(state.notice_, now);
-    if (!request->model_.empty()) {
-        PromptBacklog &backlog = state.promptBacklog_;
-        request->tokensAhead_ = request->promptTokens_
-            + unreadTokens(backlog, serviceModelOf(request->service_).meanPromptTokens_, now);
-        request->predictedFirstEvent_ = predictedFirstEvent;
-        request->isInBacklog_ = true;
-        ++backlog.ownRequests_;
-        backlog.ownTokens_ += request->promptTokens_;
-        if (predictedFirstEvent > Duration::zero())
-            observeDuration("eelgrasscove_first_event_predicted_seconds", "", predictedFirstEvent);
-    }
+    if (!request->model_.empty())
+        addToBacklog(*request, predictedFirstEvent, now);
     if (!request->adapter_.empty()) {
         const NameHash adapter = nameHash(request->adapter_);
         target->usedAdapters_.insert(adapter);
@@ -664,6 +655,19 @@
     }
 }
 
+void Edge::addToBacklog(EdgeRequest &request, Duration predictedFirstEvent, Time now)
+{
+    PromptBacklog &backlog = request.target_->state_.promptBacklog_;
+    request.tokensAhead_ = request.promptTokens_
+        + unreadTokens(backlog, serviceModelOf(request.service_).meanPromptTokens_, now);
+    request.predictedFirstEvent_ = predictedFirstEvent;
+    request.isInBacklog_ = true;
+    ++backlog.ownRequests_;
+    backlog.ownTokens_ += request.promptTokens_;
+    if (predictedFirstEvent > Duration::zero())
+        observeDuration("eelgrasscove_first_event_predicted_seconds", "", predictedFirstEvent);
+}
+
 void Edge::removeFromBacklog(EdgeRequest &request)
 {
     if (!request.isInBacklog_)
