Let a few entries query the store on behalf of the others

Change: four entries, those with the lowest name hashes among all in contact, lead (Source/Peer/storequeries.h). State messages tell the highest revision of a change of the target list that matters to placement, and up to when the sender knows all. An entry that is told enough postpones its next watch of the target list, by 10 s at most; it queries at once if it is told of a change that it does not know, or if what it was told is older than 0.65 of the bound for leaving targets. As before, what others say counts from one's own time stamp, and only whether to query depends on it: items come from the store.

Ruled out: fewer, longer pauses between watches (leaving targets are learned from the list); passing on items by datagram (a wrong one would have to be found out).

Tests: Dissemination/storequeriestest.cpp; ServingPath entry_that_others_keep_informed_queries_the_target_list_for_changes_that_matter (a watch every 1.1 s before) and entry_that_others_no_longer_inform_queries_the_target_list_itself.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -61,8 +61,12 @@
 constexpr double entriesPerWatchTimeout = 4;
 constexpr double maxWatchTimeoutFactor = 4;
 /// A confirmation whose age exceeds this fraction of the bound is renewed by a separate request to
-/// the store, without waiting for the watch.
+/// the store, without waiting for the watch. Leaders do so earlier, on behalf of the others.
 constexpr double confirmAgeFraction = 0.6;
+constexpr double leaderConfirmAgeFraction = 0.4;
+/// A peer counts as a possible leader if a message of it has been received within this time, five
+/// intervals of the messages.
+constexpr Duration leaderContactTimeout = 1s;
 /// Time for which a peer may know a change of the operator's keys that this entry doesn't know
 /// before the store is queried. It is longer than the coalescing period of the rules, and shorter
 /// by more than a response of the store than the bound on the adoption of new rules.
@@ -75,6 +79,9 @@
 /// engine's list entry changes with each adapter, and each change delivered alone costs every entry
 /// a call to the store.
 constexpr double targetsCoalescingFraction = 0.55;
+/// An entry that other entries keep informed queries the target list itself if their knowledge is
+/// older than this fraction of the bound.
+constexpr double maxTargetsAgeFraction = 0.65;
 constexpr Duration peersCoalescingPeriod = 300ms;
 /// Rules that change in quick succession are coalesced for this time, a tenth of the bound on the
 /// adoption of new rules.
@@ -185,7 +192,8 @@
         loop_, store,
         StoreFeedSettings{std::string(wire::targetPrefix), targetsWatchTimeout, coalescingPeriod},
         StoreFeedCallbacks{[this](const auto &items) { applyTargetList(items); },
-                           [this](const auto &item) { applyTargetItem(item); }, [](bool) {}});
+                           [this](const auto &item) { applyTargetItem(item); }, [](bool) {},
+                           [this] { return mayPostponeTargetWatch(); }});
     peerFeed_ = std::make_unique<StoreFeed>(
         loop_, store,
         StoreFeedSettings{std::string(entryPrefix), peersWatchTimeout, peersCoalescingPeriod},
@@ -341,13 +349,53 @@
     else if (!missesChangesSince_)
         missesChangesSince_ = now;
     const bool isBehind = missesChangesSince_ && now - *missesChangesSince_ >= maxLagBehindPeers;
-    const bool isOld = now - rulesConfirmedAt() > settings_.bounds_.revoke_ * confirmAgeFraction;
+    const double ageFraction =
+        leadsStoreQueries(now) ? leaderConfirmAgeFraction : confirmAgeFraction;
+    const bool isOld = now - rulesConfirmedAt() > settings_.bounds_.revoke_ * ageFraction;
     if ((!isOld && !isBehind) || now - confirmRequestedAt_ < minConfirmInterval)
         return;
     confirmRequestedAt_ = now;
     operatorFeed_->confirmNow();
 }
 
+bool Edge::leadsStoreQueries(Time now) const
+{
+    std::vector<NameHash> inContact;
+    for (const auto &[vm, contact] : peerContacts_) {
+        if (now - contact.receivedAt_ < leaderContactTimeout)
+            inContact.push_back(nameHash(vm));
+    }
+    return eelgrasscove::leadsStoreQueries(nameHash(settings_.vm_), inContact);
+}
+
+bool Edge::mayPostponeTargetWatch()
+{
+    const Time now = bootNow();
+    targetList_.revision_ = targetFeed_->revision();
+    targetList_.queriedAt_ = targetFeed_->queriedAt();
+    const auto maxAge =
+        std::chrono::duration_cast<Duration>(settings_.bounds_.drain_ * maxTargetsAgeFraction);
+    return !leadsStoreQueries(now) && mayPostponeQuery(targetList_, maxAge, now);
+}
+
+bool Edge::mattersToPlacement(const wire::StoreItem &item) const
+{
+    const auto found = targets_.find(item.key_.substr(wire::targetPrefix.size()));
+    if (item.isDeleted_ || found == targets_.end() || found->second->state_.missingSince_)
+        return true;
+    const TargetState &state = found->second->state_;
+    const auto decoded = wire::decodeTarget(state.listed_.id_, item.value_);
+    if (!ok(decoded))
+        return false;
+    ListedTarget newer = valueOf(decoded);
+    // The agent reports them at once.
+    if (state.hasAgentReport_) {
+        newer.adapters_ = state.listed_.adapters_;
+        newer.models_ = state.listed_.models_;
+    }
+    return newer != state.listed_;
+}
+
 bool Edge::areRulesFresh(Time now) const
 {
     return rules_ != nullptr
@@ -404,6 +452,8 @@
 
 void Edge::applyTargetItem(const wire::StoreItem &item)
 {
+    if (mattersToPlacement(item))
+        targetsChangeRevision_ = std::max(targetsChangeRevision_, item.revision_);
     const std::string id = item.key_.substr(wire::targetPrefix.size());
     if (item.isDeleted_) {
         const Time now = bootNow();
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -16,6 +16,7 @@
 #include "Net/datagramsocket.h"
 #include "Observe/textserver.h"
 #include "Peer/peermessages.h"
+#include "Peer/storequeries.h"
 #include "Store/registration.h"
 #include "Store/storefeed.h"
 #include "Vm/servingsettings.h"
@@ -190,6 +191,12 @@
     /// Queries the store if the last confirmation is old or peers know changes that this entry
     /// doesn't know.
     void checkRulesConfirmation(Time now);
+    /// Whether this entry queries the store on behalf of others.
+    bool leadsStoreQueries(Time now) const;
+    /// Whether the changes of the target list since the last watch are known not to matter.
+    bool mayPostponeTargetWatch();
+    /// Whether the listed target differs from what is known in more than its resident adapters.
+    bool mattersToPlacement(const wire::StoreItem &item) const;
 
     // edgerequests.cpp: admission, queueing and placement of requests.
     void onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest &&request);
@@ -353,6 +360,9 @@
     /// Time since which a peer knows a change of the operator's keys that this entry doesn't know.
     std::optional<Time> missesChangesSince_;
     Time confirmRequestedAt_;
+    ListKnowledge targetList_;
+    /// Highest revision of a change of the target list that matters to placement.
+    std::uint64_t targetsChangeRevision_ = 0;
 
     AdapterDemand demand_;
     TokenAllowance allowance_;
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -224,6 +224,9 @@
     if (rules_ && operatorFeed_->confirmedAt())
         state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
     state.operatorRevision_ = operatorFeed_->lastChangeRevision();
+    state.targetsRevision_ = targetsChangeRevision_;
+    if (targetFeed_->confirmedAt() && targetFeed_->isReachable())
+        state.targetsAgeMicros_ = (now - *targetFeed_->confirmedAt()).count();
     for (const auto &[account, tokens] : collectUsageReport(allowance_))
         state.usage_.push_back({nameHash(account), static_cast<float>(tokens)});
     const bool isFull = ++statesSent_ % fullMessageInterval == 0;
@@ -286,6 +289,11 @@
         // than that, however late it arrives.
         const Time peerSentAfter = Time(Duration(echo.timestampMicros_ + echo.holdTimeMicros_));
         contact.peerReceivedOursAt_ = std::max(contact.peerReceivedOursAt_, peerSentAfter);
+        if (state.targetsAgeMicros_ >= 0) {
+            targetList_.revision_ = targetFeed_->revision();
+            recordPeerKnowledge(targetList_, state.targetsRevision_,
+                                peerSentAfter - Duration(state.targetsAgeMicros_));
+        }
         if (rules_ && state.rulesVersion_ == rules_->rules().version_ && knowsPeersChanges
             && state.rulesAgeMicros_ >= 0) {
             const Time confirmed = peerSentAfter - Duration(state.rulesAgeMicros_);
--- a/Source/Peer/dissemination.h
+++ b/Source/Peer/dissemination.h
@@ -37,10 +37,10 @@
     bool operator==(const Recipient &) const = default;
 };
 
-/// Returns the recipients of the sender's message with the given number. Members of the sender's own data
-/// centre, and those whose data centre is not known, get it directly; of each other data centre one
-/// member in contact gets it as a relay, or any member if none is in contact. Senders that count
-/// their messages alike choose different relays at the same time.
+/// Returns the recipients of the sender's message with the given number. Members of the sender's
+/// own data centre, and those whose data centre is not known, get it directly; of each other data
+/// centre one member in contact gets it as a relay, or any member if none is in contact. Senders
+/// that count their messages alike choose different relays at the same time.
 std::vector<Recipient> chooseRecipients(const std::vector<Member> &members, NameHash sender,
                                         NameHash ownDataCentre, std::uint64_t messageNumber);
 
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -184,6 +184,10 @@
     std::int64_t rulesAgeMicros_ = -1;
     /// Highest store revision among the changes of the operator's keys that the sender knows.
     std::uint64_t operatorRevision_ = 0;
+    /// Highest store revision among the changes of the target list that the sender knows, apart
+    /// from those of resident adapters, and the age of its knowledge; negative if it has no list.
+    std::uint64_t targetsRevision_ = 0;
+    std::int64_t targetsAgeMicros_ = -1;
     std::vector<AccountUsage> usage_;
     /// The members below are present in some messages only.
     /// Echoes of the messages of peers in the data centre to which this message is sent.
@@ -195,8 +199,8 @@
     void serialize(Archive &archive)
     {
         archive(vm_, dataCentre_, timestampMicros_, startedAtMicros_, rulesVersion_,
-                rulesAgeMicros_, operatorRevision_, usage_, echoes_, topAdapterRates_,
-                crashRecords_);
+                rulesAgeMicros_, operatorRevision_, targetsRevision_, targetsAgeMicros_, usage_,
+                echoes_, topAdapterRates_, crashRecords_);
     }
 };
 
--- /dev/null
+++ b/Source/Peer/storequeries.cpp
@@ -0,0 +1,39 @@
+#include "Peer/storequeries.h"
+
+#include <algorithm>
+
+namespace eelgrasscove {
+
+namespace {
+
+/// Leaders among all entries: a lost one is replaced when it is out of contact, and until then the
+/// others go on.
+constexpr std::ptrdiff_t leaderCount = 4;
+
+/// Longest time between two queries of an entry, within the history that the store keeps.
+constexpr Duration maxQueryInterval = std::chrono::seconds(10);
+
+} // namespace
+
+bool leadsStoreQueries(NameHash self, const std::vector<NameHash> &peersInContact)
+{
+    return std::count_if(peersInContact.begin(), peersInContact.end(),
+                         [self](NameHash peer) { return peer < self; })
+        < leaderCount;
+}
+
+void recordPeerKnowledge(ListKnowledge &knowledge, std::uint64_t changeRevision, Time confirmedAt)
+{
+    knowledge.peersChangeRevision_ = std::max(knowledge.peersChangeRevision_, changeRevision);
+    if (changeRevision <= knowledge.revision_)
+        knowledge.confirmedByPeerAt_ = std::max(knowledge.confirmedByPeerAt_, confirmedAt);
+}
+
+bool mayPostponeQuery(const ListKnowledge &knowledge, Duration maxAge, Time now)
+{
+    return knowledge.peersChangeRevision_ <= knowledge.revision_
+        && now - knowledge.confirmedByPeerAt_ <= maxAge
+        && now - knowledge.queriedAt_ < maxQueryInterval;
+}
+
+} // namespace eelgrasscove
--- /dev/null
+++ b/Source/Peer/storequeries.h
@@ -0,0 +1,45 @@
+#pragma once
+
+/// Decides which entries query the platform's store for changes, so that not every entry does it
+/// all the time. Pure functions: no clock, I/O or threads.
+///
+/// A few entries, the leaders, query often and tell the others in their state messages up to when
+/// they know all changes. The others query if they are told of a change that they do not know, or
+/// if what they are told has become too old. Leaders follow from the names of the entries in
+/// contact, without an election: where views differ, there are more of them for a while.
+
+#include "Peer/namehash.h"
+
+#include <eelgrasscove/time.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace eelgrasscove {
+
+/// Returns whether the entry is a leader. peersInContact are the entries from which it has received
+/// messages recently.
+bool leadsStoreQueries(NameHash self, const std::vector<NameHash> &peersInContact);
+
+/// What an entry knows of a list in the store, by its own queries and by other entries.
+struct ListKnowledge
+{
+    /// Revision up to which the entry knows all changes.
+    std::uint64_t revision_ = 0;
+    /// Highest revision of a change that matters, according to other entries.
+    std::uint64_t peersChangeRevision_ = 0;
+    /// Time up to which no such change is unknown here, according to other entries.
+    Time confirmedByPeerAt_;
+    /// Time of the entry's own last query.
+    Time queriedAt_;
+};
+
+/// Records what another entry has said: the highest revision of a change that matters to it, and
+/// the time up to which it knew all changes.
+void recordPeerKnowledge(ListKnowledge &knowledge, std::uint64_t changeRevision, Time confirmedAt);
+
+/// Returns whether the entry may go on without a query of its own. maxAge is the longest time for
+/// which a change may stay unknown.
+bool mayPostponeQuery(const ListKnowledge &knowledge, Duration maxAge, Time now);
+
+} // namespace eelgrasscove
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -18,6 +18,8 @@
 constexpr Duration watchTimeoutMargin = 1000ms;
 /// Shortest wait of a watch that the store accepts.
 constexpr std::chrono::milliseconds minWatchWait = 1ms;
+/// Period at which a postponed watch is considered again.
+constexpr Duration postponementCheckPeriod = 100ms;
 /// Pause after the first failed call, doubled after each further one up to the maximum.
 constexpr Duration firstRetryPause = 100ms;
 constexpr Duration maxRetryPause = 800ms;
@@ -194,7 +196,17 @@
     if (changes->items_.empty() || settings_.batchPause_ == Duration::zero())
         watch();
     else
-        loop_.timers().once(settings_.batchPause_, [this] { watch(); });
+        loop_.timers().once(settings_.batchPause_, [this] { watchWhenDue(); });
+}
+
+void StoreFeed::watchWhenDue()
+{
+    if (!callbacks_.mayPostponeWatch_ || !callbacks_.mayPostponeWatch_()) {
+        watch();
+        return;
+    }
+    countMetric("eelgrasscove_store_watches_postponed_total");
+    loop_.timers().once(postponementCheckPeriod, [this] { watchWhenDue(); });
 }
 
 void StoreFeed::noteIgnored(const wire::StoreItems &items) const
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -27,6 +27,9 @@
     std::function<void(const wire::StoreItem &)> onChanged_;
     /// Receives false when the connection to the store is lost and true when it is restored.
     std::function<void(bool)> onReachableChanged_;
+    /// Asked when the pause after a batch of changes has passed: whether the next watch may be sent
+    /// later. Without it, the watch is sent then.
+    std::function<bool()> mayPostponeWatch_ = {};
 };
 
 class StoreFeed
@@ -57,6 +60,8 @@
     /// Returns the highest revision of a key or deletion that is known here, apart from deletions
     /// before the last list. revision() also counts changes of other keys, so it may be higher.
     std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
+    /// Returns the time at which the last list or watch was sent.
+    Time queriedAt() const { return watchSentAt_; }
     bool isReachable() const { return isReachable_; }
     /// Returns the time at which the connection to the store was last restored.
     Time reachableSince() const { return reachableSince_; }
@@ -65,6 +70,8 @@
     void requestList(const std::string &afterKey);
     void handleListResponse(std::optional<HttpResponse> response);
     void watch();
+    /// Sends the next watch unless it may be postponed.
+    void watchWhenDue();
     void handleWatchResponse(std::optional<HttpResponse> response);
     void handleConfirmResponse(const std::optional<HttpResponse> &response, Time sentAt,
                                std::uint64_t callRevision);
--- /dev/null
+++ b/Tests/Dissemination/storequeriestest.cpp
@@ -0,0 +1,55 @@
+#include "Peer/storequeries.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace eelgrasscove;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time now = Time(100s);
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(few_entries_lead_store_queries_and_lost_ones_are_replaced)
+{
+    for (const NameHash count : {1U, 4U, 21U, 68U}) {
+        std::vector<NameHash> live;
+        for (NameHash entry = 0; entry < count; ++entry)
+            live.push_back(entry * 7919 % 1000);
+        for (int lost = 0; lost < 2 && !live.empty(); ++lost) {
+            const auto leaders = std::count_if(live.begin(), live.end(), [&](NameHash self) {
+                std::vector<NameHash> peers = live;
+                std::erase(peers, self);
+                return leadsStoreQueries(self, peers);
+            });
+            BOOST_TEST(leaders == std::min<std::ptrdiff_t>(4, std::ssize(live)));
+            std::erase(live, *std::min_element(live.begin(), live.end()));
+        }
+        BOOST_TEST(leadsStoreQueries(5, {}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_query_is_postponed_only_while_other_entries_know_no_unknown_change)
+{
+    ListKnowledge knowledge{.revision_ = 50, .queriedAt_ = now - 2s};
+    // Nothing has been heard of other entries.
+    BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
+    recordPeerKnowledge(knowledge, 40, now - 1s);
+    BOOST_TEST(mayPostponeQuery(knowledge, 2s, now));
+    // An older statement changes nothing, and a statement ages.
+    recordPeerKnowledge(knowledge, 30, now - 5s);
+    BOOST_TEST(mayPostponeQuery(knowledge, 2s, now + 900ms));
+    BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now + 1100ms));
+    // A change that is not known here has to be queried, whoever does not know it either.
+    recordPeerKnowledge(knowledge, 51, now);
+    recordPeerKnowledge(knowledge, 40, now);
+    BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
+    knowledge.revision_ = 51;
+    BOOST_TEST(mayPostponeQuery(knowledge, 2s, now));
+    // The store keeps its history for a time only.
+    knowledge.queriedAt_ = now - 11s;
+    BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
+}
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -259,12 +259,13 @@
     std::uint64_t reports_ = 0;
 };
 
-/// Another entry, edge-2, which answers each state message of the entry with its own and confirms
-/// the rules in it.
+/// Other entries, edge-2 or those named, which answer each state message of the entry with their
+/// own and confirm the rules in it.
 class PeerEntry
 {
 public:
-    explicit PeerEntry(ServingPath &path) : path_(path)
+    explicit PeerEntry(ServingPath &path, std::vector<std::string> vms = {"edge-2"})
+        : path_(path), vms_(std::move(vms))
     {
         socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
         const sockaddr_in own = loopback(7);
@@ -273,7 +274,8 @@
         state_.startedAtMicros_ = bootNow().time_since_epoch().count();
         state_.rulesVersion_ = 1;
         state_.rulesAgeMicros_ = 0;
-        path.store_.put("eelgrasscove/entry/edge-2", path.address(7));
+        for (const std::string &vm : vms_)
+            path.store_.put("eelgrasscove/entry/" + vm, path.address(7));
         timer_ = path.loop_.timers().every(50ms, [this] { answer(); });
     }
 
@@ -316,18 +318,34 @@
             ++received_;
             state_.timestampMicros_ = bootNow().time_since_epoch().count();
             state_.echoes_ = {{received->vm_, received->timestampMicros_, 0}};
-            const std::string reply = encodePeerMessage(state_);
-            const sockaddr_in entry = loopback(6);
-            sendto(socket_, reply.data(), reply.size(), 0,
-                   reinterpret_cast<const sockaddr *>(&entry), sizeof entry);
+            for (const std::string &vm : vms_) {
+                state_.vm_ = nameHash(vm);
+                const std::string reply = encodePeerMessage(state_);
+                const sockaddr_in entry = loopback(6);
+                sendto(socket_, reply.data(), reply.size(), 0,
+                       reinterpret_cast<const sockaddr *>(&entry), sizeof entry);
+            }
         }
     }
 
     ServingPath &path_;
+    std::vector<std::string> vms_;
     int socket_ = -1;
     TimerId timer_ = 0;
 };
 
+/// Names of four entries that query the store on behalf of edge-1.
+std::vector<std::string> leadersOfEdge1()
+{
+    std::vector<std::string> vms;
+    for (int number = 2; vms.size() < 4; ++number) {
+        const std::string vm = "edge-" + std::to_string(number);
+        if (nameHash(vm) < nameHash("edge-1"))
+            vms.push_back(vm);
+    }
+    return vms;
+}
+
 /// Waits until the entry has sent a watch of the operator's keys, then makes all of its connections
 /// to the store silent.
 void silenceStoreAtNewWatch(ServingPath &path, const std::string &part = "kv-watch?path_prefix=op/")
@@ -1850,3 +1868,57 @@
     const auto client = path.sendAdapterRequest();
     BOOST_TEST(turnUntil(path.loop_, 1s, [&] { return !path.targets_[0]->seen_.empty(); }));
 }
+
+BOOST_AUTO_TEST_CASE(
+    entry_that_others_keep_informed_queries_the_target_list_for_changes_that_matter)
+{
+    ServingPath path(37, {}, {.revoke_ = 5s, .drain_ = 2s});
+    path.registerEngine();
+    PeerEntry leaders(path, leadersOfEdge1());
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return leaders.received_ > 8; }));
+    leaders.state_.targetsAgeMicros_ = 0;
+    leaders.state_.targetsRevision_ = path.store_.revision_;
+    turnFor(path.loop_, 1500ms);
+    const auto changeAdapters = [&](const std::string &adapter, const std::string &state) {
+        path.store_.put("servers/e-0",
+                        fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                                    R"("state":"{}","born":1,"models":[{{"name":"m","version":1,)"
+                                    R"("adapters":["{}"]}}]}})",
+                                    path.address(1), state, adapter));
+    };
+    const std::size_t before = path.store_.calls("kv-watch?path_prefix=servers/");
+    for (int change = 0; change < 20; ++change) {
+        changeAdapters("a" + std::to_string(change), "ready");
+        turnFor(path.loop_, 200ms);
+    }
+    // The waiting watch ends with the first change; without leaders, a watch follows every 1.1 s.
+    BOOST_TEST(path.store_.calls("kv-watch?path_prefix=servers/") - before <= 1);
+    // A leader has read that the engine leaves.
+    changeAdapters("a1", "draining");
+    leaders.state_.targetsRevision_ = path.store_.revision_;
+    turnFor(path.loop_, 600ms);
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/advise/a",
+                                     "Authorization: Bearer k1\r\n"
+                                     "X-Eelgrasscove-Model-Name: m/a1\r\n")
+                   ->status()
+               == 503);
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_others_no_longer_inform_queries_the_target_list_itself)
+{
+    ServingPath path(38, {}, {.revoke_ = 5s, .drain_ = 2s});
+    PeerEntry leaders(path, leadersOfEdge1());
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return leaders.received_ > 8; }));
+    leaders.state_.targetsAgeMicros_ = 0;
+    leaders.state_.targetsRevision_ = path.store_.revision_;
+    path.registerTarget(0, "i-0", "ready", 2);
+    turnFor(path.loop_, 1500ms);
+    // The leaders have lost the store; the target leaves.
+    leaders.state_.targetsAgeMicros_ = -1;
+    path.registerTarget(0, "i-0", "draining", 2);
+    turnFor(path.loop_, 1900ms);
+    BOOST_TEST(!path.isFirstTargetUsed());
+}
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -142,6 +142,8 @@
     std::vector<std::string> adapters_;
     /// The base models held.
     std::vector<std::string> models_;
+
+    bool operator==(const ListedTarget &) const = default;
 };
 
 } // namespace eelgrasscove
