Ignore messages with impossible lengths instead of ending

Cause: a length that is read from a message of another layout is passed to a vector before anything else is read, and only the archive's own errors were caught, not those of the containers. The layout had changed without its version. Class: one malformed message ends a process.

Change: any error of decoding makes the message invalid; the version is 5, as messages have further fields since version 4 was introduced. Test: Dissemination message_with_an_impossible_length_is_ignored, with a valid checksum, at every position.

--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// First byte of every datagram; changed whenever the layout of a message changes.
-constexpr char layoutVersion = 4;
+constexpr char layoutVersion = 5;
 
 // Header before the message: layout version, route, message type and checksum of the message.
 constexpr std::size_t routeAt = 1;
@@ -96,7 +96,8 @@
         default:
             return std::nullopt;
         }
-    } catch (const cereal::Exception &) {
+    } catch (const std::exception &) {
+        // Also errors of the containers: of another layout, any number may be read as a length.
         return std::nullopt;
     }
 }
--- a/Tests/Dissemination/disseminationtest.cpp
+++ b/Tests/Dissemination/disseminationtest.cpp
@@ -5,9 +5,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cstring>
 #include <map>
 #include <random>
 #include <set>
+#include <xxhash.h>
 
 using namespace eelgrasscove;
 
@@ -214,6 +216,23 @@
     BOOST_TEST((recipients == expected));
 }
 
+BOOST_AUTO_TEST_CASE(message_with_an_impossible_length_is_ignored)
+{
+    EntryState state;
+    state.usage_ = {{1, 2}};
+    std::string bytes = encodePeerMessage(state);
+    // The checksum is right, as in a message of another layout.
+    constexpr std::size_t headerBytes = 7;
+    for (std::size_t at = headerBytes; at + sizeof(std::uint64_t) <= bytes.size(); ++at) {
+        std::string wrong = bytes;
+        std::fill_n(wrong.begin() + static_cast<std::ptrdiff_t>(at), sizeof(std::uint64_t), '\xee');
+        const std::string_view body = std::string_view(wrong).substr(headerBytes);
+        const std::uint32_t checksum = XXH32(body.data(), body.size(), 0);
+        std::memcpy(wrong.data() + headerBytes - sizeof checksum, &checksum, sizeof checksum);
+        BOOST_CHECK_NO_THROW(decodePeerMessage(wrong));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(route_is_read_and_set_without_a_change_of_the_message)
 {
     EntryState state;
