--- a/Source/Net/datagramsocket.h
+++ b/Source/Net/datagramsocket.h
@@ -24,8 +24,8 @@
              Duration readPeriod = Duration::zero());
 
     /// Queues a datagram; all queued datagrams are sent together before the loop next waits. Those
-    /// that the socket has no room for are sent later, the oldest are dropped if there are too many:
-    /// senders repeat all essential messages.
+    /// that the socket has no room for are sent later, the oldest are dropped if there are too
+    /// many: senders repeat all essential messages.
     void send(std::string bytes, const Endpoint &to);
 
 private:
