Query the target list if peers know a change that the silent watch lacks

Change: an entry whose watch waits, while a peer tells of a change of the target list that it lacks for a tenth of the bound, queries the list on a new connection and starts the watch anew.

Test: ServingPath entry_whose_target_watch_is_silent_learns_of_a_leaving_target_that_its_peers_know.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -82,6 +82,9 @@
 /// An entry that other entries keep informed queries the target list itself if their knowledge is
 /// older than this fraction of the bound.
 constexpr double maxTargetsAgeFraction = 0.65;
+/// Time, as a fraction of the bound, for which a peer may know a change of the target list that the
+/// waiting watch has not delivered.
+constexpr double maxTargetWatchLagFraction = 0.1;
 constexpr Duration peersCoalescingPeriod = 300ms;
 /// Rules that change in quick succession are coalesced for this time, a tenth of the bound on the
 /// adoption of new rules.
@@ -219,6 +222,7 @@
         const Time now = bootNow();
         sendEntryStates(now);
         checkRulesConfirmation(now);
+        checkTargetList(now);
     });
 
     timers.every(loadRequestPeriod, [this] {
@@ -358,6 +362,22 @@
     operatorFeed_->confirmNow();
 }
 
+void Edge::checkTargetList(Time now)
+{
+    // A watch that waits is ended by any change within the time of a response.
+    if (!targetFeed_->isWatchWaiting()
+        || targetList_.peersChangeRevision_ <= targetFeed_->revision()) {
+        targetWatchBehindSince_.reset();
+        return;
+    }
+    if (!targetWatchBehindSince_)
+        targetWatchBehindSince_ = now;
+    if (now - *targetWatchBehindSince_ < settings_.bounds_.drain_ * maxTargetWatchLagFraction)
+        return;
+    targetWatchBehindSince_ = now;
+    targetFeed_->confirmNow();
+}
+
 bool Edge::leadsStoreQueries(Time now) const
 {
     std::vector<NameHash> inContact;
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -191,6 +191,9 @@
     /// Queries the store if the last confirmation is old or peers know changes that this entry
     /// doesn't know.
     void checkRulesConfirmation(Time now);
+    /// Queries the target list if other entries know a change that the waiting watch has not
+    /// delivered: its connection may be silent.
+    void checkTargetList(Time now);
     /// Whether this entry queries the store on behalf of others.
     bool leadsStoreQueries(Time now) const;
     /// Whether the changes of the target list since the last watch are known not to matter.
@@ -361,6 +364,8 @@
     std::optional<Time> missesChangesSince_;
     Time confirmRequestedAt_;
     ListKnowledge targetList_;
+    /// Time since which the watch of the target list lacks a change that a peer knows.
+    std::optional<Time> targetWatchBehindSince_;
     /// Highest revision of a change of the target list that matters to placement.
     std::uint64_t targetsChangeRevision_ = 0;
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1922,3 +1922,21 @@
     turnFor(path.loop_, 1900ms);
     BOOST_TEST(!path.isFirstTargetUsed());
 }
+
+BOOST_AUTO_TEST_CASE(
+    entry_whose_target_watch_is_silent_learns_of_a_leaving_target_that_its_peers_know)
+{
+    ServingPath path(39, {}, {.revoke_ = 5s, .drain_ = 2s});
+    PeerEntry peer(path);
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 2; }));
+    peer.state_.targetsAgeMicros_ = 0;
+    peer.state_.targetsRevision_ = path.store_.revision_;
+    // Past the pause after the start, the watch waits for the next change.
+    turnFor(path.loop_, 1500ms);
+    path.store_.silenceConnections();
+    path.registerTarget(0, "i-0", "draining");
+    peer.state_.targetsRevision_ = path.store_.revision_;
+    turnFor(path.loop_, 1s);
+    BOOST_TEST(!path.isFirstTargetUsed());
+}
