--- a/Source/Edge/enginemodel.cpp
+++ b/Source/Edge/enginemodel.cpp
@@ -18,8 +18,8 @@
 constexpr std::uint32_t minEngineSamples = 8;
 constexpr std::uint32_t minServiceSamples = 12;
 
-/// Ratio of the variance of the prompt tokens to the square of their mean below which a line can't
-/// be told from a constant.
+/// Ratio of the variance of the prompt tokens to the square of their mean below which the
+/// slope of a line can't be estimated.
 constexpr double minRelativeVariance = 0.02;
 
 /// A report of unread requests is used for this time: two reports may be lost.
--- a/Source/Peer/storequeries.h
+++ b/Source/Peer/storequeries.h
@@ -3,10 +3,10 @@
 /// Decides which entries query the platform's store for changes, so that not every entry does it
 /// all the time. Pure functions: no clock, I/O or threads.
 ///
-/// A few entries, the leaders, query often and tell the others in their state messages up to when
-/// they know all changes. The others query if they are told of a change that they do not know, or
-/// if what they are told has become too old. Leaders follow from the names of the entries in
-/// contact, without an election: where views differ, there are more of them for a while.
+/// A few entries, the leaders, query often and report to the others in their state messages up to
+/// when they know all changes. The others query if a report names a change that they do not know,
+/// or if the reports are too old. Leaders follow from the names of the entries in contact, without
+/// an election: where views differ, there are more of them for a while.
 
 #include "Peer/namehash.h"
 
--- a/Tests/Dissemination/storequeriestest.cpp
+++ b/Tests/Dissemination/storequeriestest.cpp
@@ -35,7 +35,7 @@
 BOOST_AUTO_TEST_CASE(a_query_is_postponed_only_while_other_entries_know_no_unknown_change)
 {
     ListKnowledge knowledge{.revision_ = 50, .queriedAt_ = now - 2s};
-    // Nothing has been heard of other entries.
+    // No report has been received.
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
     recordPeerKnowledge(knowledge, 40, now - 1s);
     BOOST_TEST(mayPostponeQuery(knowledge, 2s, now));
@@ -43,7 +43,7 @@
     recordPeerKnowledge(knowledge, 30, now - 5s);
     BOOST_TEST(mayPostponeQuery(knowledge, 2s, now + 900ms));
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now + 1100ms));
-    // A change that is not known here has to be queried, whoever does not know it either.
+    // One report of an unknown change is enough, also if other entries don't know it.
     recordPeerKnowledge(knowledge, 51, now);
     recordPeerKnowledge(knowledge, 40, now);
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
