--- a/review/standins/drain.cpp
+++ b/review/standins/drain.cpp
@@ -8,8 +8,8 @@
     const Options options = parseOptions(argc, argv);
     EventLoop loop;
     LeavingCase played(loop, options, 10);
-    const int result = played.play(
-        options.hasTrouble_ ? StoreTrouble::ForgetsHistory : StoreTrouble::None, true);
+    const int result =
+        played.play(options.hasTrouble_ ? StoreTrouble::ForgetsHistory : StoreTrouble::None);
     std::fflush(stdout);
     std::_Exit(result);
 }
--- a/review/standins/leaving.h
+++ b/review/standins/leaving.h
@@ -11,14 +11,16 @@
     None,
     /// Right after the removal the store drops its history.
     ForgetsHistory,
-    /// All open connections to the store go silent, without a reset; new ones work. The removal
-    /// comes when all machines are in touch again.
-    SilentConnections,
+    /// The store takes calls and answers none for a while. The removal comes when all machines are
+    /// in touch again.
+    FallsSilent,
 };
 
 constexpr int runnerCount = 8;
 /// Bounds of the site nvsn-werkbank-grown.
 constexpr Bounds bounds{5000, 3000, 8, 4000, 88};
+/// Time for which the store is silent; the site's largest dose is 4.5 s.
+constexpr Duration silentTime = 2s;
 /// Time for which the runner that leaves goes on serving: 4 s beyond drain_ms. A stream takes 1.8 s.
 constexpr Duration serveAfterRemoval = 7s;
 
@@ -70,7 +72,7 @@
         }
     }
 
-    int play(StoreTrouble trouble, bool isListBusy)
+    int play(StoreTrouble trouble)
     {
         // As after a rolling restart, so that the edges don't query the list in step.
         for (const auto &edge : edges_) {
@@ -82,27 +84,21 @@
             endAll(loop_, edges_);
             return exitNotRun;
         }
-        if (isListBusy) {
-            // Runners that started lately tell with each heartbeat how long they stay slow.
-            for (int number = 1; number < runnerCount; ++number)
-                loop_.timers().once(Duration(number * 160'000), [this, number] { warm(number); });
-        }
+        // Runners that started lately tell with each heartbeat how long they stay slow.
+        for (int number = 1; number < runnerCount; ++number)
+            loop_.timers().once(Duration(number * 160'000), [this, number] { warm(number); });
         loop_.timers().every(25ms, [this] { send(); });
         turnFor(loop_, 14s);
         isNoted_ = true;
-        if (!isListBusy) {
-            // One change of the list: each edge asks again on the connection that it has.
-            list(1, 1200);
-            record_.note("the entry of {} changes", runners_[1]->id());
-            turnFor(loop_, 200ms);
-        }
-        if (trouble == StoreTrouble::SilentConnections) {
-            store_->silenceConnections();
+        if (trouble == StoreTrouble::FallsSilent) {
+            record_.note("the store takes calls and answers none");
+            store_->setSilent(true);
+            turnFor(loop_, silentTime);
+            store_->setSilent(false);
             disturbedUntil_ = bootNow();
-            record_.note("all open connections to the store go silent; new ones work");
-        }
-        if (!isListBusy)
+            record_.note("the store answers again, on new connections");
             turnFor(loop_, std::chrono::milliseconds(bounds.stableMs_) + 200ms);
+        }
         removedAt_ = bootNow();
         leaving_ = runners_[0]->id();
         store_->remove("servers/" + leaving_);
@@ -148,7 +144,8 @@
         constexpr int coldMillis = 60'000;
         int &left = coldLeft_.try_emplace(number, coldMillis).first->second;
         left = std::max(left - heartbeatMillis, 0);
-        list(number, left);
+        if (!store_->isSilent())
+            list(number, left);
         loop_.timers().once(std::chrono::milliseconds(heartbeatMillis),
                             [this, number] { warm(number); });
     }
--- a/review/standins/silent.cpp
+++ b/review/standins/silent.cpp
@@ -1,4 +1,4 @@
-/// Case: open connections to the store go silent, and later a runner's entry is removed.
+/// Case: the store is silent for two seconds, and later a runner's entry is removed.
 
 #include "leaving.h"
 
@@ -8,8 +8,8 @@
     const Options options = parseOptions(argc, argv);
     EventLoop loop;
     LeavingCase played(loop, options, 4);
-    const int result = played.play(
-        options.hasTrouble_ ? StoreTrouble::SilentConnections : StoreTrouble::None, false);
+    const int result =
+        played.play(options.hasTrouble_ ? StoreTrouble::FallsSilent : StoreTrouble::None);
     std::fflush(stdout);
     std::_Exit(result);
 }
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -239,7 +239,9 @@
         : loop_(loop), server_(loop, address, [this](const auto &from, Request &&request) {
               // "4 ms an answer"
               loop_.timers().once(4ms, [this, from, request = std::move(request)] {
-                  if (!from->hasEnded_ && !silent_.contains(from))
+                  if (isSilent_)
+                      dead_.insert(from);
+                  if (!from->hasEnded_ && !dead_.contains(from))
                       handle(from, request);
               });
           })
@@ -277,13 +279,10 @@
         forgottenUpTo_ = revision_;
     }
 
-    /// Makes all present connections silent: they stay open and get no answer any more.
-    void silenceConnections()
-    {
-        for (const auto &connection : server_.connections_)
-            silent_.insert(connection);
-        waiting_.clear();
-    }
+    /// While it is silent, the store takes calls and answers none. "A connection on which a response
+    /// is lost returns nothing further."
+    void setSilent(bool isSilent) { isSilent_ = isSilent; }
+    bool isSilent() const { return isSilent_; }
 
     /// Called with the address of the sender for each range and watch of a prefix.
     std::function<void(const std::string &from, const std::string &call,
@@ -487,7 +486,7 @@
     {
         const Time now = bootNow();
         waiting_.remove_if([&](const Waiting &waiting) {
-            if (waiting.from_->hasEnded_)
+            if (waiting.from_->hasEnded_ || dead_.contains(waiting.from_))
                 return true;
             std::string list;
             for (const Event &event : history_) {
@@ -502,6 +501,10 @@
             }
             if (list.empty() && now < waiting.until_)
                 return false;
+            if (isSilent_) {
+                dead_.insert(waiting.from_);
+                return true;
+            }
             waiting.from_->answer(200, "",
                                   fmt::format(R"({{"events":[{}],"at":{}}})", list, revision_));
             return true;
@@ -513,7 +516,9 @@
     std::vector<Event> history_;
     std::map<std::uint64_t, Lease> leases_;
     std::list<Waiting> waiting_;
-    std::set<std::shared_ptr<Connection>> silent_;
+    /// Connections on which a response was lost.
+    std::set<std::shared_ptr<Connection>> dead_;
+    bool isSilent_ = false;
     std::uint64_t lastLease_ = 70;
     std::uint64_t forgottenUpTo_ = 0;
     Server server_;
