--- a/review/standins/answers.cpp
+++ b/review/standins/answers.cc
@@ -1,7 +1,7 @@
-/// Case: an edge gets SIGTERM while answers are on their way to clients over a link of 10 Mbit/s. Do
-/// the clients get the whole answers?
+/// Case: an edge gets SIGTERM while answers are on their way to clients over a link of 10 Mbit/s.
+/// Do the clients get the whole answers?
 
-#include "world.h"
+#include "world.hh"
 
 #include <netinet/tcp.h>
 #include <poll.h>
--- a/review/standins/crashes.cpp
+++ b/review/standins/crashes.cc
@@ -1,7 +1,7 @@
 /// Case: a request crashes each runner that runs it and comes again, and in between all edges are
 /// killed at once. How many more runners get it after it has crashed the third?
 
-#include "world.h"
+#include "world.hh"
 
 using namespace review;
 
--- a/review/standins/drain.cpp
+++ b/review/standins/drain.cc
@@ -1,6 +1,6 @@
 /// Case: the store forgets its history right after a runner's entry is removed.
 
-#include "leaving.h"
+#include "leaving.hh"
 
 int main(int argc, char **argv)
 {
--- a/review/standins/silent.cpp
+++ b/review/standins/silent.cc
@@ -1,6 +1,6 @@
 /// Case: the store is silent for two seconds, and later a runner's entry is removed.
 
-#include "leaving.h"
+#include "leaving.hh"
 
 int main(int argc, char **argv)
 {
