Record the age of the knowledge of the target list as a metric

Whether an entry did not know of the removal, knew it late or sent in spite of it could be told from its target.gone lines only, and not why.

The gauge eelgrasscove_target_list_age_seconds shows for each entry the age by its own queries and by what its peers say, so that a silent watch (both ages grow), a statement that is not true (only the age by the store grows) and a send in spite of knowledge (both are small) can be told apart. No decision changes.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -223,6 +223,7 @@
         sendEntryStates(now);
         checkRulesConfirmation(now);
         checkTargetList(now);
+        recordTargetListAge(now);
     });
 
     timers.every(loadRequestPeriod, [this] {
@@ -362,6 +363,18 @@
     operatorFeed_->confirmNow();
 }
 
+void Edge::recordTargetListAge(Time now) const
+{
+    if (const std::optional<Time> confirmedAt = targetFeed_->confirmedAt()) {
+        setGauge("eelgrasscove_target_list_age_seconds", "source=\"store\"",
+                 std::chrono::duration<double>(now - *confirmedAt).count());
+    }
+    if (targetList_.confirmedByPeerAt_ != Time{}) {
+        setGauge("eelgrasscove_target_list_age_seconds", "source=\"peers\"",
+                 std::chrono::duration<double>(now - targetList_.confirmedByPeerAt_).count());
+    }
+}
+
 void Edge::checkTargetList(Time now)
 {
     // A watch that waits is ended by any change within the time of a response.
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -194,6 +194,8 @@
     /// Queries the target list if other entries know a change that the waiting watch has not
     /// delivered: its connection may be silent.
     void checkTargetList(Time now);
+    /// Records as metrics how old this entry's knowledge of the target list is.
+    void recordTargetListAge(Time now) const;
     /// Whether this entry queries the store on behalf of others.
     bool leadsStoreQueries(Time now) const;
     /// Whether the changes of the target list since the last watch are known not to matter.
