Bound the age of the target list that an entry knows

Cause: after the store had been silent for 2 s, the watches that were sent in this time waited on connections that answered no more. Nothing but their timeout, 11 s, ended them: the list was checked beside a waiting watch only if another entry knew a change, and all watches were silent together.

Evidence: the new ServingPath test without a peer fails on the code before (the removed target got requests 2 s after its removal, bound 2 s). Postponed queries are ruled out, as with four entries all lead.

Change: an entry whose watch waits queries the store on a new connection if neither its own queries nor other entries have shown for 0.65 of the bound on leaving targets that nothing has changed. The first entry does so after 0.4 of it, on behalf of the others. A query without an answer counts as a loss of the store; otherwise entries that expired in the silence would be taken as removed at once.

The test entry_makes_no_further_store_calls_while_its_watch_works counts the confirmations of all lists. Its peer now states the age of the target list as sound entries do; the check itself is unchanged.

Tests: ServingPath, Store and Dissemination pass.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -79,9 +79,11 @@
 /// engine's list entry changes with each adapter, and each change delivered alone costs every entry
 /// a call to the store.
 constexpr double targetsCoalescingFraction = 0.55;
-/// An entry that other entries keep informed queries the target list itself if their knowledge is
-/// older than this fraction of the bound.
+/// An entry queries the target list itself if what it knows by its own queries and by other entries
+/// is older than this fraction of the bound. The first entry does so earlier, on behalf of the
+/// others.
 constexpr double maxTargetsAgeFraction = 0.65;
+constexpr double firstEntryTargetsAgeFraction = 0.4;
 /// Time, as a fraction of the bound, for which a peer may know a change of the target list that the
 /// waiting watch has not delivered.
 constexpr double maxTargetWatchLagFraction = 0.1;
@@ -377,35 +379,60 @@
 
 void Edge::checkTargetList(Time now)
 {
-    // A watch that waits is ended by any change within the time of a response.
-    if (!targetFeed_->isWatchWaiting()
-        || targetList_.peersChangeRevision_ <= targetFeed_->revision()) {
+    // Between two watches, the feed queries the store within a bounded time.
+    if (!targetFeed_->isWatchWaiting()) {
         targetWatchBehindSince_.reset();
         return;
     }
-    if (!targetWatchBehindSince_)
+    updateTargetListKnowledge();
+    // A watch that waits is ended by any change within the time of a response.
+    if (targetList_.peersChangeRevision_ <= targetList_.revision_)
+        targetWatchBehindSince_.reset();
+    else if (!targetWatchBehindSince_)
         targetWatchBehindSince_ = now;
-    if (now - *targetWatchBehindSince_ < settings_.bounds_.drain_ * maxTargetWatchLagFraction)
+    const bool isBehind = targetWatchBehindSince_
+        && now - *targetWatchBehindSince_ >= settings_.bounds_.drain_ * maxTargetWatchLagFraction;
+    const bool isFirst = storeQueryRank(nameHash(settings_.vm_), peersInContact(now)) == 0;
+    const double ageFraction = isFirst ? firstEntryTargetsAgeFraction : maxTargetsAgeFraction;
+    const auto maxAge =
+        std::chrono::duration_cast<Duration>(settings_.bounds_.drain_ * ageFraction);
+    // After a failed query the store may have been out of contact for long.
+    const bool isDue =
+        isBehind || !targetFeed_->isReachable() || isWatchCheckDue(targetList_, maxAge, now);
+    if (!isDue || now - targetsConfirmRequestedAt_ < minConfirmInterval)
         return;
-    targetWatchBehindSince_ = now;
+    if (isBehind)
+        targetWatchBehindSince_ = now;
+    targetsConfirmRequestedAt_ = now;
     targetFeed_->confirmNow();
 }
 
-bool Edge::leadsStoreQueries(Time now) const
+std::vector<NameHash> Edge::peersInContact(Time now) const
 {
     std::vector<NameHash> inContact;
     for (const auto &[vm, contact] : peerContacts_) {
         if (now - contact.receivedAt_ < leaderContactTimeout)
             inContact.push_back(nameHash(vm));
     }
-    return eelgrasscove::leadsStoreQueries(nameHash(settings_.vm_), inContact);
+    return inContact;
 }
 
-bool Edge::mayPostponeTargetWatch()
+bool Edge::leadsStoreQueries(Time now) const
+{
+    return eelgrasscove::leadsStoreQueries(nameHash(settings_.vm_), peersInContact(now));
+}
+
+void Edge::updateTargetListKnowledge()
 {
-    const Time now = bootNow();
     targetList_.revision_ = targetFeed_->revision();
     targetList_.queriedAt_ = targetFeed_->queriedAt();
+    targetList_.confirmedAt_ = targetFeed_->confirmedAt().value_or(Time{});
+}
+
+bool Edge::mayPostponeTargetWatch()
+{
+    const Time now = bootNow();
+    updateTargetListKnowledge();
     const auto maxAge =
         std::chrono::duration_cast<Duration>(settings_.bounds_.drain_ * maxTargetsAgeFraction);
     return !leadsStoreQueries(now) && mayPostponeQuery(targetList_, maxAge, now);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -191,11 +191,15 @@
     /// Queries the store if the last confirmation is old or peers know changes that this entry
     /// doesn't know.
     void checkRulesConfirmation(Time now);
-    /// Queries the target list if other entries know a change that the waiting watch has not
-    /// delivered: its connection may be silent.
+    /// Queries the target list beside the waiting watch, whose connection may be silent, if other
+    /// entries know a change that it has not delivered, or if too long ago was the last proof that
+    /// nothing has changed.
     void checkTargetList(Time now);
+    void updateTargetListKnowledge();
     /// Records as metrics how old this entry's knowledge of the target list is.
     void recordTargetListAge(Time now) const;
+    /// Hashes of the names of the entries from which messages have been received recently.
+    std::vector<NameHash> peersInContact(Time now) const;
     /// Whether this entry queries the store on behalf of others.
     bool leadsStoreQueries(Time now) const;
     /// Whether the changes of the target list since the last watch are known not to matter.
@@ -366,6 +370,7 @@
     std::optional<Time> missesChangesSince_;
     Time confirmRequestedAt_;
     ListKnowledge targetList_;
+    Time targetsConfirmRequestedAt_;
     /// Time since which the watch of the target list lacks a change that a peer knows.
     std::optional<Time> targetWatchBehindSince_;
     /// Highest revision of a change of the target list that matters to placement.
--- a/Source/Peer/storequeries.cpp
+++ b/Source/Peer/storequeries.cpp
@@ -8,18 +8,22 @@
 
 /// Leaders among all entries: a lost one is replaced when it is out of contact, and until then the
 /// others go on.
-constexpr std::ptrdiff_t leaderCount = 4;
+constexpr std::size_t leaderCount = 4;
 
 /// Longest time between two queries of an entry, within the history that the store keeps.
 constexpr Duration maxQueryInterval = std::chrono::seconds(10);
 
 } // namespace
 
+std::size_t storeQueryRank(NameHash self, const std::vector<NameHash> &peersInContact)
+{
+    return static_cast<std::size_t>(std::count_if(peersInContact.begin(), peersInContact.end(),
+                                                  [self](NameHash peer) { return peer < self; }));
+}
+
 bool leadsStoreQueries(NameHash self, const std::vector<NameHash> &peersInContact)
 {
-    return std::count_if(peersInContact.begin(), peersInContact.end(),
-                         [self](NameHash peer) { return peer < self; })
-        < leaderCount;
+    return storeQueryRank(self, peersInContact) < leaderCount;
 }
 
 void recordPeerKnowledge(ListKnowledge &knowledge, std::uint64_t changeRevision, Time confirmedAt)
@@ -36,4 +40,11 @@
         && now - knowledge.queriedAt_ < maxQueryInterval;
 }
 
+bool isWatchCheckDue(const ListKnowledge &knowledge, Duration maxAge, Time now)
+{
+    const Time knownAt =
+        std::max({knowledge.confirmedAt_, knowledge.confirmedByPeerAt_, knowledge.queriedAt_});
+    return now - knownAt > maxAge;
+}
+
 } // namespace eelgrasscove
--- a/Source/Peer/storequeries.h
+++ b/Source/Peer/storequeries.h
@@ -7,18 +7,25 @@
 /// when they know all changes. The others query if a report names a change that they do not know,
 /// or if the reports are too old. Leaders follow from the names of the entries in contact, without
 /// an election: where views differ, there are more of them for a while.
+///
+/// A waiting watch is no proof that nothing has changed, as its connection may be silent. Every
+/// entry therefore bounds the age of what it knows, by the reports or by a query beside the watch.
 
 #include "Peer/namehash.h"
 
 #include <eelgrasscove/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
 namespace eelgrasscove {
 
-/// Returns whether the entry is a leader. peersInContact are the entries from which it has received
-/// messages recently.
+/// Returns the number of entries that come before this one in querying the store. peersInContact
+/// are the entries from which it has received messages recently.
+std::size_t storeQueryRank(NameHash self, const std::vector<NameHash> &peersInContact);
+
+/// Returns whether the entry is a leader.
 bool leadsStoreQueries(NameHash self, const std::vector<NameHash> &peersInContact);
 
 /// What an entry knows of a list in the store, by its own queries and by other entries.
@@ -30,8 +37,10 @@
     std::uint64_t peersChangeRevision_ = 0;
     /// Time up to which no such change is unknown here, according to other entries.
     Time confirmedByPeerAt_;
-    /// Time of the entry's own last query.
+    /// Time of the entry's own last watch or list.
     Time queriedAt_;
+    /// Time up to which all changes are known here, by the entry's own queries.
+    Time confirmedAt_;
 };
 
 /// Records what another entry has said: the highest revision of a change that matters to it, and
@@ -42,4 +51,8 @@
 /// which a change may stay unknown.
 bool mayPostponeQuery(const ListKnowledge &knowledge, Duration maxAge, Time now);
 
+/// Returns whether the entry, whose watch is waiting, has to query the store beside it: neither a
+/// query of its own nor other entries show that nothing has changed within maxAge.
+bool isWatchCheckDue(const ListKnowledge &knowledge, Duration maxAge, Time now);
+
 } // namespace eelgrasscove
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -122,8 +122,12 @@
 void StoreFeed::handleConfirmResponse(const std::optional<HttpResponse> &response, Time sentAt,
                                       std::uint64_t callRevision)
 {
+    if (!response || (response->status_ != 200 && response->status_ != 410)) {
+        recordFailure(response ? std::to_string(response->status_) : "no answer");
+        return;
+    }
     // A list that is in progress contains all changes and is delivered first.
-    if (!response || isListing_ || revision_ < callRevision)
+    if (isListing_ || revision_ < callRevision)
         return;
     if (response->status_ == 410 && revision_ == callRevision && isWatchWaiting_) {
         replaceWaitingWatch();
@@ -134,6 +138,7 @@
     const std::optional<wire::StoreItems> changes = wire::decodeItems(response->body_);
     if (!changes)
         return;
+    recordSuccess();
     noteIgnored(*changes);
     if (changes->items_.empty()) {
         revision_ = std::max(revision_, changes->revision_);
@@ -233,7 +238,7 @@
     callbacks_.onReachableChanged_(true);
 }
 
-void StoreFeed::retryLater(std::function<void()> retry, std::string_view reason)
+void StoreFeed::recordFailure(std::string_view reason)
 {
     ++consecutiveFailures_;
     if (isReachable_ || consecutiveFailures_ == 1)
@@ -243,6 +248,11 @@
     isReachable_ = false;
     if (wasReachable)
         callbacks_.onReachableChanged_(false);
+}
+
+void StoreFeed::retryLater(std::function<void()> retry, std::string_view reason)
+{
+    recordFailure(reason);
     const Duration pause =
         std::min(firstRetryPause * (1 << std::min(consecutiveFailures_ - 1, 3U)), maxRetryPause);
     loop_.timers().once(pause, std::move(retry));
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -45,7 +45,8 @@
 
     /// Queries the store at once, beside the waiting watch, for changes; if there are none,
     /// confirmedAt() advances. Changes that the watch hasn't delivered by the time of the response
-    /// are delivered, and the watch is started anew: its connection may be silent.
+    /// are delivered, and the watch is started anew: its connection may be silent. A call that
+    /// fails counts as a loss of the connection to the store.
     void confirmNow();
 
     /// Returns a time before which all changes that the store acknowledged are known here; empty
@@ -84,6 +85,7 @@
     void noteIgnored(const wire::StoreItems &items) const;
     void confirm(Time at);
     void recordSuccess();
+    void recordFailure(std::string_view reason);
     void retryLater(std::function<void()> retry, std::string_view reason);
 
     EventLoop &loop_;
--- a/Tests/Dissemination/storequeriestest.cpp
+++ b/Tests/Dissemination/storequeriestest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace eelgrasscove;
 using namespace std::chrono_literals;
@@ -53,3 +54,30 @@
     knowledge.queriedAt_ = now - 11s;
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
 }
+
+BOOST_AUTO_TEST_CASE(waiting_watch_is_checked_when_nothing_has_confirmed_the_list_for_long)
+{
+    // The watch was sent long ago; its connection may be silent.
+    ListKnowledge knowledge{.revision_ = 50, .queriedAt_ = now - 9s, .confirmedAt_ = now - 9s};
+    BOOST_TEST(isWatchCheckDue(knowledge, 2s, now));
+    for (Time ListKnowledge::*proof : {&ListKnowledge::queriedAt_, &ListKnowledge::confirmedAt_,
+                                       &ListKnowledge::confirmedByPeerAt_}) {
+        ListKnowledge confirmed = knowledge;
+        confirmed.*proof = now - 1s;
+        BOOST_TEST(!isWatchCheckDue(confirmed, 2s, now));
+        BOOST_TEST(isWatchCheckDue(confirmed, 2s, now + 1001ms));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(one_entry_comes_first_in_querying_the_store)
+{
+    const std::vector<NameHash> entries = {30, 10, 20};
+    std::set<std::size_t> ranks;
+    for (const NameHash self : entries) {
+        std::vector<NameHash> peers = entries;
+        std::erase(peers, self);
+        ranks.insert(storeQueryRank(self, peers));
+    }
+    BOOST_TEST((ranks == std::set<std::size_t>{0, 1, 2}));
+    BOOST_TEST(storeQueryRank(30, {}) == 0);
+}
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1742,6 +1742,8 @@
     ServingPath path(53, {}, {.revoke_ = 5s});
     PeerEntry peer(path);
     path.waitUntilServing();
+    // The peer confirms the target list as it does the rules.
+    peer.state_.targetsAgeMicros_ = 0;
     BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 0; }));
     const std::string confirmations = "eelgrasscove_store_calls_total{call=\"confirm\"}";
     const std::uint64_t before = ServingPath::metric(confirmations);
@@ -1940,3 +1942,15 @@
     turnFor(path.loop_, 1s);
     BOOST_TEST(!path.isFirstTargetUsed());
 }
+
+BOOST_AUTO_TEST_CASE(entry_whose_target_watch_is_silent_learns_of_a_removed_target_without_peers)
+{
+    ServingPath path(54, {}, {.revoke_ = 5s, .drain_ = 2s});
+    path.waitUntilServing();
+    // Past the pause after the start, the watch waits for the next change.
+    turnFor(path.loop_, 2500ms);
+    path.store_.silenceConnections();
+    path.store_.remove("servers/i-0");
+    turnFor(path.loop_, 2s);
+    BOOST_TEST(!path.isFirstTargetUsed());
+}
--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -194,6 +194,23 @@
     BOOST_TEST(fixture.waitForValue("op/config", "three", 1s));
 }
 
+BOOST_AUTO_TEST_CASE(confirmation_without_an_answer_counts_as_a_loss_of_the_store)
+{
+    FeedFixture fixture("127.0.0.1:17324", 20s);
+    fixture.store_.put("op/config", "one");
+    fixture.feed_->start();
+    BOOST_TEST(fixture.waitForValue("op/config", "one"));
+    turnFor(fixture.loop_, 100ms);
+    fixture.store_.fault_ = StoreFault::Silent;
+    fixture.feed_->confirmNow();
+    BOOST_TEST(turnUntil(fixture.loop_, 2s, [&] { return !fixture.feed_->isReachable(); }));
+    fixture.store_.fault_ = StoreFault::None;
+    const Time regainedAfter = bootNow();
+    fixture.feed_->confirmNow();
+    BOOST_TEST(turnUntil(fixture.loop_, 1s, [&] { return fixture.feed_->isReachable(); }));
+    BOOST_TEST((fixture.feed_->reachableSince() >= regainedAfter));
+}
+
 BOOST_AUTO_TEST_CASE(registration_is_written_after_an_outage)
 {
     auto &loop = *new EventLoop;
