Tell other entries of a target's removal that is learned from a list

Cause: entries that query seldom rely on what the others say, the highest revision of a change that matters. In a list a removal shows as an absence without a revision, so the entries that queried went on naming an older revision with a fresh time: the removal was hidden until the longest postponement, 10 s, had passed.

Evidence: logs of the case. The six entries asked first 7 s after the removal, at the end of the longest postponement, and were answered at once with 410, so their watches were not silent. The new ServingPath test fails on the code before: the entry names a revision below the removal's.

Change: an entry that misses a target in a list names the revision of the list.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -598,8 +598,11 @@
     }
     const Time now = bootNow();
     for (const auto &[id, target] : targets_) {
-        if (!present.contains(id) && !target->state_.missingSince_)
-            target->state_.missingSince_ = now;
+        if (present.contains(id) || target->state_.missingSince_)
+            continue;
+        target->state_.missingSince_ = now;
+        // The list doesn't say at which revision it was removed.
+        targetsChangeRevision_ = std::max(targetsChangeRevision_, targetFeed_->revision());
     }
 }
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -290,6 +290,8 @@
 
     EntryState state_;
     int received_ = 0;
+    /// The last message received.
+    EntryState last_;
     /// Senders of the messages that came by a relay.
     std::vector<NameHash> relayedFrom_;
 
@@ -316,6 +318,7 @@
                 continue;
             }
             ++received_;
+            last_ = *received;
             state_.timestampMicros_ = bootNow().time_since_epoch().count();
             state_.echoes_ = {{received->vm_, received->timestampMicros_, 0}};
             for (const std::string &vm : vms_) {
@@ -1954,3 +1957,22 @@
     turnFor(path.loop_, 2s);
     BOOST_TEST(!path.isFirstTargetUsed());
 }
+
+BOOST_AUTO_TEST_CASE(removal_learned_from_a_list_is_a_change_that_the_entry_tells_its_peers)
+{
+    ServingPath path(56, {}, {.revoke_ = 5s, .drain_ = 2s});
+    PeerEntry peer(path);
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 0; }));
+    turnFor(path.loop_, 3s);
+    // The change begins the pause before the next watch.
+    path.registerTarget(0, "i-0", "ready", 2);
+    turnFor(path.loop_, 100ms);
+    path.store_.remove("servers/i-0");
+    const std::uint64_t removal = path.store_.revision_;
+    path.store_.forgetHistory();
+    BOOST_REQUIRE(turnUntil(
+        path.loop_, 3s, [&] { return path.store_.calls("kv-range?path_prefix=servers/") >= 2; }));
+    turnFor(path.loop_, 500ms);
+    BOOST_TEST(peer.last_.targetsRevision_ >= removal);
+}
