Let a report of the target list cover only changes after the reporter's list

What callers could see: an entry goes on sending to a target that was removed before another entry started or listed anew, until its own next query, up to 10 s later.

Cause: a report names the highest revision of a change that its sender knows. One that has just listed knows no removals before its list, names the highest revision of the items that are left, and so confirms the list to entries that have not learned of a removal in between.

Evidence: report_does_not_cover_removals_before_the_reporters_list; before, a report took no revision of a list and the same sequence (known here 50, removal 55, list 60, highest item 40) allowed the postponement.

Change: reports say the revision of the sender's last list and confirm nothing to an entry that doesn't know all changes up to it. They are no sign of a change, so a restart makes no other entry query.

--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -225,6 +225,7 @@
         state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
     state.operatorRevision_ = operatorFeed_->lastChangeRevision();
     state.targetsRevision_ = targetsChangeRevision_;
+    state.targetsListRevision_ = targetFeed_->listRevision();
     if (targetFeed_->confirmedAt() && targetFeed_->isReachable())
         state.targetsAgeMicros_ = (now - *targetFeed_->confirmedAt()).count();
     for (const auto &[account, tokens] : collectUsageReport(allowance_))
@@ -291,8 +292,9 @@
         contact.peerReceivedOursAt_ = std::max(contact.peerReceivedOursAt_, peerSentAfter);
         if (state.targetsAgeMicros_ >= 0) {
             targetList_.revision_ = targetFeed_->revision();
-            recordPeerKnowledge(targetList_, state.targetsRevision_,
-                                peerSentAfter - Duration(state.targetsAgeMicros_));
+            recordPeerReport(targetList_,
+                             {state.targetsRevision_, state.targetsListRevision_,
+                              peerSentAfter - Duration(state.targetsAgeMicros_)});
         }
         if (rules_ && state.rulesVersion_ == rules_->rules().version_ && knowsPeersChanges
             && state.rulesAgeMicros_ >= 0) {
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -188,6 +188,9 @@
     /// from those of resident adapters, and the age of its knowledge; negative if it has no list.
     std::uint64_t targetsRevision_ = 0;
     std::int64_t targetsAgeMicros_ = -1;
+    /// Store revision of the sender's last list of the targets. Of removals up to it the sender
+    /// knows no revision.
+    std::uint64_t targetsListRevision_ = 0;
     std::vector<AccountUsage> usage_;
     /// The members below are present in some messages only.
     /// Echoes of the messages of peers in the data centre to which this message is sent.
@@ -199,8 +202,8 @@
     void serialize(Archive &archive)
     {
         archive(vm_, dataCentre_, timestampMicros_, startedAtMicros_, rulesVersion_,
-                rulesAgeMicros_, operatorRevision_, targetsRevision_, targetsAgeMicros_, usage_,
-                echoes_, topAdapterRates_, crashRecords_);
+                rulesAgeMicros_, operatorRevision_, targetsRevision_, targetsAgeMicros_,
+                targetsListRevision_, usage_, echoes_, topAdapterRates_, crashRecords_);
     }
 };
 
--- a/Source/Peer/storequeries.cpp
+++ b/Source/Peer/storequeries.cpp
@@ -26,11 +26,12 @@
     return storeQueryRank(self, peersInContact) < leaderCount;
 }
 
-void recordPeerKnowledge(ListKnowledge &knowledge, std::uint64_t changeRevision, Time confirmedAt)
+void recordPeerReport(ListKnowledge &knowledge, const PeerListReport &report)
 {
-    knowledge.peersChangeRevision_ = std::max(knowledge.peersChangeRevision_, changeRevision);
-    if (changeRevision <= knowledge.revision_)
-        knowledge.confirmedByPeerAt_ = std::max(knowledge.confirmedByPeerAt_, confirmedAt);
+    knowledge.peersChangeRevision_ =
+        std::max(knowledge.peersChangeRevision_, report.changeRevision_);
+    if (std::max(report.changeRevision_, report.listRevision_) <= knowledge.revision_)
+        knowledge.confirmedByPeerAt_ = std::max(knowledge.confirmedByPeerAt_, report.confirmedAt_);
 }
 
 bool mayPostponeQuery(const ListKnowledge &knowledge, Duration maxAge, Time now)
--- a/Source/Peer/storequeries.h
+++ b/Source/Peer/storequeries.h
@@ -43,9 +43,21 @@
     Time confirmedAt_;
 };
 
-/// Records what another entry has said: the highest revision of a change that matters to it, and
-/// the time up to which it knew all changes.
-void recordPeerKnowledge(ListKnowledge &knowledge, std::uint64_t changeRevision, Time confirmedAt);
+/// What another entry says of the list.
+struct PeerListReport
+{
+    /// Highest revision of a change that matters to it.
+    std::uint64_t changeRevision_ = 0;
+    /// Revision of the last list that it read. A list doesn't show which keys were removed, so the
+    /// report covers changes after this revision only.
+    std::uint64_t listRevision_ = 0;
+    /// Time up to which it knows all changes.
+    Time confirmedAt_;
+};
+
+/// Records the report of another entry. It confirms what is known here only if this entry knows all
+/// changes up to the reporter's list.
+void recordPeerReport(ListKnowledge &knowledge, const PeerListReport &report);
 
 /// Returns whether the entry may go on without a query of its own. maxAge is the longest time for
 /// which a change may stay unknown.
--- a/Tests/Dissemination/storequeriestest.cpp
+++ b/Tests/Dissemination/storequeriestest.cpp
@@ -38,15 +38,15 @@
     ListKnowledge knowledge{.revision_ = 50, .queriedAt_ = now - 2s};
     // No report has been received.
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
-    recordPeerKnowledge(knowledge, 40, now - 1s);
+    recordPeerReport(knowledge, {40, 0, now - 1s});
     BOOST_TEST(mayPostponeQuery(knowledge, 2s, now));
     // An older statement changes nothing, and a statement ages.
-    recordPeerKnowledge(knowledge, 30, now - 5s);
+    recordPeerReport(knowledge, {30, 0, now - 5s});
     BOOST_TEST(mayPostponeQuery(knowledge, 2s, now + 900ms));
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now + 1100ms));
     // One report of an unknown change is enough, also if other entries don't know it.
-    recordPeerKnowledge(knowledge, 51, now);
-    recordPeerKnowledge(knowledge, 40, now);
+    recordPeerReport(knowledge, {51, 0, now});
+    recordPeerReport(knowledge, {40, 0, now});
     BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
     knowledge.revision_ = 51;
     BOOST_TEST(mayPostponeQuery(knowledge, 2s, now));
@@ -81,3 +81,18 @@
     BOOST_TEST((ranks == std::set<std::size_t>{0, 1, 2}));
     BOOST_TEST(storeQueryRank(30, {}) == 0);
 }
+
+BOOST_AUTO_TEST_CASE(report_does_not_cover_removals_before_the_reporters_list)
+{
+    // The reporter has started, or its history was lost: it read a list at revision 60, in which a
+    // target removed at revision 55 is absent.
+    ListKnowledge knowledge{.revision_ = 50, .queriedAt_ = now - 2s};
+    recordPeerReport(knowledge, {40, 60, now});
+    BOOST_TEST(!mayPostponeQuery(knowledge, 2s, now));
+    BOOST_TEST(isWatchCheckDue(knowledge, 1s, now));
+    // It is no sign of a change either.
+    BOOST_TEST(knowledge.peersChangeRevision_ <= knowledge.revision_);
+    knowledge.revision_ = 60;
+    recordPeerReport(knowledge, {40, 60, now});
+    BOOST_TEST(mayPostponeQuery(knowledge, 2s, now));
+}
