Treat a target missing from a list as one whose removal the watch delivers

What callers could see: after the store had dropped its history, requests for a service whose only target had been removed went to that target for 2.2 s more.

Cause: a target absent from a list was always waited for as after an outage of the store, in which entries expire; and while most targets of a service are missing they stay in use. A removal that the watch delivers was waited for only if the store had been out of reach shortly before.

Evidence: target_missing_from_a_list_after_lost_history_gets_no_requests fails on the code before (1 request).

Change: both go through Edge::applyTargetRemoval, which asks whether the store was out of reach.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -42,7 +42,8 @@
 /// target.
 constexpr Duration keyCheckMargin = 300ms;
 
-/// After an outage of the store, live targets are listed again within this time.
+/// Entries of the target list also expire in an outage of the store. After it, live targets are
+/// listed again within this time.
 constexpr Duration targetRelistTimeout = 2200ms;
 
 /// After SIGTERM new connections are accepted for this time: the load balancer probes readiness
@@ -516,15 +517,7 @@
         targetsChangeRevision_ = std::max(targetsChangeRevision_, item.revision_);
     const std::string id = item.key_.substr(wire::targetPrefix.size());
     if (item.isDeleted_) {
-        const Time now = bootNow();
-        const auto found = targets_.find(id);
-        if (found == targets_.end())
-            return;
-        // List entries also expire during an outage of the store; live targets are listed again.
-        if (now - targetFeed_->reachableSince() < targetRelistTimeout)
-            found->second->state_.missingSince_ = now;
-        else
-            removeTarget(id);
+        applyTargetRemoval(id, bootNow());
         return;
     }
     const auto decoded = wire::decodeTarget(id, item.value_);
@@ -597,13 +590,27 @@
         applyTargetItem(item);
     }
     const Time now = bootNow();
+    std::vector<std::string> removed;
     for (const auto &[id, target] : targets_) {
-        if (present.contains(id) || target->state_.missingSince_)
-            continue;
-        target->state_.missingSince_ = now;
-        // The list doesn't say at which revision it was removed.
-        targetsChangeRevision_ = std::max(targetsChangeRevision_, targetFeed_->revision());
+        if (!present.contains(id) && !target->state_.missingSince_)
+            removed.push_back(id);
     }
+    // The list doesn't say at which revisions they were removed.
+    if (!removed.empty())
+        targetsChangeRevision_ = std::max(targetsChangeRevision_, targetFeed_->revision());
+    for (const std::string &id : removed)
+        applyTargetRemoval(id, now);
+}
+
+void Edge::applyTargetRemoval(const std::string &id, Time now)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    if (now - targetFeed_->reachableSince() < targetRelistTimeout)
+        found->second->state_.missingSince_ = now;
+    else
+        removeTarget(id);
 }
 
 void Edge::removeMissingTargets(Time now)
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -174,6 +174,8 @@
     void applyRules(const std::string &text);
     void applyTargetItem(const wire::StoreItem &item);
     void applyTargetList(const std::vector<wire::StoreItem> &items);
+    /// Removes a target that is no longer listed, or marks it as missing if it may be listed again.
+    void applyTargetRemoval(const std::string &id, Time now);
     void markReplacedTargets(const TargetState &newer);
     void removeTarget(const std::string &id);
     void applyPeerItem(const wire::StoreItem &item);
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1976,3 +1976,21 @@
     turnFor(path.loop_, 500ms);
     BOOST_TEST(peer.last_.targetsRevision_ >= removal);
 }
+
+BOOST_AUTO_TEST_CASE(target_missing_from_a_list_after_lost_history_gets_no_requests)
+{
+    // The only target of its service: no other one shows that the list is whole.
+    ServingPath path(57, {}, {.revoke_ = 5s, .drain_ = 2s});
+    path.waitUntilServing();
+    path.store_.remove("servers/i-1");
+    turnFor(path.loop_, 4s);
+    // The change begins the pause before the next watch.
+    path.registerTarget(0, "i-0", "ready", 2);
+    turnFor(path.loop_, 100ms);
+    path.store_.remove("servers/i-0");
+    path.store_.forgetHistory();
+    turnFor(path.loop_, 1500ms);
+    const auto client = path.sendRequest("POST", "/look/a");
+    turnFor(path.loop_, 500ms);
+    BOOST_TEST(path.receivedRequests() == 0);
+}
