Query the list of entries when an unlisted entry sends messages

What operators and callers could see: an entry whose watch of the list of entries is silent doesn't know one that is added for up to 21 s. It neither counts the use of accounts there nor leaves it a share, so that an account can exceed its limit.

Cause: the watch waits 20 s and nothing checked it; messages of an entry that is not listed were dropped.

Evidence: entry_whose_member_watch_is_silent_learns_of_a_peer_that_sends_messages fails on the code before.

Change: an entry that receives messages of an unlisted entry for 1 s queries the list beside the watch, every 5 s at most, as an entry may have lost its registration. The line peer.unlisted says so.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -72,6 +72,11 @@
 /// before the store is queried. It is longer than the coalescing period of the rules, and shorter
 /// by more than a response of the store than the bound on the adoption of new rules.
 constexpr Duration maxLagBehindPeers = 500ms;
+/// Time for which messages of an entry that is not in the list may arrive before the list of
+/// entries is queried. It is longer than the delivery of a new entry by the watch.
+constexpr Duration maxUnlistedPeerTime = 1s;
+/// Minimum interval between these queries: an entry may have lost its registration.
+constexpr Duration unlistedPeerQueryInterval = 5s;
 /// Minimum interval between these requests, so that a store that turns this entry away gets few.
 constexpr Duration minConfirmInterval = 500ms;
 constexpr Duration targetsWatchTimeout = 10s;
@@ -408,6 +413,20 @@
     targetFeed_->confirmNow();
 }
 
+void Edge::checkPeerList(NameHash unlistedPeer, Time now)
+{
+    if (!unlistedPeerSince_ || now - unlistedPeerSeenAt_ > maxUnlistedPeerTime)
+        unlistedPeerSince_ = now;
+    unlistedPeerSeenAt_ = now;
+    if (now - *unlistedPeerSince_ < maxUnlistedPeerTime
+        || now - peersConfirmRequestedAt_ < unlistedPeerQueryInterval)
+        return;
+    peersConfirmRequestedAt_ = now;
+    eventLog().note("peer.unlisted", "hash", unlistedPeer, "list_age_ms",
+                    (now - peerFeed_->confirmedAt().value_or(startedAt_)).count() / 1000);
+    peerFeed_->confirmNow();
+}
+
 std::vector<NameHash> Edge::peersInContact(Time now) const
 {
     std::vector<NameHash> inContact;
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -197,6 +197,9 @@
     /// entries know a change that it has not delivered, or if too long ago was the last proof that
     /// nothing has changed.
     void checkTargetList(Time now);
+    /// Queries the list of entries if an entry that is not in it goes on sending messages: the
+    /// connection of the waiting watch may be silent.
+    void checkPeerList(NameHash unlistedPeer, Time now);
     void updateTargetListKnowledge();
     /// Records as metrics how old this entry's knowledge of the target list is.
     void recordTargetListAge(Time now) const;
@@ -371,6 +374,10 @@
     /// Time since which a peer knows a change of the operator's keys that this entry doesn't know.
     std::optional<Time> missesChangesSince_;
     Time confirmRequestedAt_;
+    /// First and last message in a series of messages of entries that are not listed.
+    std::optional<Time> unlistedPeerSince_;
+    Time unlistedPeerSeenAt_;
+    Time peersConfirmRequestedAt_;
     ListKnowledge targetList_;
     Time targetsConfirmRequestedAt_;
     /// Time since which the watch of the target list lacks a change that a peer knows.
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -270,8 +270,10 @@
 void Edge::applyEntryState(EntryState &&state)
 {
     const auto peer = vmByHash_.find(state.vm_);
-    if (peer == vmByHash_.end())
+    if (peer == vmByHash_.end()) {
+        checkPeerList(state.vm_, bootNow());
         return;
+    }
     const std::string &vm = peer->second;
     const Time now = bootNow();
     PeerContact &contact = peerContacts_[vm];
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -292,6 +292,8 @@
     int received_ = 0;
     /// The last message received.
     EntryState last_;
+    /// Peers whose messages the entry has echoed.
+    std::set<NameHash> echoed_;
     /// Senders of the messages that came by a relay.
     std::vector<NameHash> relayedFrom_;
 
@@ -319,6 +321,8 @@
             }
             ++received_;
             last_ = *received;
+            for (const PeerEcho &echo : received->echoes_)
+                echoed_.insert(echo.vm_);
             state_.timestampMicros_ = bootNow().time_since_epoch().count();
             state_.echoes_ = {{received->vm_, received->timestampMicros_, 0}};
             for (const std::string &vm : vms_) {
@@ -1958,6 +1962,26 @@
     BOOST_TEST(!path.isFirstTargetUsed());
 }
 
+BOOST_AUTO_TEST_CASE(entry_whose_member_watch_is_silent_learns_of_a_peer_that_sends_messages)
+{
+    ServingPath path(55, {}, {.revoke_ = 5s});
+    PeerEntry peer(path);
+    path.waitUntilServing();
+    BOOST_REQUIRE(turnUntil(path.loop_, 3s, [&] { return peer.received_ > 0; }));
+    path.store_.silenceConnections();
+    path.store_.put("eelgrasscove/entry/edge-3", path.address(7));
+    EntryState added;
+    added.vm_ = nameHash("edge-3");
+    const std::size_t listed = path.store_.calls("path_prefix=eelgrasscove/entry/");
+    for (int message = 0; message < 30; ++message) {
+        added.timestampMicros_ = bootNow().time_since_epoch().count();
+        path.sendDatagram(encodePeerMessage(added));
+        turnFor(path.loop_, 100ms);
+    }
+    BOOST_TEST(path.store_.calls("path_prefix=eelgrasscove/entry/") > listed);
+    BOOST_TEST(peer.echoed_.contains(added.vm_));
+}
+
 BOOST_AUTO_TEST_CASE(removal_learned_from_a_list_is_a_change_that_the_entry_tells_its_peers)
 {
     ServingPath path(56, {}, {.revoke_ = 5s, .drain_ = 2s});
