Bound the memory that all buffers of an entry take together

Cause: each response has a limit, 8 MiB, but their sum has none, and an entry has 160 to 512 MB.

Evidence: the new ServingPath test, a whole entry with requests at once to a target without end, in seven parts.

A response has 256 headers at most, and an agent takes 1 MiB of its engine's answer. Memory of a response that failed is freed before its request is repeated.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -25,6 +25,9 @@
 constexpr Duration reportTimeout = 500ms;
 /// The engine replies to an order within a few milliseconds or not at all.
 constexpr Duration orderTimeout = 400ms;
+/// An engine's report lists its adapters and requests. An engine in trouble may send bytes without
+/// end, and the agent's VM has little memory.
+constexpr std::size_t maxEngineBodyBytes = 1024UL * 1024;
 constexpr Duration storeTimeout = 1500ms;
 constexpr Duration storeRetryPause = 500ms;
 /// An entry that has sent nothing for this long no longer receives the engine's state.
@@ -114,8 +117,10 @@
 Agent::Agent(EventLoop &loop, ServingSettings settings)
     : loop_(loop), settings_(std::move(settings)), store_(endpointOf(settings_.store_)),
       vm_(nameHash(settings_.vm_)), dataCentre_(nameHash(settings_.dataCentre_)),
-      storeClient_(loop, store_), engineClient_(loop, endpointOf(settings_.engine_)),
-      orderClient_(loop, endpointOf(settings_.engine_)), stateNumber_(unixMicros())
+      storeClient_(loop, store_),
+      engineClient_(loop, endpointOf(settings_.engine_), maxEngineBodyBytes),
+      orderClient_(loop, endpointOf(settings_.engine_), maxEngineBodyBytes),
+      stateNumber_(unixMicros())
 { }
 
 bool Agent::start()
--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -231,6 +231,12 @@
     callbacks_.onClosed_(*this);
 }
 
+std::size_t ClientSession::bufferedBytes() const
+{
+    const std::size_t unsent = isClosed_ ? 0 : stream_->unsentBytes();
+    return request_.body_.capacity() + bufferedBytes_.capacity() + unsent;
+}
+
 void ClientSession::closeIfIdle()
 {
     if (!hasActiveRequest_ && !reader_.hasBegun() && bufferedBytes_.empty())
--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -71,6 +71,9 @@
 
     bool hasActiveRequest() const { return hasActiveRequest_; }
 
+    /// Returns the bytes of requests being read and of responses that the client has not taken yet.
+    std::size_t bufferedBytes() const;
+
     /// Object that the edge attaches to the active request.
     std::shared_ptr<void> attachment_;
 
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -225,7 +225,10 @@
 void Edge::startTimers()
 {
     LoopTimers &timers = loop_.timers();
-    timers.every(requestCheckPeriod, [this] { checkRequests(bootNow()); });
+    timers.every(requestCheckPeriod, [this] {
+        checkRequests(bootNow());
+        limitBuffers();
+    });
     timers.every(peerStatePeriod, [this] {
         const Time now = bootNow();
         sendEntryStates(now);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -253,6 +253,10 @@
     /// Refuses queued requests for which no target will have room before they time out.
     void refuseUnservable(const std::string &service, Time now);
     void checkRequests(Time now);
+    /// Gives up the largest buffers if all together exceed their limit.
+    void limitBuffers();
+    void giveUpResponse(const EdgeRequestPtr &request);
+    void giveUpSession(const std::shared_ptr<ClientSession> &session);
     void refuse(EdgeRequest &request, unsigned status, std::string_view reason,
                 Duration retryAfter);
     /// Refuses a request that another entry may be able to serve, and closes the connection so that
@@ -402,6 +406,8 @@
     std::vector<CrashSuspicion> crashSuspicions_;
 
     std::set<EdgeRequestPtr> requests_;
+    /// Bytes of responses received since the buffers were last added up.
+    std::size_t uncheckedResponseBytes_ = 0;
     std::map<std::string, std::list<EdgeRequestPtr>> waitingRequests_;
     /// Recently completed requests by service, from which waiting times are predicted.
     std::map<std::string, WindowSum> completions_;
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -1,3 +1,4 @@
+#include "Edge/buffers.h"
 #include "Edge/edge.h"
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
@@ -51,9 +52,18 @@
 constexpr std::size_t maxBodyBytes = 8UL * 1024 * 1024;
 constexpr std::size_t maxEventBytes = 1024UL * 1024;
 
+/// Parts of the limit on all buffers after each of which they are added up.
+constexpr std::size_t bufferChecksPerLimit = 16;
+
 /// Maximum number of queued requests tried after a response, which frees room for one request.
 constexpr std::size_t maxTriedAfterResponse = 4;
 
+/// Clears the text; clear() alone keeps its memory.
+void releaseMemory(std::string &text)
+{
+    std::string().swap(text);
+}
+
 /// Returns the id of the last event that has one, or an empty string.
 std::string lastEventIdOf(std::string_view events)
 {
@@ -241,6 +251,56 @@
         request->connection_->cancel();
         onExchangeEnd(request, ExchangeEnd::Garbled, fault);
     }
+    uncheckedResponseBytes_ += bytes.size();
+    if (uncheckedResponseBytes_ > bufferLimit(settings_.memoryMb_) / bufferChecksPerLimit)
+        limitBuffers();
+}
+
+void Edge::limitBuffers()
+{
+    uncheckedResponseBytes_ = 0;
+    std::vector<Buffer> buffers;
+    std::vector<EdgeRequestPtr> requests;
+    std::vector<std::shared_ptr<ClientSession>> sessions;
+    for (const EdgeRequestPtr &request : requests_) {
+        buffers.push_back({BufferKind::Response, request->responseBody_.capacity()});
+        requests.push_back(request);
+    }
+    for (const auto &session : sessions_) {
+        buffers.push_back({BufferKind::Client, session->bufferedBytes()});
+        sessions.push_back(session);
+    }
+    const std::size_t total = totalBytes(buffers);
+    const std::size_t limit = bufferLimit(settings_.memoryMb_);
+    setGauge("eelgrasscove_buffered_bytes", "", static_cast<double>(total));
+    for (const std::size_t index : buffersToGiveUp(buffers, limit)) {
+        const Buffer &buffer = buffers[index];
+        countMetric("eelgrasscove_buffers_given_up_total",
+                    fmt::format("kind=\"{}\"", nameOf(bufferKindNames, buffer.kind_)));
+        eventLog().note("buffer.given_up", "kind", nameOf(bufferKindNames, buffer.kind_), "bytes",
+                        buffer.bytes_, "total_bytes", total, "limit_bytes", limit, "id",
+                        buffer.kind_ == BufferKind::Response ? requests[index]->id_ : "");
+        if (buffer.kind_ == BufferKind::Response)
+            giveUpResponse(requests[index]);
+        else
+            giveUpSession(sessions[index - requests.size()]);
+    }
+}
+
+void Edge::giveUpResponse(const EdgeRequestPtr &request)
+{
+    if (!request->connection_)
+        return;
+    request->connection_->cancel();
+    onExchangeEnd(request, ExchangeEnd::Garbled, "buffers exceed the memory limit");
+}
+
+void Edge::giveUpSession(const std::shared_ptr<ClientSession> &session)
+{
+    const auto request = std::static_pointer_cast<EdgeRequest>(session->attachment_);
+    if (request && request->stage_ != RequestStage::Ended)
+        endRequest(*request, 0, "buffers exceed the memory limit");
+    session->abort();
 }
 
 void Edge::forwardEvents(EdgeRequest &request, ClientSession &session, bool all, Time now)
@@ -400,7 +460,7 @@
     countMetric("eelgrasscove_sends_not_run_total");
     request->stage_ = RequestStage::Waiting;
     request->responseHeadReceived_ = false;
-    request->responseBody_.clear();
+    releaseMemory(request->responseBody_);
     placeRequest(request);
 }
 
@@ -426,7 +486,7 @@
     if (canRetry) {
         request->stage_ = RequestStage::Waiting;
         request->responseHeadReceived_ = false;
-        request->responseBody_.clear();
+        releaseMemory(request->responseBody_);
         placeRequest(request);
         return;
     }
--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -11,14 +11,10 @@
 /// Responses of the store and of engines have few and short headers.
 constexpr std::size_t maxResponseHeadBytes = 16 * 1024;
 
-/// Responses of the store are pages of 1 MB, or all changes since the last watch. A server in
-/// trouble may send bytes without end.
-constexpr std::size_t maxResponseBodyBytes = 32UL * 1024 * 1024;
-
 } // namespace
 
-HttpCaller::HttpCaller(EventLoop &loop, Endpoint peer)
-    : loop_(loop), peer_(std::move(peer)),
+HttpCaller::HttpCaller(EventLoop &loop, Endpoint peer, std::size_t maxBodyBytes)
+    : loop_(loop), peer_(std::move(peer)), maxBodyBytes_(maxBodyBytes),
       reader_(HttpKind::Response, maxResponseHeadBytes,
               {[this](HttpHead &&head) {
                    response_.status_ = head.status_;
@@ -89,7 +85,7 @@
 
 void HttpCaller::appendBody(std::string_view bytes)
 {
-    isBodyTooLong_ = isBodyTooLong_ || response_.body_.size() + bytes.size() > maxResponseBodyBytes;
+    isBodyTooLong_ = isBodyTooLong_ || response_.body_.size() + bytes.size() > maxBodyBytes_;
     if (!isBodyTooLong_)
         response_.body_ += bytes;
 }
@@ -104,7 +100,7 @@
     reader_.feed(bytes);
     if (isBodyTooLong_) {
         eventLog().note("response.too_long", "server", peer_.text(), "call", calls_.front().target_,
-                        "limit_bytes", maxResponseBodyBytes);
+                        "limit_bytes", maxBodyBytes_);
     } else if (reader_.state() == HttpReadState::Open) {
         return;
     }
--- a/Source/Net/httpcaller.h
+++ b/Source/Net/httpcaller.h
@@ -20,11 +20,14 @@
 class HttpCaller
 {
 public:
-    /// Receives the response; empty if none arrived or its body is longer than 32 MiB, in which
+    /// Receives the response; empty if none arrived or its body is longer than the limit, in which
     /// case the server may have carried out the call or may still do so.
     using ResponseHandler = std::function<void(std::optional<HttpResponse>)>;
 
-    HttpCaller(EventLoop &loop, Endpoint peer);
+    /// Responses of the store are pages of 1 MB, or all changes since the last watch.
+    static constexpr std::size_t maxStoreBodyBytes = 32UL * 1024 * 1024;
+
+    HttpCaller(EventLoop &loop, Endpoint peer, std::size_t maxBodyBytes = maxStoreBodyBytes);
     ~HttpCaller();
 
     HttpCaller(const HttpCaller &) = delete;
@@ -63,6 +66,7 @@
 
     EventLoop &loop_;
     Endpoint peer_;
+    std::size_t maxBodyBytes_;
     std::shared_ptr<TcpStream> stream_;
     HttpReader reader_;
     std::deque<Call> calls_;
--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// Bytes of a header line besides its name and value: colon and line end.
+constexpr std::size_t headerLineBytes = 3;
+
+/// Limit on the headers of a response. A header takes far more memory than its bytes on the
+/// connection if it is short.
+constexpr std::size_t maxResponseHeaders = 256;
+
 constexpr std::array<std::string_view, 9> connectionHeaders = {
     "connection", "keep-alive", "proxy-connection", "transfer-encoding",   "content-length",
     "te",         "trailer",    "upgrade",          "proxy-authorization",
@@ -68,7 +75,8 @@
 bool HttpReader::addHeadBytes(std::size_t length)
 {
     headBytes_ += length;
-    isHeadTooLong_ = headBytes_ > maxHeadBytes_;
+    isHeadTooLong_ = headBytes_ + head_.headers_.size() * headerLineBytes > maxHeadBytes_
+        || (kind_ == HttpKind::Response && head_.headers_.size() > maxResponseHeaders);
     return !isHeadTooLong_;
 }
 
--- a/Source/Vm/servingsettings.cpp
+++ b/Source/Vm/servingsettings.cpp
@@ -26,11 +26,13 @@
     return std::nullopt;
 }
 
-const std::array<Row, 19> rows = {{
+const std::array<Row, 20> rows = {{
     {"vm", "name", [](auto &value, auto &out) { return readIdentifier(value, out.vm_); }, always},
     {"vm", "data_centre",
      [](auto &value, auto &out) { return readIdentifier(value, out.dataCentre_); }, always},
     {"vm", "ip", [](auto &value, auto &out) { return readText(value, out.ip_); }, always},
+    {"vm", "memory_mb",
+     [](auto &value, auto &out) { return readDecimal(value, 16, 1e6, out.memoryMb_); }},
     {"listen", "callers",
      [](auto &value, auto &out) { return readEndpoint(value, out.callersListen_); }},
     {"listen", "readiness",
--- a/Source/Vm/servingsettings.h
+++ b/Source/Vm/servingsettings.h
@@ -38,6 +38,8 @@
     std::string vm_;
     std::string dataCentre_;
     std::string ip_;
+    /// Memory that the process may use.
+    double memoryMb_ = 256;
     /// Address for clients, and for the load balancer's question whether this VM is ready.
     std::string callersListen_;
     std::string readinessListen_;
--- a/Tests/Net/endlessresponsetest.cpp
+++ b/Tests/Net/endlessresponsetest.cpp
@@ -47,4 +47,20 @@
     checkAnswersEnd(endlessBodies());
 }
 
+BOOST_AUTO_TEST_CASE(call_fails_at_the_limit_of_its_caller)
+{
+    constexpr std::size_t limit = 1024UL * 1024;
+    auto &loop = *new EventLoop;
+    EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
+    HttpCaller caller(loop, {"127.0.0.1", server.port()}, limit);
+    bool hasEnded = false;
+    caller.call("GET", "/a", "", 10s, [&](const auto &response) {
+        hasEnded = true;
+        BOOST_TEST(!response.has_value());
+    });
+    BOOST_TEST(turnUntil(loop, 5s, [&] { return hasEnded && server.closed() == 1; }));
+    // The kernel's buffers hold some MB beside it.
+    BOOST_TEST(server.sentBytes() < 16 * limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -8,6 +8,8 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -109,11 +111,11 @@
     }
 
     static std::string targetItem(const std::string &address, const std::string &state,
-                                  int startedAt)
+                                  int startedAt, int slots = 6)
     {
-        return fmt::format(R"({{"service":"ledger","address":"{}","zone":"here","slots":6,)"
+        return fmt::format(R"({{"service":"ledger","address":"{}","zone":"here","slots":{},)"
                            R"("state":"{}","born":{}}})",
-                           address, state, startedAt);
+                           address, slots, state, startedAt);
     }
 
     void publishRules(int version, const std::string &keys, int limit)
@@ -341,6 +343,14 @@
     TimerId timer_ = 0;
 };
 
+/// The memory that this process has in use.
+std::size_t residentBytes()
+{
+    std::size_t pages = 0;
+    std::ifstream("/proc/self/statm").ignore(64, ' ') >> pages;
+    return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 /// Names of four entries that query the store on behalf of edge-1.
 std::vector<std::string> leadersOfEdge1()
 {
@@ -2018,3 +2028,60 @@
     turnFor(path.loop_, 500ms);
     BOOST_TEST(path.receivedRequests() == 0);
 }
+
+BOOST_AUTO_TEST_CASE(many_answers_without_end_do_not_use_up_the_entrys_memory_together)
+{
+    // An entry that is set to 256 MB, the default, is killed when it uses more.
+    constexpr std::size_t memoryBytes = 256UL * 1024 * 1024;
+    constexpr int sent = 96;
+    const std::string event = "HTTP/1.1 200 OK\r\n" + signatureHeader + "\r\ndata: ";
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\n" + signatureHeader + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<const char *, EndlessAnswer>> rows = {
+        {"/look/a", {"body", "HTTP/1.1 200 OK\r\n\r\n", "x"}},
+        {"/ask/a", {"event of a stream", event.c_str(), "x"}},
+        {"/ask/a", {"events of a stream", chunked.c_str(), "8\r\ndata: a\n\r\n1\r\n\n\r\n"}},
+        {"/look/a", {"header lines", "HTTP/1.1 200 OK\r\n", "a:\r\n"}},
+        {"/look/a",
+         {"trailer lines", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:\r\n"}},
+        {"/look/a",
+         {"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"}},
+        {"/look/a", {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"}},
+    };
+    int number = 80;
+    for (const auto &[target, row] : rows) {
+        BOOST_TEST_CONTEXT(row.part_)
+        {
+            ServingPath path(number++);
+            EndlessServer server(row.prefix_, row.filler_);
+            path.waitUntilServing();
+            path.store_.put("servers/i-0", path.targetItem(server.address(), "ready", 9, sent));
+            path.store_.put("servers/i-1", path.targetItem(server.address(), "draining", 9));
+            turnFor(path.loop_, 1200ms);
+            // Memory that the rows before have used and freed would hide what this one uses.
+            malloc_trim(0);
+            const std::size_t before = residentBytes();
+            std::size_t most = before;
+            std::vector<std::shared_ptr<Client>> clients;
+            for (int request = 0; request < sent; ++request)
+                clients.push_back(path.sendRequest("POST", target));
+            const Time end = bootNow() + 3s;
+            while (bootNow() < end && !std::all_of(clients.begin(), clients.end(), [](auto &each) {
+                       return each->ended_ || each->received_.find("\r\n\r\n") != std::string::npos;
+                   })) {
+                turnFor(path.loop_, 5ms);
+                most = std::max(most, residentBytes());
+                for (const auto &client : clients)
+                    client->received_.resize(std::min<std::size_t>(client->received_.size(), 4096));
+            }
+            BOOST_TEST_MESSAGE(row.part_ << ": " << (most - before) / 1024 / 1024 << " MB");
+            BOOST_TEST(most - before < memoryBytes);
+            BOOST_TEST(server.answers() > 0);
+            // A sound target is used at once.
+            path.registerTarget(1, "i-2");
+            BOOST_TEST(turnUntil(path.loop_, 5s, [&] {
+                return path.sendAndAwaitHead("GET", "/open/a")->status() == 200;
+            }));
+        }
+    }
+}
