--- a/Source/Edge/buffers.h
+++ b/Source/Edge/buffers.h
@@ -33,9 +33,9 @@
     std::size_t bytes_ = 0;
 };
 
-/// Returns the limit in bytes of all buffers together, for a process that may use memoryMb. A buffer
-/// that grows has its old and its new memory for a moment, and a response is copied when it is
-/// handed on.
+/// Returns the limit in bytes of all buffers together, for a process that may use memoryMb. A
+/// buffer that grows has its old and its new memory for a moment, and a response is copied when it
+/// is handed on.
 std::size_t bufferLimit(double memoryMb);
 
 std::size_t totalBytes(const std::vector<Buffer> &buffers);
