Refuse requests that state tokens or times out of range

What callers saw: one request with X-Eelgrasscove-Token-Usage: nan,1 made every later request of its account get 429 on all entries until they were restarted; a number below 0 filled the account's bucket.

Cause: the numbers were read without a check of the result or the range, and the allowance added whatever it was given, to its own bucket and by messages to those of the peers.

Evidence: tokens_that_are_no_number_are_refused_and_leave_the_allowance_unchanged fails on the code before: none of five odd values gets 400, and a sound request after them gets 429.

Change: platform/requestwire.cpp decodes both numbers once with their range; anything else is a 400 that names header and range, before the request is counted, placed or charged. The allowance itself changes nothing for numbers that are not finite or below 0, whether from a request, a peer's message or a returned amount; a property test with seeds 1 to 100 feeds it such numbers from each source.

--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -1,6 +1,7 @@
 #include "Edge/edge.h"
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
+#include "platform/requestwire.h"
 #include "platform/wirenames.h"
 
 #include <algorithm>
@@ -71,35 +72,6 @@
 constexpr int minPriority = 0;
 constexpr int maxPriority = 9;
 
-Duration parseTimeLeft(const HttpHead &head, Duration fallback)
-{
-    const std::string_view text = head.header(wire::remainingTimeHeader);
-    std::int64_t millis = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), millis);
-    if (text.empty() || error != std::errc{} || millis < 0)
-        return fallback;
-    return std::chrono::milliseconds(std::min<std::int64_t>(millis, 24 * 3600 * 1000));
-}
-
-struct TokenCounts
-{
-    double prompt_ = 0;
-    double maxOutput_ = 0;
-};
-
-/// Empty if the request does not state its tokens.
-std::optional<TokenCounts> parseTokens(const HttpHead &head)
-{
-    const std::string_view text = head.header(wire::tokensHeader);
-    const std::size_t comma = text.find(',');
-    if (comma == std::string_view::npos)
-        return std::nullopt;
-    TokenCounts tokens;
-    std::from_chars(text.data(), text.data() + comma, tokens.prompt_);
-    std::from_chars(text.data() + comma + 1, text.data() + text.size(), tokens.maxOutput_);
-    return tokens;
-}
-
 bool isSystemHeader(std::string_view name)
 {
     return std::any_of(wire::systemHeaders.begin(), wire::systemHeaders.end(),
@@ -168,13 +140,20 @@
         refuse(*request, 400, "request has no id header", {});
         return;
     }
+    if (const std::optional<std::string> fault = wire::headFault(request->head_)) {
+        refuse(*request, 400, *fault, {});
+        return;
+    }
     if (!acceptsRequests(now)) {
         refuseAndCloseConnection(*request, "entry stops");
         return;
     }
     if (!resolveRoute(*request))
         return;
-    const Duration left = parseTimeLeft(request->head_, request->route_.timeout_);
+    const std::optional<double> leftMillis = wire::decodeRemainingMillis(request->head_);
+    const Duration left = leftMillis ? std::chrono::duration_cast<Duration>(
+                              std::chrono::duration<double, std::milli>(*leftMillis))
+                                     : request->route_.timeout_;
     request->clientDeadline_ = request->arrivedAt_ + left;
     request->routeDeadline_ = request->arrivedAt_ + request->route_.timeout_;
     request->objectiveAt_ = request->arrivedAt_ + request->route_.objective_;
@@ -195,8 +174,8 @@
         return;
     countRequest(retryBudget_, request->service_, now);
     if (!request->model_.empty()) {
-        if (const std::optional<TokenCounts> tokens = parseTokens(request->head_))
-            request->promptTokens_ = std::max(tokens->prompt_, 0.0);
+        if (const auto tokens = wire::decodeTokens(request->head_))
+            request->promptTokens_ = tokens->prompt_;
         recordPrompt(serviceModelOf(request->service_), request->promptTokens_);
     }
     if (!request->adapter_.empty())
@@ -262,7 +241,7 @@
     if (request.account_.empty())
         return true;
     const ServingAccount *account = rules_->findAccountByKey(request.key_);
-    const std::optional<TokenCounts> tokens = parseTokens(request.head_);
+    const std::optional<wire::TokenCounts> tokens = wire::decodeTokens(request.head_);
     request.tokens_ = tokens ? tokens->prompt_ + tokens->maxOutput_ : account->plainTokens_;
     if (!peerFeed_->confirmedAt()) {
         refuseAndCloseConnection(request, "list of entries not received yet");
@@ -755,7 +734,7 @@
         status = 502;
     const bool notRun = status == 503 || status == 429;
     if (notRun && request.tokensCharged_) {
-        deductTokens(allowance_, request.account_, -request.tokens_);
+        returnTokens(allowance_, request.account_, request.tokens_);
         request.tokensCharged_ = false;
     }
     endRequest(request, request.firstEventForwarded_ ? 0 : status, reason);
@@ -777,7 +756,11 @@
             jitter * std::chrono::duration<double>(std::max(retryAfter, minRetryAfter)).count();
         appendHeader(headers, wire::retryAfterHeader, fmt::format("{:.3f}", seconds));
     }
-    session->sendResponse(status, headers, "");
+    // What is wrong with a request is said to its client.
+    const bool isExplained = status == 400;
+    if (isExplained)
+        appendHeader(headers, "Content-Type", "text/plain");
+    session->sendResponse(status, headers, isExplained ? fmt::format("{}\n", reason) : "");
 }
 
 void Edge::endRequest(EdgeRequest &request, unsigned status, std::string_view outcome)
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -541,7 +541,7 @@
     if (!request || request->stage_ == RequestStage::Ended)
         return;
     if (request->tokensCharged_ && request->sends_ == 0)
-        deductTokens(allowance_, request->account_, -request->tokens_);
+        returnTokens(allowance_, request->account_, request->tokens_);
     const Duration silence =
         request->target_ ? bootNow() - request->target_->state_.lastContactAt_ : Duration::zero();
     eventLog().note("client.left", "id", request->id_, "stage",
--- a/Source/Edge/tokenallowance.cpp
+++ b/Source/Edge/tokenallowance.cpp
@@ -1,6 +1,7 @@
 #include "Edge/tokenallowance.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace eelgrasscove {
 
@@ -74,10 +75,24 @@
     return bucket;
 }
 
+bool isTokenCount(double tokens)
+{
+    return std::isfinite(tokens) && tokens >= 0;
+}
+
+void addUse(AccountBucket &bucket, double tokens)
+{
+    bucket.level_ -= tokens;
+    bucket.used_ += tokens;
+    bucket.unreported_ += tokens;
+}
+
 } // namespace
 
 bool canAdmit(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now)
 {
+    if (!isTokenCount(tokens))
+        return false;
     if (account.tokensPerSecond_ <= 0)
         return true;
     const double contactCount = entriesInContact(allowance, now);
@@ -111,10 +126,14 @@
 
 void deductTokens(TokenAllowance &allowance, const std::string &account, double tokens)
 {
-    AccountBucket &bucket = allowance.buckets_[account];
-    bucket.level_ -= tokens;
-    bucket.used_ += tokens;
-    bucket.unreported_ += tokens;
+    if (isTokenCount(tokens))
+        addUse(allowance.buckets_[account], tokens);
+}
+
+void returnTokens(TokenAllowance &allowance, const std::string &account, double tokens)
+{
+    if (isTokenCount(tokens))
+        addUse(allowance.buckets_[account], -tokens);
 }
 
 void setPeers(TokenAllowance &allowance, const std::set<std::string> &vms)
@@ -129,6 +148,7 @@
     const auto peer = allowance.peers_.find(vm);
     if (peer == allowance.peers_.end())
         return;
+    std::erase_if(usage.tokens_, [](const auto &each) { return !isTokenCount(each.second); });
     // Tokens that a peer admitted while out of contact came from the share reserved for it.
     const bool isNew = usage.uptime_ < newPeerUptime;
     const bool isCounted =
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -78,10 +78,15 @@
 Duration timeUntilAvailable(const TokenAllowance &allowance, const ServingAccount &account,
                             double tokens);
 
-/// Deducts the tokens of an admitted request, or returns (negative) those of a request that never
-/// ran.
+/// Numbers of tokens that are not finite or below 0 are refused, whoever states them: no request
+/// with such a number is admitted, and the functions below change nothing for the account.
+
+/// Deducts the tokens of an admitted request.
 void deductTokens(TokenAllowance &allowance, const std::string &account, double tokens);
 
+/// Returns the tokens of an admitted request that never ran.
+void returnTokens(TokenAllowance &allowance, const std::string &account, double tokens);
+
 /// Replaces the set of other entries.
 void setPeers(TokenAllowance &allowance, const std::set<std::string> &vms);
 
--- a/Tests/EdgeDecisions/bufferstest.cpp
+++ b/Tests/EdgeDecisions/bufferstest.cpp
@@ -13,6 +13,7 @@
 std::vector<Buffer> buffersOf(const std::vector<std::size_t> &sizes)
 {
     std::vector<Buffer> buffers;
+    buffers.reserve(sizes.size());
     for (const std::size_t size : sizes)
         buffers.push_back({BufferKind::Response, size});
     return buffers;
--- a/Tests/EdgeDecisions/tokenallowancetest.cpp
+++ b/Tests/EdgeDecisions/tokenallowancetest.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <deque>
+#include <limits>
 #include <random>
 #include <vector>
 
@@ -246,3 +248,62 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(numbers_that_are_no_token_counts_change_no_bucket)
+{
+    const ServingAccount account = accountWith(1000, 8000);
+    ServingAccount other = account;
+    other.name_ = "barn";
+    const std::vector<double> odd = {std::nan(""),
+                                     -std::nan(""),
+                                     std::numeric_limits<double>::infinity(),
+                                     -std::numeric_limits<double>::infinity(),
+                                     -1,
+                                     -1e300};
+    for (unsigned seed = 1; seed <= 100; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            std::mt19937 random(seed);
+            TokenAllowance allowance;
+            allowance.startedAt_ = Time(1s);
+            setPeers(allowance, {"entry-1"});
+            double granted = 0;
+            Time now = Time(10s);
+            const Time startedAt = now;
+            const auto draw = [&](std::size_t count) {
+                return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+            };
+            for (int step = 0; step < 400; ++step) {
+                now += 20ms;
+                const double tokens = odd[draw(odd.size())];
+                switch (draw(4)) {
+                case 0:
+                    BOOST_TEST(!canAdmit(allowance, account, tokens, now));
+                    deductTokens(allowance, "shed", tokens);
+                    break;
+                case 1:
+                    returnTokens(allowance, "shed", tokens);
+                    break;
+                case 2:
+                    applyPeerUsage(allowance, "entry-1",
+                                   {1, 1s, now, true, {{"shed", tokens}, {"barn", 0}}});
+                    break;
+                default:
+                    if (canAdmit(allowance, account, 100, now)) {
+                        deductTokens(allowance, "shed", 100);
+                        granted += 100;
+                    }
+                    break;
+                }
+                const AccountBucket &bucket = allowance.buckets_["shed"];
+                BOOST_TEST(std::isfinite(bucket.level_));
+                BOOST_TEST(bucket.used_ == granted);
+                BOOST_TEST(std::isfinite(timeUntilAvailable(allowance, account, 100).count()));
+            }
+            const double seconds = std::chrono::duration<double>(now - startedAt).count();
+            BOOST_TEST(granted <= (1000 * (seconds + 9) + 8000) * (1 + overshoot) + slack);
+            BOOST_TEST(granted > 0);
+            BOOST_TEST(allowance.buckets_["barn"].level_ == 0);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/PlatformWire/requestwiretest.cpp
@@ -0,0 +1,52 @@
+#include "platform/requestwire.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasscove;
+
+namespace {
+
+HttpHead headWith(std::vector<HttpHeader> headers)
+{
+    HttpHead head;
+    head.headers_ = std::move(headers);
+    head.headers_.push_back({"X-Eelgrasscove-Request-Id", "r1"});
+    return head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sound_request_headers_have_no_fault)
+{
+    const std::vector<std::vector<HttpHeader>> rows = {
+        {},
+        {{"X-Eelgrasscove-Token-Usage", "1460,80"}},
+        {{"x-eelgrasscove-token-usage", " 0 , 0 "}},
+        {{"X-Eelgrasscove-Token-Usage", "1000000000,1"}},
+        {{"X-Eelgrasscove-Deadline-Remaining", "12000"}},
+        {{"X-Mine", "a"}, {"X-Mine", "b"}, {"Accept", "a\tb"}},
+        {{"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}},
+        {{"X-Eelgrasscove-Tenant-Name", "other"}},
+    };
+    for (const auto &headers : rows) {
+        const auto fault = wire::headFault(headWith(headers));
+        BOOST_TEST(!fault, fault.value_or(""));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(number_out_of_range_is_a_fault_that_names_header_and_range)
+{
+    for (const char *text :
+         {"nan,1", "1,nan", "inf,1", "1,-inf", "-1,1", "1,-1", "1e400,1", "1e3,1", "", ",", "1,",
+          ",1", "1", "1,2,3", "1;2", "0x10,1", "+1,1", "1000000001,1", "1,99999999999999999999"}) {
+        const auto fault = wire::headFault(headWith({{"X-Eelgrasscove-Token-Usage", text}}));
+        BOOST_REQUIRE_MESSAGE(fault, text);
+        BOOST_TEST(fault->find("X-Eelgrasscove-Token-Usage") != std::string::npos);
+        BOOST_TEST(fault->find("1000000000") != std::string::npos);
+    }
+    for (const char *text : {"nan", "-1", "", "1e9", "soon", "12000 ms", "999999999999"}) {
+        const auto fault = wire::headFault(headWith({{"X-Eelgrasscove-Deadline-Remaining", text}}));
+        BOOST_REQUIRE_MESSAGE(fault, text);
+        BOOST_TEST(fault->find("X-Eelgrasscove-Deadline-Remaining") != std::string::npos);
+    }
+}
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2085,3 +2085,25 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(tokens_that_are_no_number_are_refused_and_leave_the_allowance_unchanged)
+{
+    ServingPath path(58);
+    path.waitUntilServing();
+    path.publishRules(2, "\"k1\"", 1000);
+    turnFor(path.loop_, 500ms);
+    const std::string name = "X-Eelgrasscove-Token-Usage";
+    for (const std::string tokens : {"nan,1", "-100000,1", "inf,1", "1e400,1", "many"}) {
+        const auto client = path.sendAndAwaitHead(
+            "POST", "/look/a", "Authorization: Bearer k1\r\n" + name + ": " + tokens + "\r\n");
+        BOOST_TEST(client->status() == 400, tokens);
+        BOOST_TEST(client->received_.find(name) != std::string::npos);
+    }
+    BOOST_TEST(path.receivedRequests() == 0);
+    const auto sound = path.sendAndAwaitHead("POST", "/look/a",
+                                             "Authorization: Bearer k1\r\n" + name + ": 10,10\r\n");
+    BOOST_TEST(sound->status() == 200);
+    const auto large = path.sendAndAwaitHead(
+        "POST", "/look/a", "Authorization: Bearer k1\r\n" + name + ": 100000,10\r\n");
+    BOOST_TEST(large->status() == 429);
+}
