Refuse headers that could reach a target as headers of the system

What callers could do: a header name with a blank before the colon (X-Eelgrasscove-Tenant-Name : barn) passed the parser of the system's library, was not recognised as a header that only this system sets, and reached the target before the true one. Repeated headers and Connection lists that name such headers were sent on or left out in part.

Change: a request gets 400 if a header name has characters that HTTP doesn't allow there, a value has control characters, a header of the platform is repeated, or Connection lists one. The table is in requestwiretest.cpp.

--- a/Tests/PlatformWire/requestwiretest.cpp
+++ b/Tests/PlatformWire/requestwiretest.cpp
@@ -50,3 +50,25 @@
         BOOST_TEST(fault->find("X-Eelgrasscove-Deadline-Remaining") != std::string::npos);
     }
 }
+
+BOOST_AUTO_TEST_CASE(header_that_could_pass_as_one_of_the_system_is_a_fault)
+{
+    const std::vector<std::vector<HttpHeader>> rows = {
+        {{"X-Eelgrasscove-Tenant-Name ", "barn"}},
+        {{"X-Eelgrasscove-Tenant-Name\t", "barn"}},
+        {{"", "barn"}},
+        {{"X-Mine", std::string("a\0b", 3)}},
+        {{"X-Mine", "a\x0b"}},
+        {{"X-Mine", "a\rX-Eelgrasscove-Tenant-Name: barn"}},
+        {{"X-Eelgrasscove-Tenant-Name", "a"}, {"x-eelgrasscove-tenant-name", "b"}},
+        {{"X-Eelgrasscove-Request-Id", "r2"}},
+        {{"Authorization", "Bearer a"}, {"authorization", "Bearer b"}},
+        {{"Host", "a"}, {"Host", "b"}},
+        {{"Connection", "close, X-Eelgrasscove-Request-Id"}},
+        {{"Connection", "close"}, {"Connection", "Authorization"}},
+        {{"Connection", "kv-from"}},
+    };
+    for (const auto &headers : rows)
+        BOOST_TEST(wire::headFault(headWith(headers)).has_value(),
+                   headers.back().name_ << ": " << headers.back().value_);
+}
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2107,3 +2107,17 @@
         "POST", "/look/a", "Authorization: Bearer k1\r\n" + name + ": 100000,10\r\n");
     BOOST_TEST(large->status() == 429);
 }
+
+BOOST_AUTO_TEST_CASE(header_name_with_a_blank_does_not_reach_a_target)
+{
+    ServingPath path(59);
+    path.waitUntilServing();
+    for (const std::string header :
+         {"X-Eelgrasscove-Tenant-Name : barn\r\n", "Connection: X-Eelgrasscove-Request-Id\r\n",
+          "X-Eelgrasscove-Tenant-Name: a\r\nX-Eelgrasscove-Tenant-Name: b\r\n"}) {
+        const auto client =
+            path.sendAndAwaitHead("POST", "/look/a", "Authorization: Bearer k1\r\n" + header);
+        BOOST_TEST(client->status() == 400, header);
+    }
+    BOOST_TEST(path.receivedRequests() == 0);
+}
