Keep a connection until its last response is written

The same close cut long responses to clients that ask for a close, and of slow clients at the idle limit.

Cause: a response counted as delivered when it was queued. Closing a connection waited a second and then dropped what was queued, and a stop waited for requests only.

Evidence: three new ServingPath tests, a slow reader with Connection: close, past the idle limit and at SIGTERM, fail on the code before. A client that takes nothing holds no memory for long: the kernel ends its connection by the user timeout; client_that_takes_nothing_of_its_response_is_disconnected would fail if it did not.

Change: TcpStream::closeAfterWrite waits as long as the peer takes bytes, 5 s without one at most. A session lasts until its last response is written, doesn't count as idle meanwhile, and holds up a stop within the grace time.

--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -213,8 +213,7 @@
 {
     hasActiveRequest_ = false;
     attachment_.reset();
-    if (isClosed_)
-        return;
+    // Also a closed session that still writes its last response.
     stream_->close(true);
     closeNow(false);
 }
@@ -224,17 +223,19 @@
     if (isClosed_)
         return;
     isClosed_ = true;
-    if (flushFirst)
-        stream_->closeAfterWrite();
-    else
-        stream_->close();
+    if (flushFirst) {
+        // The session ends when its last response is written.
+        stream_->closeAfterWrite(
+            [self = shared_from_this()] { self->callbacks_.onClosed_(*self); });
+        return;
+    }
+    stream_->close();
     callbacks_.onClosed_(*this);
 }
 
 std::size_t ClientSession::bufferedBytes() const
 {
-    const std::size_t unsent = isClosed_ ? 0 : stream_->unsentBytes();
-    return request_.body_.capacity() + bufferedBytes_.capacity() + unsent;
+    return request_.body_.capacity() + bufferedBytes_.capacity() + unsentBytes();
 }
 
 void ClientSession::closeIfIdle()
@@ -247,6 +248,9 @@
 {
     if (hasActiveRequest_ || isClosed_)
         return;
+    // A client that still takes a response isn't idle.
+    if (unsentBytes() > 0)
+        idleSince_ = now;
     if (!reader_.hasBegun()) {
         if (now - idleSince_ > limits_.idleTime_)
             closeIfIdle();
--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -74,6 +74,12 @@
     /// Returns the bytes of requests being read and of responses that the client has not taken yet.
     std::size_t bufferedBytes() const;
 
+    /// Returns the bytes of responses that the client's connection has not taken yet.
+    std::size_t unsentBytes() const { return stream_->unsentBytes(); }
+
+    /// Id of the last request, for log lines.
+    std::string lastRequestId_;
+
     /// Object that the edge attaches to the active request.
     std::shared_ptr<void> attachment_;
 
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -293,7 +293,10 @@
 void Edge::checkShutdown()
 {
     const Duration since = bootNow() - shutdownStartedAt_;
-    const bool done = since >= minShutdownTime && requests_.empty();
+    const bool areResponsesSent =
+        std::all_of(sessions_.begin(), sessions_.end(),
+                    [](const auto &session) { return session->unsentBytes() == 0; });
+    const bool done = since >= minShutdownTime && requests_.empty() && areResponsesSent;
     if (since >= minShutdownTime) {
         // A new request could not be completed in the remaining time. A client whose connection is
         // refused tries another entry at once.
@@ -307,6 +310,11 @@
     isStopped_ = true;
     eventLog().note("process.stopped", "requests", requests_.size());
     endRemainingRequests();
+    for (const auto &session : sessions_) {
+        if (session->unsentBytes() > 0)
+            eventLog().note("response.cut", "id", session->lastRequestId_, "unsent_bytes",
+                            session->unsentBytes(), "reason", "end of the grace time");
+    }
     registration_->revoke([this] {
         eventLog().flush();
         loop_.stop();
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -135,6 +135,7 @@
     request->arrivedAt_ = client.firstByteAt_;
     request->serviceDraw_ = std::uniform_real_distribution<double>(0, 1)(random_);
     session->attachment_ = request;
+    session->lastRequestId_ = request->id_;
     requests_.insert(request);
     if (request->id_.empty()) {
         refuse(*request, 400, "request has no id header", {});
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -1,12 +1,16 @@
 #include "Net/tcpstream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace eelgrasscove {
 
@@ -15,8 +19,8 @@
 /// Connections that the kernel queues until they are accepted; equals the kernel's usual limit.
 constexpr int listenBacklog = 1024;
 
-/// Maximum time for which closeAfterWrite() waits for the peer to close before the connection is
-/// closed.
+/// Maximum time for which closeAfterWrite() waits, after all is written, for the peer to close, and
+/// period at which it checks before that whether the peer takes bytes.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 
 /// Shared by all connections, as the data of each read is processed before the next read.
@@ -213,6 +217,7 @@
 {
     if (isClosed_ || isLingering_ || bytes.empty())
         return;
+    writtenBytes_ += bytes.size();
     auto *stream = reinterpret_cast<uv_stream_t *>(&handle_);
     if (uv_stream_get_write_queue_size(stream) == 0) {
         uv_buf_t unsent =
@@ -264,23 +269,70 @@
     closedCallbacks_ = {};
 }
 
-void TcpStream::closeAfterWrite()
+std::uint64_t TcpStream::deliveredBytes() const
+{
+    int inSocket = 0;
+    if (isClosed_ || ioctl(descriptor(), SIOCOUTQ, &inSocket) != 0)
+        inSocket = 0;
+    const std::uint64_t pending = unsentBytes() + static_cast<std::uint64_t>(inSocket);
+    return writtenBytes_ - std::min(pending, writtenBytes_);
+}
+
+void TcpStream::closeAfterWrite(std::function<void()> onWritten)
 {
     if (isClosed_ || isLingering_)
         return;
     isLingering_ = true;
+    onWritten_ = std::move(onWritten);
+    lingerDeliveredBytes_ = deliveredBytes();
+    lingerProgressAt_ = bootNow();
     auto *request = new uv_shutdown_t;
+    request->data = this;
+    // Also called, with an error, when the connection is closed before.
     const int startResult = uv_shutdown(request, reinterpret_cast<uv_stream_t *>(&handle_),
-                                        [](uv_shutdown_t *done, int) { delete done; });
+                                        [](uv_shutdown_t *done, int) {
+                                            static_cast<TcpStream *>(done->data)->finishWriting();
+                                            delete done;
+                                        });
     if (startResult != 0) {
         delete request;
+        loop_.timers().once(Duration::zero(),
+                            [stream = shared_from_this()] { stream->finishWriting(); });
         close();
         return;
     }
+    lingerTimer_ = loop_.timers().once(lingerTimeout,
+                                       [stream = shared_from_this()] { stream->checkLinger(); });
+}
+
+void TcpStream::finishWriting()
+{
+    isAllWritten_ = true;
+    if (const auto onWritten = std::exchange(onWritten_, nullptr))
+        onWritten();
+    if (isClosed_)
+        return;
+    loop_.timers().cancel(lingerTimer_);
     lingerTimer_ =
         loop_.timers().once(lingerTimeout, [stream = shared_from_this()] { stream->close(); });
 }
 
+void TcpStream::checkLinger()
+{
+    if (isClosed_ || isAllWritten_)
+        return;
+    const Time now = bootNow();
+    if (const std::uint64_t delivered = deliveredBytes(); delivered != lingerDeliveredBytes_) {
+        lingerDeliveredBytes_ = delivered;
+        lingerProgressAt_ = now;
+    } else if (now - lingerProgressAt_ >= stallTimeout) {
+        close(true);
+        return;
+    }
+    lingerTimer_ = loop_.timers().once(lingerTimeout,
+                                       [stream = shared_from_this()] { stream->checkLinger(); });
+}
+
 int TcpListener::listen(EventLoop &loop, const Endpoint &address,
                         std::function<void(std::shared_ptr<TcpStream>)> onAccepted)
 {
--- a/Source/Net/tcpstream.h
+++ b/Source/Net/tcpstream.h
@@ -50,6 +50,9 @@
     static constexpr int probePauseSeconds = 1;
     static constexpr int probes = 2;
 
+    /// Time for which a peer may take no byte of what is written.
+    static constexpr Duration stallTimeout = std::chrono::seconds(5);
+
     static std::shared_ptr<TcpStream> connect(EventLoop &loop, const Endpoint &peer,
                                               TcpCallbacks callbacks);
     static std::shared_ptr<TcpStream> accept(EventLoop &loop, uv_stream_t *listener);
@@ -70,9 +73,14 @@
     /// Closes the connection at once. With reset, the peer can't mistake it for an orderly end.
     void close(bool reset = false);
 
-    /// Closes the connection after all written data is sent and the peer has closed, or after one
-    /// second.
-    void closeAfterWrite();
+    /// Returns the number of written bytes that the peer has acknowledged, or that the socket has
+    /// accepted where the system doesn't tell.
+    std::uint64_t deliveredBytes() const;
+
+    /// Closes the connection after the socket has accepted all written data, and then the peer has
+    /// closed or a second has passed; also if the peer takes no byte for stallTimeout. onWritten is
+    /// called when the data is accepted or given up.
+    void closeAfterWrite(std::function<void()> onWritten = {});
 
     bool isClosed() const { return isClosed_; }
 
@@ -92,15 +100,23 @@
     void startReading();
     void fail(int error);
     void finishClose();
+    void checkLinger();
+    void finishWriting();
 
     EventLoop &loop_;
     uv_tcp_t handle_{};
     TcpCallbacks callbacks_;
     TcpCallbacks closedCallbacks_;
     std::shared_ptr<TcpStream> self_;
+    std::function<void()> onWritten_;
+    std::uint64_t writtenBytes_ = 0;
     TimerId lingerTimer_ = 0;
+    /// While lingering: the bytes delivered at the last progress, and its time.
+    std::uint64_t lingerDeliveredBytes_ = 0;
+    Time lingerProgressAt_;
     bool isClosed_ = false;
     bool isLingering_ = false;
+    bool isAllWritten_ = false;
 };
 
 /// A listening socket that passes accepted connections to a callback.
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -343,6 +343,79 @@
     TimerId timer_ = 0;
 };
 
+/// A client that takes its response slowly, some of it every 20 ms.
+class SlowClient
+{
+public:
+    /// bytesPerRead of 0 takes nothing.
+    SlowClient(ServingPath &path, const std::string &headers, std::size_t bytesPerRead)
+        : path_(path), bytesPerRead_(bytesPerRead)
+    {
+        constexpr int receiveBuffer = 16 * 1024;
+        socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        sockaddr_in entry{};
+        uv_ip4_addr("127.0.0.1", path.basePort_ + 4, &entry);
+        BOOST_REQUIRE(connect(socket_, reinterpret_cast<const sockaddr *>(&entry), sizeof entry)
+                      == 0);
+        const std::string request =
+            fmt::format("POST /look/a HTTP/1.1\r\nHost: desk.example\r\n"
+                        "X-Eelgrasscove-Request-Id: slow\r\nAuthorization: Bearer k1\r\n"
+                        "Content-Length: 0\r\n{}\r\n",
+                        headers);
+        BOOST_REQUIRE(write(socket_, request.data(), request.size()) > 0);
+        timer_ = path.loop_.timers().every(20ms, [this] { take(); });
+    }
+
+    ~SlowClient()
+    {
+        path_.loop_.timers().cancel(timer_);
+        close(socket_);
+    }
+
+    SlowClient(const SlowClient &) = delete;
+    SlowClient &operator=(const SlowClient &) = delete;
+
+    bool hasWhole(std::size_t bodyBytes) const
+    {
+        const std::size_t headEnd = received_.find("\r\n\r\n");
+        return headEnd != std::string::npos && received_.size() == headEnd + 4 + bodyBytes;
+    }
+
+    void setBytesPerRead(std::size_t bytes) { bytesPerRead_ = bytes; }
+
+    std::string received_;
+
+private:
+    void take()
+    {
+        std::string bytes(bytesPerRead_, 0);
+        const ssize_t count =
+            bytesPerRead_ == 0 ? -1 : recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        if (count > 0)
+            received_.append(bytes, 0, static_cast<std::size_t>(count));
+    }
+
+    ServingPath &path_;
+    std::size_t bytesPerRead_;
+    int socket_ = -1;
+    TimerId timer_ = 0;
+};
+
+/// A body that the buffers of a connection don't hold.
+constexpr std::size_t longBodyBytes = 7UL * 1024 * 1024;
+
+/// Lets the targets respond with a long body.
+void respondWithLongBodies(ServingPath &path)
+{
+    for (auto &handler : path.handlers_) {
+        handler = [](const auto &from, SeenRequest &&request) {
+            from->answer(200, ServingPath::requestIdHeader(request) + signatureHeader,
+                         std::string(longBodyBytes, 'x'));
+        };
+    }
+}
+
 /// The memory that this process has in use.
 std::size_t residentBytes()
 {
@@ -2121,3 +2194,55 @@
     }
     BOOST_TEST(path.receivedRequests() == 0);
 }
+
+BOOST_AUTO_TEST_CASE(slow_client_that_asks_for_a_close_gets_its_whole_response)
+{
+    ServingPath path(60);
+    path.waitUntilServing();
+    respondWithLongBodies(path);
+    SlowClient client(path, "Connection: close\r\n", 48UL * 1024);
+    BOOST_TEST(turnUntil(path.loop_, 15s, [&] { return client.hasWhole(longBodyBytes); }));
+}
+
+BOOST_AUTO_TEST_CASE(slow_client_gets_its_whole_response_past_the_idle_limit)
+{
+    ServingPath path(61);
+    std::string rules = path.store_.items_["op/config"].first;
+    const std::string idle = "\"idle_timeout_ms\":15000";
+    rules.replace(rules.find(idle), idle.size(), "\"idle_timeout_ms\":500");
+    rules.replace(rules.find("\"version\":1"), 11, "\"version\":2");
+    path.store_.put("op/config", rules);
+    path.waitUntilServing();
+    turnFor(path.loop_, 500ms);
+    respondWithLongBodies(path);
+    SlowClient client(path, "", 48UL * 1024);
+    BOOST_TEST(turnUntil(path.loop_, 15s, [&] { return client.hasWhole(longBodyBytes); }));
+}
+
+BOOST_AUTO_TEST_CASE(stopping_entry_waits_for_a_slow_client_within_the_grace_time)
+{
+    ServingPath path(62, {}, {.revoke_ = 5s, .grace_ = 12s});
+    path.waitUntilServing();
+    respondWithLongBodies(path);
+    SlowClient client(path, "", 48UL * 1024);
+    BOOST_REQUIRE(turnUntil(path.loop_, 2s, [&] { return path.receivedRequests() == 1; }));
+    kill(getpid(), SIGTERM);
+    turnFor(path.loop_, 2700ms);
+    BOOST_TEST(!client.hasWhole(longBodyBytes));
+    BOOST_TEST(path.store_.calls("kv-lease-end") == 0);
+    BOOST_TEST(turnUntil(path.loop_, 15s, [&] { return client.hasWhole(longBodyBytes); }));
+    BOOST_TEST(turnUntil(path.loop_, 3s, [&] { return path.store_.calls("kv-lease-end") == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(client_that_takes_nothing_of_its_response_is_disconnected)
+{
+    ServingPath path(73);
+    path.waitUntilServing();
+    respondWithLongBodies(path);
+    SlowClient client(path, "", 0);
+    turnFor(path.loop_, TcpStream::stallTimeout + 2s);
+    client.setBytesPerRead(256UL * 1024);
+    turnFor(path.loop_, 2s);
+    BOOST_TEST(!client.received_.empty());
+    BOOST_TEST(!client.hasWhole(longBodyBytes));
+}
