--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -31,6 +31,15 @@
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), same);
 }
 
+std::string_view trimmedValue(std::string_view text)
+{
+    constexpr std::string_view space = " \t";
+    const std::size_t begin = text.find_first_not_of(space);
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(space) - begin + 1);
+}
+
 bool isConnectionHeader(std::string_view name)
 {
     return std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
--- a/Source/Net/httpreader.h
+++ b/Source/Net/httpreader.h
@@ -38,6 +38,9 @@
 
 bool equalIgnoringCase(std::string_view left, std::string_view right);
 
+/// Returns the value of a header without the blanks around it.
+std::string_view trimmedValue(std::string_view text);
+
 /// Returns whether a header applies only to its connection and must not be forwarded.
 bool isConnectionHeader(std::string_view name);
 
