--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2197,7 +2197,7 @@
 
 BOOST_AUTO_TEST_CASE(slow_client_that_asks_for_a_close_gets_its_whole_response)
 {
-    ServingPath path(60);
+    ServingPath path(87);
     path.waitUntilServing();
     respondWithLongBodies(path);
     SlowClient client(path, "Connection: close\r\n", 48UL * 1024);
@@ -2206,7 +2206,7 @@
 
 BOOST_AUTO_TEST_CASE(slow_client_gets_its_whole_response_past_the_idle_limit)
 {
-    ServingPath path(61);
+    ServingPath path(88);
     std::string rules = path.store_.items_["op/config"].first;
     const std::string idle = "\"idle_timeout_ms\":15000";
     rules.replace(rules.find(idle), idle.size(), "\"idle_timeout_ms\":500");
@@ -2221,7 +2221,7 @@
 
 BOOST_AUTO_TEST_CASE(stopping_entry_waits_for_a_slow_client_within_the_grace_time)
 {
-    ServingPath path(62, {}, {.revoke_ = 5s, .grace_ = 12s});
+    ServingPath path(89, {}, {.revoke_ = 5s, .grace_ = 12s});
     path.waitUntilServing();
     respondWithLongBodies(path);
     SlowClient client(path, "", 48UL * 1024);
@@ -2236,7 +2236,7 @@
 
 BOOST_AUTO_TEST_CASE(client_that_takes_nothing_of_its_response_is_disconnected)
 {
-    ServingPath path(73);
+    ServingPath path(90);
     path.waitUntilServing();
     respondWithLongBodies(path);
     SlowClient client(path, "", 0);
