Mend two findings of the linter in the tests of the serving path

clang-tidy on edgetest.cpp: a vector filled in a loop without reserve(), and a chain of string concatenations in a loop. No check is changed.

--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2136,6 +2136,7 @@
             const std::size_t before = residentBytes();
             std::size_t most = before;
             std::vector<std::shared_ptr<Client>> clients;
+            clients.reserve(sent);
             for (int request = 0; request < sent; ++request)
                 clients.push_back(path.sendRequest("POST", target));
             const Time end = bootNow() + 3s;
@@ -2166,19 +2167,18 @@
     path.publishRules(2, "\"k1\"", 1000);
     turnFor(path.loop_, 500ms);
     const std::string name = "X-Eelgrasscove-Token-Usage";
+    const auto sendWithTokens = [&](const std::string &tokens) {
+        return path.sendAndAwaitHead(
+            "POST", "/look/a", fmt::format("Authorization: Bearer k1\r\n{}: {}\r\n", name, tokens));
+    };
     for (const std::string tokens : {"nan,1", "-100000,1", "inf,1", "1e400,1", "many"}) {
-        const auto client = path.sendAndAwaitHead(
-            "POST", "/look/a", "Authorization: Bearer k1\r\n" + name + ": " + tokens + "\r\n");
+        const auto client = sendWithTokens(tokens);
         BOOST_TEST(client->status() == 400, tokens);
         BOOST_TEST(client->received_.find(name) != std::string::npos);
     }
     BOOST_TEST(path.receivedRequests() == 0);
-    const auto sound = path.sendAndAwaitHead("POST", "/look/a",
-                                             "Authorization: Bearer k1\r\n" + name + ": 10,10\r\n");
-    BOOST_TEST(sound->status() == 200);
-    const auto large = path.sendAndAwaitHead(
-        "POST", "/look/a", "Authorization: Bearer k1\r\n" + name + ": 100000,10\r\n");
-    BOOST_TEST(large->status() == 429);
+    BOOST_TEST(sendWithTokens("10,10")->status() == 200);
+    BOOST_TEST(sendWithTokens("100000,10")->status() == 429);
 }
 
 BOOST_AUTO_TEST_CASE(header_name_with_a_blank_does_not_reach_a_target)
