--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -194,8 +194,8 @@
     /// doesn't know.
     void checkRulesConfirmation(Time now);
     /// Queries the target list beside the waiting watch, whose connection may be silent, if other
-    /// entries know a change that it has not delivered, or if too long ago was the last proof that
-    /// nothing has changed.
+    /// entries know a change that it has not delivered, or if the last proof that nothing has
+    /// changed is too old.
     void checkTargetList(Time now);
     /// Queries the list of entries if an entry that is not in it goes on sending messages: the
     /// connection of the waiting watch may be silent.
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -78,8 +78,8 @@
 Duration timeUntilAvailable(const TokenAllowance &allowance, const ServingAccount &account,
                             double tokens);
 
-/// Numbers of tokens that are not finite or below 0 are refused, whoever states them: no request
-/// with such a number is admitted, and the functions below change nothing for the account.
+/// Numbers of tokens that are negative or not finite are refused, whoever states them: canAdmit()
+/// returns false for them, and the functions below leave the account's bucket unchanged.
 
 /// Deducts the tokens of an admitted request.
 void deductTokens(TokenAllowance &allowance, const std::string &account, double tokens);
