Make the test of invalid token numbers able to fail, and reword what needed a second reading

The property test of the allowance had a bound that its load could not reach, and a number such as -1e300 from a peer, which fills a bucket, would have passed. It now compares every bucket with one that receives the valid numbers only, and asks for more than the limit. The declaration of limitBuffers() stands with the functions of its file, buffer.given_up names the client's last request, and comments are reworded.

--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -253,10 +253,6 @@
     /// Refuses queued requests for which no target will have room before they time out.
     void refuseUnservable(const std::string &service, Time now);
     void checkRequests(Time now);
-    /// Gives up the largest buffers if all together exceed their limit.
-    void limitBuffers();
-    void giveUpResponse(const EdgeRequestPtr &request);
-    void giveUpSession(const std::shared_ptr<ClientSession> &session);
     void refuse(EdgeRequest &request, unsigned status, std::string_view reason,
                 Duration retryAfter);
     /// Refuses a request that another entry may be able to serve, and closes the connection so that
@@ -274,6 +270,10 @@
     // edgeresponses.cpp: responses of targets.
     void onResponseHead(const EdgeRequestPtr &request, HttpHead &&head);
     void onResponseBody(const EdgeRequestPtr &request, std::string_view bytes);
+    /// Gives up the largest buffers if all together exceed their limit.
+    void limitBuffers();
+    void giveUpResponse(const EdgeRequestPtr &request);
+    void giveUpSession(const std::shared_ptr<ClientSession> &session);
     void onExchangeEnd(const EdgeRequestPtr &request, ExchangeEnd end, std::string_view reason);
     /// Learns from the first event of a send how fast the target reads prompts.
     void recordBegin(EdgeRequest &request, Time now);
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -275,12 +275,14 @@
     setGauge("eelgrasscove_buffered_bytes", "", static_cast<double>(total));
     for (const std::size_t index : buffersToGiveUp(buffers, limit)) {
         const Buffer &buffer = buffers[index];
+        const bool isResponse = buffer.kind_ == BufferKind::Response;
+        const std::string id =
+            isResponse ? requests[index]->id_ : sessions[index - requests.size()]->lastRequestId_;
         countMetric("eelgrasscove_buffers_given_up_total",
                     fmt::format("kind=\"{}\"", nameOf(bufferKindNames, buffer.kind_)));
         eventLog().note("buffer.given_up", "kind", nameOf(bufferKindNames, buffer.kind_), "bytes",
-                        buffer.bytes_, "total_bytes", total, "limit_bytes", limit, "id",
-                        buffer.kind_ == BufferKind::Response ? requests[index]->id_ : "");
-        if (buffer.kind_ == BufferKind::Response)
+                        buffer.bytes_, "total_bytes", total, "limit_bytes", limit, "id", id);
+        if (isResponse)
             giveUpResponse(requests[index]);
         else
             giveUpSession(sessions[index - requests.size()]);
--- a/Source/Edge/tokenallowance.h
+++ b/Source/Edge/tokenallowance.h
@@ -71,17 +71,16 @@
     std::map<std::string, std::optional<PeerUsage>> peers_;
 };
 
-/// Whether a request with this number of tokens may be admitted for the account now.
+/// Whether a request with this number of tokens may be admitted for the account now. False if the
+/// number is negative or not finite.
 bool canAdmit(TokenAllowance &allowance, const ServingAccount &account, double tokens, Time now);
 
 /// Returns the time until this number of tokens is available, provided no other request takes them.
 Duration timeUntilAvailable(const TokenAllowance &allowance, const ServingAccount &account,
                             double tokens);
 
-/// Numbers of tokens that are negative or not finite are refused, whoever states them: canAdmit()
-/// returns false for them, and the functions below leave the account's bucket unchanged.
-
-/// Deducts the tokens of an admitted request.
+/// Deducts the tokens of an admitted request. Here and below, a number of tokens that is negative
+/// or not finite is invalid and leaves the account's bucket unchanged.
 void deductTokens(TokenAllowance &allowance, const std::string &account, double tokens);
 
 /// Returns the tokens of an admitted request that never ran.
--- a/Source/Net/tcpstream.h
+++ b/Source/Net/tcpstream.h
@@ -73,8 +73,8 @@
     /// Closes the connection at once. With reset, the peer can't mistake it for an orderly end.
     void close(bool reset = false);
 
-    /// Returns the number of written bytes that the peer has acknowledged, or that the socket has
-    /// accepted where the system doesn't tell.
+    /// Returns the number of written bytes that the peer has acknowledged. If the length of the
+    /// socket's send queue can't be read, these are the bytes that the socket has accepted.
     std::uint64_t deliveredBytes() const;
 
     /// Closes the connection after the socket has accepted all written data, and then the peer has
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -61,7 +61,7 @@
     /// Returns the highest revision of a key or deletion that is known here, apart from deletions
     /// before the last list. revision() also counts changes of other keys, so it may be higher.
     std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
-    /// Returns the revision of the last list, whose end may still be awaited.
+    /// Returns the store revision of the last list that was begun.
     std::uint64_t listRevision() const { return listRevision_; }
     /// Returns whether a watch waits for a response; it gets one at the next change.
     bool isWatchWaiting() const { return isWatchWaiting_; }
--- a/Tests/EdgeDecisions/bufferstest.cpp
+++ b/Tests/EdgeDecisions/bufferstest.cpp
@@ -34,7 +34,7 @@
                boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(buffers_that_are_left_fit_the_limit_and_none_is_given_up_in_vain)
+BOOST_AUTO_TEST_CASE(buffers_that_are_left_fit_the_limit_and_no_more_than_needed_are_given_up)
 {
     for (unsigned seed = 1; seed <= 200; ++seed) {
         std::mt19937 random(seed);
--- a/Tests/EdgeDecisions/tokenallowancetest.cpp
+++ b/Tests/EdgeDecisions/tokenallowancetest.cpp
@@ -249,17 +249,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_CASE(numbers_that_are_no_token_counts_change_no_bucket)
+BOOST_AUTO_TEST_CASE(invalid_numbers_of_tokens_change_no_bucket)
 {
     const ServingAccount account = accountWith(1000, 8000);
-    ServingAccount other = account;
-    other.name_ = "barn";
-    const std::vector<double> odd = {std::nan(""),
-                                     -std::nan(""),
-                                     std::numeric_limits<double>::infinity(),
-                                     -std::numeric_limits<double>::infinity(),
-                                     -1,
-                                     -1e300};
+    constexpr double requestTokens = 2000;
+    const std::vector<double> invalid = {std::nan(""),
+                                         -std::nan(""),
+                                         std::numeric_limits<double>::infinity(),
+                                         -std::numeric_limits<double>::infinity(),
+                                         -1,
+                                         -1e300};
     for (unsigned seed = 1; seed <= 100; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
@@ -267,6 +266,8 @@
             TokenAllowance allowance;
             allowance.startedAt_ = Time(1s);
             setPeers(allowance, {"entry-1"});
+            // Receives the valid numbers only.
+            TokenAllowance expected = allowance;
             double granted = 0;
             Time now = Time(10s);
             const Time startedAt = now;
@@ -275,7 +276,7 @@
             };
             for (int step = 0; step < 400; ++step) {
                 now += 20ms;
-                const double tokens = odd[draw(odd.size())];
+                const double tokens = invalid[draw(invalid.size())];
                 switch (draw(4)) {
                 case 0:
                     BOOST_TEST(!canAdmit(allowance, account, tokens, now));
@@ -287,23 +288,28 @@
                 case 2:
                     applyPeerUsage(allowance, "entry-1",
                                    {1, 1s, now, true, {{"shed", tokens}, {"barn", 0}}});
+                    applyPeerUsage(expected, "entry-1", {1, 1s, now, true, {{"barn", 0}}});
                     break;
                 default:
-                    if (canAdmit(allowance, account, 100, now)) {
-                        deductTokens(allowance, "shed", 100);
-                        granted += 100;
+                    BOOST_TEST(canAdmit(expected, account, requestTokens, now)
+                               == canAdmit(allowance, account, requestTokens, now));
+                    if (canAdmit(allowance, account, requestTokens, now)) {
+                        deductTokens(allowance, "shed", requestTokens);
+                        deductTokens(expected, "shed", requestTokens);
+                        granted += requestTokens;
                     }
                     break;
                 }
-                const AccountBucket &bucket = allowance.buckets_["shed"];
-                BOOST_TEST(std::isfinite(bucket.level_));
-                BOOST_TEST(bucket.used_ == granted);
-                BOOST_TEST(std::isfinite(timeUntilAvailable(allowance, account, 100).count()));
+                for (const char *name : {"shed", "barn"}) {
+                    BOOST_TEST(allowance.buckets_[name].level_ == expected.buckets_[name].level_);
+                    BOOST_TEST(allowance.buckets_[name].used_ == expected.buckets_[name].used_);
+                    BOOST_TEST(allowance.buckets_[name].unreported_
+                               == expected.buckets_[name].unreported_);
+                }
             }
             const double seconds = std::chrono::duration<double>(now - startedAt).count();
-            BOOST_TEST(granted <= (1000 * (seconds + 9) + 8000) * (1 + overshoot) + slack);
+            BOOST_TEST(granted <= (1000 * seconds + 8000) * (1 + overshoot) + slack);
             BOOST_TEST(granted > 0);
-            BOOST_TEST(allowance.buckets_["barn"].level_ == 0);
         }
     }
 }
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2086,7 +2086,7 @@
 
 BOOST_AUTO_TEST_CASE(target_missing_from_a_list_after_lost_history_gets_no_requests)
 {
-    // The only target of its service: no other one shows that the list is whole.
+    // A service whose only target is missing looks as after an outage in which entries expired.
     ServingPath path(57, {}, {.revoke_ = 5s, .drain_ = 2s});
     path.waitUntilServing();
     path.store_.remove("servers/i-1");
