Decode cold limits of services and cold times of targets

Cause: the serving path has no information about targets that can handle only few requests after their start.

--- a/Tests/PlatformWire/responsewiretest.cpp
+++ b/Tests/PlatformWire/responsewiretest.cpp
@@ -94,4 +94,24 @@
     BOOST_TEST((decoded.delay_ == 5s));
 }
 
+// Guards against a cold target that is taken for a warm one because its header is not understood.
+BOOST_AUTO_TEST_CASE(remaining_cold_time_is_a_whole_number_up_to_an_hour)
+{
+    const auto decode = [](const std::string &value) {
+        return wire::decodeColdRemaining(responseWith({{"x-eelgrasscove-cold-remaining", value}}));
+    };
+    const std::vector<std::pair<std::string, Duration>> rows = {
+        {"0", 0s}, {"1", 1ms}, {" 5750\t", 5750ms}, {"3600000", 1h}};
+    for (const auto &[value, left] : rows)
+        BOOST_TEST((decode(value) == ColdStatement{ColdForm::Stated, left}), value);
+    for (const char *value : {"", "-1", "+1", "1.5", "1e3", "3600001", "99999999999999999999", "5s",
+                              "0x10", "nan", "1, 2"})
+        BOOST_TEST((decode(value) == ColdStatement{ColdForm::Invalid, {}}), value);
+    BOOST_TEST((wire::decodeColdRemaining(responseWith({})).form_ == ColdForm::Absent));
+    BOOST_TEST((wire::decodeColdRemaining(responseWith({{"X-Eelgrasscove-Cold-Remaining", "0"},
+                                                        {"X-Eelgrasscove-Cold-Remaining", "0"}}))
+                    .form_
+                == ColdForm::Invalid));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/PlatformWire/ruleswiretest.cpp
+++ b/Tests/PlatformWire/ruleswiretest.cpp
@@ -179,3 +179,46 @@
     BOOST_TEST(valueOf(decoded).version_ == 3);
     BOOST_TEST(!ok(wire::decodeVersion(R"({"model":"base","version":3})")));
 }
+
+// Guards against a target whose whole list entry is lost because of its cold time, and one that
+// counts as warm though its value is not understood.
+BOOST_AUTO_TEST_CASE(remaining_cold_time_of_a_listed_target_is_decoded)
+{
+    const auto decode = [](const std::string &value) {
+        const auto decoded = wire::decodeTarget(
+            "i-1",
+            R"({"service":"mind","address":"10.0.0.1:1","state":"ready","slots":4)" + value + "}");
+        BOOST_REQUIRE_MESSAGE(ok(decoded), value);
+        return valueOf(decoded).cold_;
+    };
+    const std::string name = R"(,"cold_left_ms":)";
+    BOOST_TEST((decode("") == ColdStatement{}));
+    BOOST_TEST((decode(name + "null") == ColdStatement{}));
+    BOOST_TEST((decode(name + "0") == ColdStatement{ColdForm::Stated, 0s}));
+    BOOST_TEST((decode(name + "5750") == ColdStatement{ColdForm::Stated, 5750ms}));
+    BOOST_TEST((decode(name + "3600000") == ColdStatement{ColdForm::Stated, 1h}));
+    for (const char *value :
+         {"-1", "0.5", "3600001", "1e300", "18446744073709551615", R"("5")", "[]", "true"})
+        BOOST_TEST((decode(name + value) == ColdStatement{ColdForm::Invalid, {}}), value);
+}
+
+// Guards against a limit of zero or without bound, and against rules that are lost because of it.
+BOOST_AUTO_TEST_CASE(cold_limits_of_a_service_are_decoded)
+{
+    const auto decode = [](const std::string &members) {
+        const auto decoded =
+            wire::decodeRules(R"({"version":7,"services":[{"name":"s")" + members + "}]}");
+        BOOST_REQUIRE_MESSAGE(ok(decoded), members);
+        return valueOf(decoded).services_.at(0).cold_;
+    };
+    BOOST_TEST((decode(R"(,"cold_start_s":6.5,"cold_per_s":17)") == ColdLimits{6500ms, 17}));
+    for (const char *members :
+         {"", R"(,"cold_start_s":6)", R"(,"cold_per_s":17)", R"(,"cold_start_s":0,"cold_per_s":17)",
+          R"(,"cold_start_s":6,"cold_per_s":0)", R"(,"cold_start_s":null,"cold_per_s":null)"})
+        BOOST_TEST((decode(members) == ColdLimits{}), members);
+    for (const char *members :
+         {R"(,"cold_start_s":-6,"cold_per_s":17)", R"(,"cold_start_s":6,"cold_per_s":-1)",
+          R"(,"cold_start_s":3601,"cold_per_s":17)", R"(,"cold_start_s":"6","cold_per_s":17)",
+          R"(,"cold_start_s":6,"cold_per_s":1e300)", R"(,"cold_start_s":6,"cold_per_s":{})"})
+        BOOST_TEST((decode(members) == ColdLimits{.isValid_ = false}), members);
+}
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -86,6 +86,21 @@
     std::vector<ServedModel> models_;
 };
 
+/// Longest cold time of a target that is taken from the rules or from a target.
+constexpr Duration maxColdTime = std::chrono::hours(1);
+
+/// What the targets of a service can handle for some time after their start.
+struct ColdLimits
+{
+    Duration time_{};
+    /// Requests per second from all entries together; 0 if the service has no cold targets.
+    double perSecond_ = 0;
+    /// False if the rules state values that can't be used.
+    bool isValid_ = true;
+
+    bool operator==(const ColdLimits &) const = default;
+};
+
 struct ServedService
 {
     std::string name_;
@@ -93,6 +108,7 @@
     std::uint32_t connections_ = 100;
     /// Model services only.
     std::optional<EngineLimits> engine_;
+    ColdLimits cold_;
 };
 
 struct ServingAccount
@@ -127,6 +143,24 @@
     ClientLimits limits_;
 };
 
+enum class ColdForm {
+    Absent,
+    /// A remaining time from 0 to maxColdTime.
+    Stated,
+    /// Any other value.
+    Invalid,
+};
+
+/// What a target states about its remaining cold time.
+struct ColdStatement
+{
+    ColdForm form_ = ColdForm::Absent;
+    /// Zero unless the form is Stated.
+    Duration left_{};
+
+    bool operator==(const ColdStatement &) const = default;
+};
+
 /// A target as the list of targets has it.
 struct ListedTarget
 {
@@ -142,6 +176,8 @@
     std::vector<std::string> adapters_;
     /// The base models held.
     std::vector<std::string> models_;
+    /// At the time when the entry was written.
+    ColdStatement cold_;
 
     bool operator==(const ListedTarget &) const = default;
 };
