Limit the requests to cold targets by quotas of the entries

Cause: cold targets received 36 requests in one second where 30.5 are allowed, as no entry knows how many the others send. Change: coldtarget keeps the cold time of a target and the start that it belongs to; sharedlimit divides the limit among the entries by rendezvous hashing, in sliding windows of 1.2 s. exclusionOf() returns ColdLimited without a quota, and choosePlacement() AwaitQuota if only such targets are left. Without cold limits nothing changes. Result: EdgeDecisionsTest, 108 cases, no errors.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -373,12 +373,14 @@
         if (target->missingSince_ && !hasLapsed)
             continue;
         const TargetExclusion exclusion = exclusionOf(*target, now);
-        if (exclusion == TargetExclusion::Paused) {
-            const Duration left = target->notice_.pausedUntil_ - now;
-            placement.pauseLeft_ = placement.kind_ == PlacementKind::AwaitPauseEnd
-                ? std::min(placement.pauseLeft_, left)
-                : left;
-            placement.kind_ = PlacementKind::AwaitPauseEnd;
+        const bool isPaused = exclusion == TargetExclusion::Paused;
+        if (isPaused || exclusion == TargetExclusion::ColdLimited) {
+            const Duration left =
+                (isPaused ? target->notice_.pausedUntil_ : coldSendAt(target->cold_, now)) - now;
+            if (placement.kind_ != PlacementKind::None && left >= placement.pauseLeft_)
+                continue;
+            placement.pauseLeft_ = left;
+            placement.kind_ = isPaused ? PlacementKind::AwaitPauseEnd : PlacementKind::AwaitQuota;
         } else if (!declinesRequests(exclusion)) {
             return {.kind_ = PlacementKind::AwaitTarget};
         }
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -63,17 +63,20 @@
     AwaitTarget,
     /// Every target pauses or leaves.
     AwaitPauseEnd,
+    /// This entry may send no request to the targets now, as they are cold.
+    AwaitQuota,
     /// No target can serve the request.
     None,
 };
 
-constexpr NameTable<PlacementKind, 7> placementKindNames = {{
+constexpr NameTable<PlacementKind, 8> placementKindNames = {{
     {PlacementKind::Send, "send"},
     {PlacementKind::AwaitAdapter, "await_adapter"},
     {PlacementKind::AwaitRoom, "await_room"},
     {PlacementKind::AwaitReading, "await_reading"},
     {PlacementKind::AwaitTarget, "await_target"},
     {PlacementKind::AwaitPauseEnd, "await_pause_end"},
+    {PlacementKind::AwaitQuota, "await_quota"},
     {PlacementKind::None, "none"},
 }};
 
@@ -89,7 +92,8 @@
     double load_ = 0;
     /// Predicted time from sending to target_ to the first event; zero where not known.
     Duration firstEvent_{};
-    /// Time until the first pause ends, for AwaitPauseEnd.
+    /// Time until the first pause ends, for AwaitPauseEnd, or until the first target may get a
+    /// request of this entry, for AwaitQuota.
     Duration pauseLeft_{};
 };
 
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -57,7 +57,9 @@
         target.hasAgentReport_ ? agentMaxRequestsWhileSilent : maxRequestsWhileSilent;
     if (target.outstanding_ >= maxRequests && isSilent(target, now))
         return TargetExclusion::Silent;
-    return now < target.avoidUntil_ ? TargetExclusion::Avoided : TargetExclusion::None;
+    if (now < target.avoidUntil_)
+        return TargetExclusion::Avoided;
+    return isColdLimited(target.cold_, now) ? TargetExclusion::ColdLimited : TargetExclusion::None;
 }
 
 bool isUsable(const TargetState &target, Time now)
@@ -79,6 +81,7 @@
     case TargetExclusion::Down:
     case TargetExclusion::Silent:
     case TargetExclusion::Avoided:
+    case TargetExclusion::ColdLimited:
         return false;
     }
     return false;
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -4,6 +4,7 @@
 /// target's responses, and decides whether requests may be sent to the target. Pure functions: no
 /// clock, I/O or threads.
 
+#include "Edge/coldtarget.h"
 #include "Edge/enginemodel.h"
 #include "Edge/targetnotice.h"
 #include "Net/tcpstream.h"
@@ -29,6 +30,8 @@
     bool isReplaced_ = false;
     /// What this instance has said about the requests that it wants.
     TargetNotice notice_;
+    /// The cold time, this entry's share of the limit in it, and its recent sends.
+    ColdTarget cold_;
 
     // Reported by the agent, where there is one.
     /// A report of the agent has been received.
@@ -97,9 +100,11 @@
     Silent,
     /// It was silent recently.
     Avoided,
+    /// It is cold, and this entry has no quota or has used it up.
+    ColdLimited,
 };
 
-constexpr NameTable<TargetExclusion, 10> targetExclusionNames = {{
+constexpr NameTable<TargetExclusion, 11> targetExclusionNames = {{
     {TargetExclusion::None, "none"},
     {TargetExclusion::Replaced, "replaced"},
     {TargetExclusion::ListedAsLeaving, "listed_as_leaving"},
@@ -110,6 +115,7 @@
     {TargetExclusion::Down, "down"},
     {TargetExclusion::Silent, "silent"},
     {TargetExclusion::Avoided, "avoided"},
+    {TargetExclusion::ColdLimited, "cold_limited"},
 }};
 
 /// Returns why the target may get no requests, irrespective of its load and failures. Requests,
