Apply the limit on cold targets at the entry

Change: edgecold.cpp applies them to TargetState::cold_, logs target.cold and counts sends and waits; the other files call it in one place for each fact. markDataCentreCold() is for the end of an evacuation. Requests whose connections are being opened when a target becomes cold are placed anew. The cold header is not forwarded to clients.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -254,6 +254,7 @@
         removeExpiredNotices(rememberedNotices_, now);
         removeMissingTargets(now);
         removeDepartedPeers(now);
+        countColdTargets(now);
     });
 }
 
@@ -484,6 +485,9 @@
         newer.adapters_ = state.listed_.adapters_;
         newer.models_ = state.listed_.models_;
     }
+    // The remaining time is another one in each entry; it matters that a target becomes cold.
+    if (newer.cold_.left_ == Duration::zero() || isCold(state.cold_, bootNow()))
+        newer.cold_ = state.listed_.cold_;
     return newer != state.listed_;
 }
 
@@ -539,6 +543,7 @@
     rules_ = std::make_shared<const RuleIndex>(std::move(rules));
     for (const auto &[id, target] : targets_)
         markReplacedTargets(target->state_);
+    applyColdRules();
 }
 
 void Edge::applyTargetItem(const wire::StoreItem &item)
@@ -575,6 +580,7 @@
     }
     TargetState &state = target->state_;
     adoptListed(state, listed);
+    applyListedTime(*target, listed, item.revision_);
     state.missingSince_.reset();
     markReplacedTargets(state);
     if (listed.draining_)
@@ -746,6 +752,9 @@
     setPeers(allowance_, vms);
     retryBudget_.entries_ = vms.size() + 1;
     operatorFeed_->setMaxWatchWait(rulesWatchTimeout());
+    coldEntries_.assign(vms.begin(), vms.end());
+    coldEntries_.push_back(settings_.vm_);
+    refreshColdLimits();
     eventLog().note("peers.changed", "entries", vms.size() + 1);
 }
 
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -300,6 +300,33 @@
     /// Places requests anew whose connections to the target are still being opened.
     void withdrawUnsent(EdgeTarget &target);
 
+    // edgecold.cpp: cold targets.
+    /// Applies the cold limits of new rules.
+    void applyColdRules();
+    /// Sets the cold limits of all targets, and this entry's shares of them, from the rules and the
+    /// list of entries.
+    void refreshColdLimits();
+    void refreshColdLimit(EdgeTarget &target, Time now);
+    /// Applies the remaining cold time of a list entry that was written at the revision.
+    void applyListedTime(EdgeTarget &target, const ListedTarget &listed, std::uint64_t revision);
+    /// Applies the remaining cold time in a response to a request that was sent at sentAt.
+    void applyColdHeader(const TargetInstance &instance, Time sentAt, const HttpHead &head);
+    /// Called before the report is applied to the target's state.
+    void applyColdReport(EdgeTarget &target, const EngineStateMessage &report, Time now);
+    /// Called when the target has refused a connection.
+    void markRefusingTarget(EdgeTarget &target, Time now);
+    /// Counts all targets of the data centre as cold, at the end of its evacuation.
+    void markDataCentreCold(const std::string &dataCentre, Time now);
+    void recordColdSendTo(TargetState &state, Time now);
+    /// Called when a request is withdrawn before a byte of it was sent. One whose connection was
+    /// refused still counts, so that few attempts are made until the target returns.
+    void removeColdSend(const EdgeRequest &request);
+    /// Expected time until a request that waits for quotas can be sent. firstQuotaIn is the time
+    /// until the first quota is available.
+    Duration expectedQuotaWait(const EdgeRequest &request, bool isNewInQueue, Duration firstQuotaIn,
+                               Time now);
+    void countColdTargets(Time now) const;
+
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     /// Sends a message to the other entries of this data centre.
@@ -354,6 +381,11 @@
         std::optional<Time> removedAt_;
     };
     std::map<std::string, Peer> peers_;
+    /// Names of all entries, among which the limits of cold targets are divided; empty before the
+    /// list of entries is known.
+    std::vector<std::string> coldEntries_;
+    /// A service has had cold targets since the start of the entry.
+    bool hasColdLimits_ = false;
     Time startedAt_;
     /// The newest message of a peer: its timestamp by the peer's clock, and the time at which it
     /// was received.
--- a/Source/Edge/edgenotices.cpp
+++ b/Source/Edge/edgenotices.cpp
@@ -57,6 +57,7 @@
         : TargetInstance{std::string(respondent), 0};
     if (wire::isLeaving(head))
         applyLeaving(instance, LeavingSource::Response);
+    applyColdHeader(instance, sentAt, head);
     if (head.status_ == 503)
         applyPause(instance, head);
     else if (const auto target = findInstance(sentTo);
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -106,6 +106,7 @@
         eventLog().note("target.state", "target", state.listed_.id_, "up", report.isUp_, "draining",
                         report.isDraining_, "started", report.startedAt_, "number", report.number_);
     }
+    applyColdReport(*target, report, now);
     state.hasAgentReport_ = true;
     state.agentReportedAt_ = now;
     if (report.isUp_)
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -424,6 +424,8 @@
             refuse(*request, 503, "every target pauses or leaves", wait);
             return;
         }
+    } else if (placement.kind_ == PlacementKind::AwaitQuota) {
+        wait = expectedQuotaWait(*request, isNewInQueue, placement.pauseLeft_, now);
     } else if (isNewInQueue && placement.kind_ == PlacementKind::AwaitRoom) {
         const WaitingRequest own = waitingRequestOf(*request);
         const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &other) {
@@ -494,6 +496,7 @@
     ++state.outstanding_;
     state.lastSentAt_ = now;
     recordSend(state.notice_, now);
+    recordColdSendTo(state, now);
     if (!request->model_.empty())
         addToBacklog(*request, predictedFirstEvent, now);
     if (!request->adapter_.empty()) {
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -15,8 +15,8 @@
 using namespace std::chrono_literals;
 
 /// Headers of a target's response that are not forwarded to the client.
-constexpr std::array<std::string_view, 3> internalHeaders = {wire::loadHeader, wire::notRunHeader,
-                                                             wire::leavingHeader};
+constexpr std::array<std::string_view, 4> internalHeaders = {
+    wire::loadHeader, wire::notRunHeader, wire::leavingHeader, wire::coldRemainingHeader};
 
 constexpr unsigned wrongTargetStatus = 421;
 
@@ -349,6 +349,7 @@
     }
     if (end == ExchangeEnd::Withdrawn) {
         // No repeat in the retry budget, as the target has not seen it.
+        removeColdSend(*request);
         --request->sends_;
         request->triedTargets_.erase(target->state_.listed_.id_);
         countMetric("eelgrasscove_sends_withdrawn_total");
@@ -360,8 +361,10 @@
                     (now - request->sentAt_).count() / 1000);
     recordOutcome(target->state_, brokenWeight);
     if (end == ExchangeEnd::NeverSent) {
-        if (reason == "ECONNREFUSED")
+        if (reason == "ECONNREFUSED") {
             target->crashedAt_ = now;
+            markRefusingTarget(*target, now);
+        }
         onRequestNotRun(request, "connection to the target failed");
         return;
     }
