Send no load requests in messages to the agents of targets that take no requests

The check that a target declines requests ran after the message's load requests had been filled in, so a message that went out for another reason (adapters in use, or to keep the entry known to the agent) still contained them. The check now comes first. Found by reading; no test shows it, as the requests that wait for such a load are placed anew within 50 ms.

--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -189,13 +189,13 @@
         if (at == now)
             requestsByAdapter.try_emplace(adapter, 1);
     }
+    if (declinesRequests(exclusionOf(state, now)))
+        requestsByAdapter.clear();
     for (const auto &[adapter, requests] : requestsByAdapter) {
         message.loadRequests_.push_back({adapter, newestVersionOf(adapter), requests});
         if (message.loadRequests_.size() == maxLoadRequestsPerMessage)
             break;
     }
-    if (declinesRequests(exclusionOf(state, now)))
-        requestsByAdapter.clear();
     for (const auto &[adapter, runs] : target.runningAdapters_)
         target.usedAdapters_.insert(adapter);
     // An empty message is sent only to keep the agent from removing this entry.
