Decode evacuations, homes and their settings

Data centres can be evacuated by a key under op/evacuate/, and routes and accounts be limited to regions; neither was read. The adapter now names the data centre of such a key, keeps the key also if its value is not base64 (only its presence matters), and decodes allowed_regions. New settings: [bounds] evacuation, absent by default, and [vm] regions.

--- a/Source/Vm/servingsettings.h
+++ b/Source/Vm/servingsettings.h
@@ -6,6 +6,8 @@
 
 #include <eelgrasscove/time.h>
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,9 @@
     Duration allowanceWindow_ = std::chrono::seconds(8);
     /// Tokens that may run beyond an account's limit in a window.
     double allowanceSlack_ = 0;
+    /// Requests may reach targets of an evacuated data centre for so long after the store has
+    /// acknowledged the evacuation; without it there are no evacuations.
+    std::optional<Duration> evacuation_;
 };
 
 struct ServingSettings
@@ -38,6 +43,8 @@
     std::string vm_;
     std::string dataCentre_;
     std::string ip_;
+    /// The regions of the data centres, by data centre.
+    std::map<std::string, std::string> regions_;
     /// Memory that the process may use.
     double memoryMb_ = 256;
     /// Address for clients, and for the load balancer's question whether this VM is ready.
--- a/Tests/PlatformWire/ruleswiretest.cpp
+++ b/Tests/PlatformWire/ruleswiretest.cpp
@@ -76,6 +76,45 @@
     BOOST_TEST(!ok(wire::decodeRules("{")));
 }
 
+BOOST_AUTO_TEST_CASE(homes_that_cannot_be_read_allow_no_other_region)
+{
+    struct Case
+    {
+        const char *value_;
+        std::optional<AllowedRegions> regions_;
+        std::size_t faults_;
+    };
+    const std::vector<Case> cases = {
+        {"null", std::nullopt, 0},
+        {"[]", std::nullopt, 0},
+        {R"(["east","west"])", AllowedRegions{"east", "west"}, 0},
+        {R"(["east",7,""])", AllowedRegions{"east"}, 2},
+        {"[null]", AllowedRegions{}, 1},
+        {R"("east")", AllowedRegions{}, 1},
+        {"{}", AllowedRegions{}, 1},
+    };
+    for (const Case &each : cases) {
+        const auto decoded = wire::decodeRules(
+            fmt::format(R"({{"version":1,"routes":[{{"name":"r","allowed_regions":{0}}}],)"
+                        R"("tenants":[{{"name":"t","allowed_regions":{0}}},{{"name":"u"}}]}})",
+                        each.value_));
+        BOOST_REQUIRE(ok(decoded));
+        const ServingRules &rules = valueOf(decoded);
+        BOOST_TEST((rules.routes_[0].allowedRegions_ == each.regions_), each.value_);
+        BOOST_TEST((rules.accounts_[0].allowedRegions_ == each.regions_), each.value_);
+        BOOST_TEST(!rules.accounts_[1].allowedRegions_.has_value());
+        BOOST_TEST(rules.faultCount_ == 2 * each.faults_, each.value_);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(only_keys_of_evacuations_name_a_data_centre)
+{
+    BOOST_TEST((wire::evacuatedDataCentre("op/evacuate/leiden") == "leiden"));
+    BOOST_TEST((wire::evacuatedDataCentre("op/evacuate/") == ""));
+    for (const char *key : {"op/evacuate", "op/config", "op/version/m/a", "servers/op/evacuate/a"})
+        BOOST_TEST(!wire::evacuatedDataCentre(key).has_value(), key);
+}
+
 BOOST_AUTO_TEST_CASE(target_is_decoded)
 {
     const auto decoded = wire::decodeTarget(
--- a/Tests/PlatformWire/servingsettingstest.cpp
+++ b/Tests/PlatformWire/servingsettingstest.cpp
@@ -38,6 +38,26 @@
     BOOST_TEST(text.find("[platform] store is missing") != text.npos, text);
 }
 
+BOOST_AUTO_TEST_CASE(evacuations_and_regions_are_read_and_absent_by_default)
+{
+    const std::string begin = "[listen]\npeers = 10.0.0.1:7\n[platform]\nstore = 10.0.0.2:8\n"
+                              "[vm]\nname = a\ndata_centre = d\nip = 10.0.0.1\n";
+    const auto plain = parseServingSettings(begin, "a.ini");
+    BOOST_REQUIRE(ok(plain));
+    BOOST_TEST(!valueOf(plain).bounds_.evacuation_.has_value());
+    BOOST_TEST(valueOf(plain).regions_.empty());
+    const auto full = parseServingSettings(
+        begin + "regions = d:east, e : west,\n[bounds]\nevacuation = 5000ms\n", "a.ini");
+    BOOST_REQUIRE(ok(full));
+    BOOST_TEST((valueOf(full).bounds_.evacuation_ == 5s));
+    const std::map<std::string, std::string> expected = {{"d", "east"}, {"e", "west"}};
+    BOOST_TEST((valueOf(full).regions_ == expected));
+    BOOST_TEST(ok(parseServingSettings(begin + "regions =\n", "a.ini")));
+    for (const char *regions : {"d", "d:", ":east", "d:east,d:west", "d:east;e:west", ",d:east"})
+        BOOST_TEST(!ok(parseServingSettings(begin + "regions = " + regions + "\n", "a.ini")),
+                   regions);
+}
+
 BOOST_AUTO_TEST_CASE(missing_file_is_reported_as_fault)
 {
     BOOST_TEST(!ok(readServingSettings(repositoryRoot + "no/such.ini")));
--- a/Tests/PlatformWire/storewiretest.cpp
+++ b/Tests/PlatformWire/storewiretest.cpp
@@ -44,6 +44,18 @@
     BOOST_TEST(items->ignored_ == 1);
 }
 
+BOOST_AUTO_TEST_CASE(evacuation_counts_whatever_its_value_is)
+{
+    const auto items = wire::decodeItems(R"({"events":[
+        {"key":"op/evacuate/a","value":"***","revision":1},
+        {"key":"op/evacuate/b","value":null,"revision":2},
+        {"key":"op/evacuate/","revision":3}],"at":9})");
+    BOOST_REQUIRE(items.has_value());
+    BOOST_REQUIRE(items->items_.size() == 3);
+    BOOST_TEST(items->ignored_ == 0);
+    BOOST_TEST(!items->items_[0].isDeleted_);
+}
+
 BOOST_AUTO_TEST_CASE(page_that_ends_with_an_item_that_is_skipped_continues_after_it)
 {
     const auto items = wire::decodeItems(
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -9,11 +9,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace eelgrasscove {
 
+/// Names of the regions in which requests may run.
+using AllowedRegions = std::set<std::string>;
+
 /// What may be repeated of a route's requests.
 enum class RequestKind {
     /// May run more than once.
@@ -60,6 +64,8 @@
     bool open_ = false;
     /// A stream may go on at another target after its last event.
     bool resumable_ = false;
+    /// Requests may run in these regions only; everywhere where it is not set.
+    std::optional<AllowedRegions> allowedRegions_;
 };
 
 /// A base model that the engines of a service may hold.
@@ -106,6 +112,8 @@
     double burstTokens_ = 0;
     /// What a request counts that doesn't tell its tokens.
     double plainTokens_ = 0;
+    /// Requests may run in these regions only; everywhere where it is not set.
+    std::optional<AllowedRegions> allowedRegions_;
 };
 
 /// What a client may send and how long it may take.
@@ -125,6 +133,11 @@
     std::vector<ServedService> services_;
     std::vector<ServingAccount> accounts_;
     ClientLimits limits_;
+    /// Values that could not be read and were replaced by the safe choice, as messages; no more
+    /// than a few of them.
+    std::vector<std::string> faults_;
+    /// Number of these values.
+    std::size_t faultCount_ = 0;
 };
 
 /// A target as the list of targets has it.
