Add the decisions for evacuated data centres and homes

A target marked as evacuated is excluded from placement and declines requests. homes.h decides in which data centres a request may run; placement skips the others, while the lapse of the target list and the medians are judged over all targets, as a home may have one target only.

The test of exclusions that withdraw requests now expects the new one as well.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -318,6 +318,14 @@
     return static_cast<std::size_t>(missing) * 2 > targets.size();
 }
 
+/// Whether the request may run at the target at all, now or later.
+bool isPermitted(const TargetState &target, const PlacementQuery &query)
+{
+    static const RegionTable noRegions;
+    return isInHomes(query.homes_, query.regions_ != nullptr ? *query.regions_ : noRegions,
+                     target.listed_.dataCentre_);
+}
+
 struct Candidates
 {
     /// Targets whose agents can be requested to load the adapter, even while the target loads the
@@ -343,7 +351,7 @@
     const NameHash model = nameHash(query.model_);
     const NameHash adapter = nameHash(query.adapter_);
     for (TargetState *target : targets) {
-        if (target->missingSince_ && !hasLapsed)
+        if ((target->missingSince_ && !hasLapsed) || !isPermitted(*target, query))
             continue;
         if (!isUsable(*target, now)
             || isExcludedForFailures(*target, candidates.medians_.failures_, now)
@@ -365,12 +373,13 @@
 }
 
 /// Decides for a request without a candidate whether one is to be expected.
-Placement placeWithoutCandidates(const std::vector<TargetState *> &targets, Time now)
+Placement placeWithoutCandidates(const std::vector<TargetState *> &targets,
+                                 const PlacementQuery &query, Time now)
 {
     Placement placement;
     const bool hasLapsed = hasListLapsed(targets);
     for (const TargetState *target : targets) {
-        if (target->missingSince_ && !hasLapsed)
+        if ((target->missingSince_ && !hasLapsed) || !isPermitted(*target, query))
             continue;
         const TargetExclusion exclusion = exclusionOf(*target, now);
         if (exclusion == TargetExclusion::Paused) {
@@ -449,7 +458,7 @@
 {
     const Candidates candidates = collectCandidates(targets, query, now);
     if (candidates.usable_.empty() && (query.adapter_.empty() || candidates.loaders_.empty()))
-        return placeWithoutCandidates(targets, now);
+        return placeWithoutCandidates(targets, query, now);
     Placement placement;
     const bool hasReadyNewest = isNewestReady(candidates, query);
     if (!hasReadyNewest && candidates.pendingTarget_ == nullptr && !candidates.ready_.empty())
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -9,6 +9,7 @@
 /// requested one gets another replica before its target is full.
 
 #include "Edge/adapterversions.h"
+#include "Edge/homes.h"
 #include "Edge/targetstate.h"
 
 #include <set>
@@ -20,6 +21,9 @@
 struct PlacementQuery
 {
     std::string dataCentre_;
+    /// The regions in which the request may run, and those of the data centres; null for none.
+    RequestHomes homes_;
+    const RegionTable *regions_ = nullptr;
     /// Empty for plain services.
     std::string model_;
     /// "MODEL/NAME"; empty where the request is for the model itself.
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -41,6 +41,8 @@
 {
     if (target.isReplaced_)
         return TargetExclusion::Replaced;
+    if (target.isEvacuated_)
+        return TargetExclusion::Evacuated;
     if (target.listed_.draining_ || target.notice_.leaving_ == LeavingSource::List)
         return TargetExclusion::ListedAsLeaving;
     if (target.isDraining_ || target.notice_.leaving_ == LeavingSource::Report)
@@ -69,6 +71,7 @@
 {
     switch (exclusion) {
     case TargetExclusion::Replaced:
+    case TargetExclusion::Evacuated:
     case TargetExclusion::ListedAsLeaving:
     case TargetExclusion::ReportedAsLeaving:
     case TargetExclusion::RespondedAsLeaving:
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -27,6 +27,8 @@
     std::optional<Time> missingSince_;
     /// Another target has taken over its address, though the list still contains this one.
     bool isReplaced_ = false;
+    /// Its data centre is evacuated, as the operators' keys say.
+    bool isEvacuated_ = false;
     /// What this instance has said about the requests that it wants.
     TargetNotice notice_;
 
@@ -81,6 +83,8 @@
     None,
     /// Another target has taken over its address.
     Replaced,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// The target list says that it leaves.
     ListedAsLeaving,
     /// Its agent says that it leaves.
@@ -99,9 +103,10 @@
     Avoided,
 };
 
-constexpr NameTable<TargetExclusion, 10> targetExclusionNames = {{
+constexpr NameTable<TargetExclusion, 11> targetExclusionNames = {{
     {TargetExclusion::None, "none"},
     {TargetExclusion::Replaced, "replaced"},
+    {TargetExclusion::Evacuated, "evacuated"},
     {TargetExclusion::ListedAsLeaving, "listed_as_leaving"},
     {TargetExclusion::ReportedAsLeaving, "reported_as_leaving"},
     {TargetExclusion::RespondedAsLeaving, "responded_as_leaving"},
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -357,8 +357,8 @@
 BOOST_AUTO_TEST_CASE(only_targets_that_take_no_requests_have_theirs_withdrawn)
 {
     for (const auto &[exclusion, name] : targetExclusionNames) {
-        const bool isWithdrawn =
-            name == "replaced" || name == "paused" || name.ends_with("leaving");
+        const bool isWithdrawn = name == "replaced" || name == "evacuated" || name == "paused"
+            || name.ends_with("leaving");
         BOOST_TEST(declinesRequests(exclusion) == isWithdrawn, name);
     }
 }
@@ -373,6 +373,12 @@
     };
     BOOST_TEST(nameFor([](auto &) {}) == "none");
     BOOST_TEST(nameFor([](auto &target) { target.isReplaced_ = true; }) == "replaced");
+    // No request waits for the end of a pause of an evacuated target.
+    BOOST_TEST(nameFor([](auto &target) {
+                   target.isEvacuated_ = true;
+                   recordPause(target.notice_, 1s, 0, now);
+               })
+               == "evacuated");
     BOOST_TEST(nameFor([](auto &target) { target.listed_.draining_ = true; })
                == "listed_as_leaving");
     BOOST_TEST(nameFor([](auto &target) { target.isDraining_ = true; }) == "reported_as_leaving");
