Stop sending to evacuated data centres and outside homes

The entry now applies the keys under op/evacuate/ from the list and watch of the operators' keys: targets there are marked before any request is placed anew, requests whose connection is still being opened are taken back, and running ones are left alone. Where [bounds] evacuation is set, every request, also without a key, needs a confirmation of these keys younger than the lower of the two bounds less 300 ms; the check has moved with areRulesFresh() to edgeevacuation.cpp. Requests get the homes of their route and account. New: evacuation.begun, evacuation.ended, evacuation.ignored, rules.fault, eelgrasscove_evacuated_data_centres, eelgrasscove_sends_moved_by_evacuation_total, eelgrasscove_rule_faults_total.

With the withdrawal, the check without a key, or the list of evacuations left out, the test of each fails.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -37,11 +37,6 @@
 constexpr Duration minRecordedLoopDelay = 10ms;
 constexpr Duration minLoggedLoopDelay = 250ms;
 
-/// Keys are accepted only if the rules were confirmed within the operator's bound for withdrawn
-/// keys less this margin, which covers the delay between the check and the request's arrival at the
-/// target.
-constexpr Duration keyCheckMargin = 300ms;
-
 /// Entries of the target list also expire in an outage of the store. After it, live targets are
 /// listed again within this time.
 constexpr Duration targetRelistTimeout = 2200ms;
@@ -195,6 +190,7 @@
         StoreFeedSettings{std::string(wire::operatorPrefix), rulesWatchTimeout(),
                           rulesCoalescingPeriod},
         StoreFeedCallbacks{[this](const auto &items) {
+                               applyEvacuationItems(items);
                                for (const wire::StoreItem &item : items)
                                    applyOperatorItem(item);
                            },
@@ -355,8 +351,11 @@
         eventLog().note("settings.refused", "faults", settingsFaultsText(errorOf(read)));
         return;
     }
+    const bool hadEvacuationBound = settings_.bounds_.evacuation_.has_value();
     settings_.bounds_ = valueOf(read).bounds_;
+    settings_.regions_ = valueOf(read).regions_;
     applyBounds();
+    onEvacuationBoundReloaded(hadEvacuationBound);
     eventLog().note("settings.reloaded", "file", settingsFile_);
 }
 
@@ -375,7 +374,7 @@
     const bool isBehind = missesChangesSince_ && now - *missesChangesSince_ >= maxLagBehindPeers;
     const double ageFraction =
         leadsStoreQueries(now) ? leaderConfirmAgeFraction : confirmAgeFraction;
-    const bool isOld = now - rulesConfirmedAt() > settings_.bounds_.revoke_ * ageFraction;
+    const bool isOld = now - rulesConfirmedAt() > rulesAgeBound() * ageFraction;
     if ((!isOld && !isBehind) || now - confirmRequestedAt_ < minConfirmInterval)
         return;
     confirmRequestedAt_ = now;
@@ -487,12 +486,6 @@
     return newer != state.listed_;
 }
 
-bool Edge::areRulesFresh(Time now) const
-{
-    return rules_ != nullptr
-        && now - rulesConfirmedAt() < settings_.bounds_.revoke_ - keyCheckMargin;
-}
-
 bool Edge::isReady(Time now) const
 {
     return !isShuttingDown_ && areRulesFresh(now) && !targets_.empty() && peerFeed_->confirmedAt();
@@ -504,7 +497,8 @@
         applyRules(item.value_);
         return;
     }
-    if (!item.key_.starts_with(wire::adapterVersionPrefix) || item.isDeleted_)
+    if (applyEvacuationItem(item) || !item.key_.starts_with(wire::adapterVersionPrefix)
+        || item.isDeleted_)
         return;
     const auto decoded = wire::decodeVersion(item.value_);
     if (!ok(decoded)) {
@@ -532,6 +526,7 @@
         return;
     eventLog().note("rules.adopted", "version", rules.version_, "routes", rules.routes_.size(),
                     "accounts", rules.accounts_.size());
+    recordRuleFaults(rules);
     setGauge("eelgrasscove_rules_version", "", static_cast<double>(rules.version_));
     accountByHash_.clear();
     for (const ServingAccount &account : rules.accounts_)
@@ -575,6 +570,7 @@
     }
     TargetState &state = target->state_;
     adoptListed(state, listed);
+    updateIfEvacuated(*target);
     state.missingSince_.reset();
     markReplacedTargets(state);
     if (listed.draining_)
@@ -732,8 +728,7 @@
 {
     const double waits = std::clamp(static_cast<double>(peers_.size() + 1) / entriesPerWatchTimeout,
                                     1.0, maxWatchTimeoutFactor);
-    return std::chrono::duration_cast<Duration>(settings_.bounds_.revoke_ * rulesWatchFraction
-                                                * waits);
+    return std::chrono::duration_cast<Duration>(rulesAgeBound() * rulesWatchFraction * waits);
 }
 
 void Edge::updatePeerList()
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -7,6 +7,8 @@
 #include "Edge/adapterversions.h"
 #include "Edge/clientsession.h"
 #include "Edge/crashsuspects.h"
+#include "Edge/evacuation.h"
+#include "Edge/homes.h"
 #include "Edge/placement.h"
 #include "Edge/retrybudget.h"
 #include "Edge/ruleindex.h"
@@ -187,8 +189,6 @@
     std::set<std::string> peerNames() const;
     void removeMissingTargets(Time now);
     bool isReady(Time now) const;
-    /// Whether the rules were confirmed recently enough to accept keys.
-    bool areRulesFresh(Time now) const;
     Time rulesConfirmedAt() const;
     /// Queries the store if the last confirmation is old or peers know changes that this entry
     /// doesn't know.
@@ -300,6 +300,39 @@
     /// Places requests anew whose connections to the target are still being opened.
     void withdrawUnsent(EdgeTarget &target);
 
+    // edgeevacuation.cpp: evacuated data centres, homes, and the age of what is known of them.
+    /// The time for which this entry may act on a confirmation of the operators' keys.
+    Duration rulesAgeBound() const;
+    /// Whether the operators' keys were confirmed recently enough to send requests.
+    bool areRulesFresh(Time now) const;
+    /// Refuses a request that depends on a confirmation that is too old. Returns whether it was
+    /// refused.
+    bool refuseIfRulesAreOld(EdgeRequest &request, Time now);
+    /// Takes the evacuations among the operators' keys of a complete list.
+    void applyEvacuationItems(const std::vector<wire::StoreItem> &items);
+    /// Returns whether the item is an evacuation.
+    bool applyEvacuationItem(const wire::StoreItem &item);
+    /// Logs the changes and applies them to the targets, where evacuations are enabled.
+    void applyEvacuationChanges(const std::vector<EvacuationChange> &changes);
+    void enforceEvacuationChanges(const std::vector<EvacuationChange> &changes);
+    /// Begins or ends the known evacuations after the settings were read again.
+    void onEvacuationBoundReloaded(bool wasSet);
+    /// Marks the targets of evacuated data centres, and moves the requests that are on their way to
+    /// targets that have become so.
+    void updateEvacuatedTargets();
+    /// Returns whether the target has become evacuated.
+    bool markIfEvacuated(TargetState &state) const;
+    /// The same for one target whose list entry has changed.
+    void updateIfEvacuated(EdgeTarget &target);
+    void withdrawEvacuated(EdgeTarget &target);
+    /// Called before the targets of the data centre get requests again.
+    void onEvacuationEnded(const std::string &dataCentre, Time now);
+    std::size_t countTargetsIn(const std::string &dataCentre) const;
+    /// Logs and counts the values of new rules that could not be read.
+    static void recordRuleFaults(const ServingRules &rules);
+    /// Sets the homes of the request's route and account.
+    void setHomes(PlacementQuery &query, const EdgeRequest &request) const;
+
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     /// Sends a message to the other entries of this data centre.
@@ -345,6 +378,7 @@
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
     RememberedNotices rememberedNotices_;
+    Evacuations evacuations_;
     /// Another entry, as listed in the store.
     struct Peer
     {
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -216,13 +216,10 @@
 
 bool Edge::checkKey(EdgeRequest &request, Time now)
 {
+    if (refuseIfRulesAreOld(request, now))
+        return false;
     if (request.route_.open_ || rules_->rules().accounts_.empty())
         return true;
-    if (!areRulesFresh(now)) {
-        refuseAndCloseConnection(request,
-                                 "rules not confirmed within the bound for withdrawn keys");
-        return false;
-    }
     const std::string_view authorization = request.head_.header(wire::authorizationHeader);
     if (authorization.starts_with(wire::bearerPrefix))
         request.key_ = authorization.substr(wire::bearerPrefix.size());
@@ -266,6 +263,7 @@
 {
     PlacementQuery query;
     query.dataCentre_ = settings_.dataCentre_;
+    setHomes(query, request);
     query.model_ = request.model_;
     query.adapter_ = request.adapter_;
     query.tried_ = request.triedTargets_;
--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -279,13 +279,17 @@
     return nullptr;
 }
 
-void TargetPool::withdrawUnsent(std::string_view reason)
+std::size_t TargetPool::withdrawUnsent(std::string_view reason)
 {
+    std::size_t withdrawn = 0;
     const auto connections = all_;
     for (const auto &connection : connections) {
-        if (connection->isInUse_ && !connection->isConnected_)
-            connection->finish(ExchangeEnd::Withdrawn, reason);
+        if (!connection->isInUse_ || connection->isConnected_)
+            continue;
+        ++withdrawn;
+        connection->finish(ExchangeEnd::Withdrawn, reason);
     }
+    return withdrawn;
 }
 
 void TargetPool::closeExpired(Time now)
--- a/Source/Edge/targetpool.h
+++ b/Source/Edge/targetpool.h
@@ -113,8 +113,8 @@
     std::shared_ptr<TargetConnection> send(std::string bytes, std::string requestId,
                                            ExchangeCallbacks callbacks);
 
-    /// Ends the exchanges whose connections are still being opened.
-    void withdrawUnsent(std::string_view reason);
+    /// Ends the exchanges whose connections are still being opened, and returns their number.
+    std::size_t withdrawUnsent(std::string_view reason);
 
     /// Closes idle connections that are past their keep-alive time.
     void closeExpired(Time now);
