--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -28,6 +28,8 @@
     std::optional<Time> missingSince_;
     /// Another target has taken over its address, though the list still contains this one.
     bool isReplaced_ = false;
+    /// Its data centre is evacuated, as the operators' keys say.
+    bool isEvacuated_ = false;
     /// What this instance has said about the requests that it wants.
     TargetNotice notice_;
     /// The cold time, this entry's share of the limit in it, and its recent sends.
@@ -84,6 +86,8 @@
     None,
     /// Another target has taken over its address.
     Replaced,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// The target list says that it leaves.
     ListedAsLeaving,
     /// Its agent says that it leaves.
@@ -104,9 +108,10 @@
     ColdLimited,
 };
 
-constexpr NameTable<TargetExclusion, 11> targetExclusionNames = {{
+constexpr NameTable<TargetExclusion, 12> targetExclusionNames = {{
     {TargetExclusion::None, "none"},
     {TargetExclusion::Replaced, "replaced"},
+    {TargetExclusion::Evacuated, "evacuated"},
     {TargetExclusion::ListedAsLeaving, "listed_as_leaving"},
     {TargetExclusion::ReportedAsLeaving, "reported_as_leaving"},
     {TargetExclusion::RespondedAsLeaving, "responded_as_leaving"},
