Weigh crashes of targets that come together against chance

Cause: where all targets of a service crash in the same second, each part that its requests share is at up to ten crashes, above the number up to which a held part gets trials. It stays held, and its requests are refused, although one crash of all targets says nothing of a part that is at most targets anyway.

Change: crashes within one second are one event. A part that has been sound is held only if the probability of its presence at its events is below 1 in 1,000, or from the third event on without a sound response between them. How often a part runs is counted in sound responses, so that repeated requests of a guilty part don't make its presence look like chance. Of the crashes of an event of four and more, those of a part that has not been sound count once if it was at less than a third of them. A part whose crashes are all of one event gets one trial, whatever their number. Of two parts, the one with the lower probability explains a crash; requests that were each at two crashes don't explain the many crashes of a common part. Whole requests are held by the number of crashes as before.

--- a/Source/Edge/crashsuspects.cpp
+++ b/Source/Edge/crashsuspects.cpp
@@ -20,6 +20,10 @@
 /// three requests to reach targets after the fifth crash.
 constexpr std::size_t maxTrialCrashes = 3;
 constexpr std::size_t maxSoundTrialCrashes = 5;
+/// Trials of a part that has been sound, or whose crashes all belong to one event, whatever their
+/// number. One, so that the
+/// bound on requests after the third crash also holds where several entries make it at once.
+constexpr std::uint32_t maxTrialsAfterCrowd = 1;
 /// Pause before the first trial, which doubles with each trial made before.
 constexpr Duration trialPause = 5s;
 constexpr std::uint32_t maxPauseDoublings = 6;
@@ -70,67 +74,89 @@
 /// Whether a suspect rather than the other is the cause of a crash at which both were present.
 bool isStronger(const CrashRecord &record, const CrashRecord &other)
 {
-    if (record.crashes_.size() < crashLimitOf(record))
+    if (record.crashes_.size() < crashLimitOf(record) || isLikelyChance(record.events_))
         return false;
     const bool wasSound = record.clearances_ > 0;
-    return wasSound == (other.clearances_ > 0) ? record.crashes_.size() > other.crashes_.size()
-                                               : !wasSound;
+    // Requests that were each repeated once after a crash do not explain the many crashes of a part
+    // that all of them contain.
+    if (wasSound != (other.clearances_ > 0))
+        return !wasSound && record.crashes_.size() * 2 >= other.crashes_.size();
+    const double chance = chanceOf(record.events_);
+    const double otherChance = chanceOf(other.events_);
+    return chance != otherChance ? chance < otherChance
+                                 : record.crashes_.size() > other.crashes_.size();
 }
 
-/// Returns the number of crashes that no stronger suspect explains.
-std::size_t unexplainedCrashes(const CrashSuspects &suspects, const CrashRecord &record)
+/// Returns the crashes that no stronger suspect explains.
+std::vector<CrashId> unexplainedCrashes(const CrashSuspects &suspects, const CrashRecord &record)
 {
-    const auto isExplained = [&](CrashId crash) {
-        return std::any_of(suspects.records_.begin(), suspects.records_.end(),
-                           [&](const auto &other) {
-                               const std::vector<CrashId> &crashes = other.second.crashes_;
-                               return isStronger(other.second, record)
-                                   && std::binary_search(crashes.begin(), crashes.end(), crash);
-                           });
-    };
-    return record.crashes_.size()
-        - static_cast<std::size_t>(
-               std::count_if(record.crashes_.begin(), record.crashes_.end(), isExplained));
+    std::vector<CrashId> unexplained = record.crashes_;
+    for (const auto &[id, other] : suspects.records_) {
+        if (unexplained.empty())
+            break;
+        if (!isStronger(other, record))
+            continue;
+        std::erase_if(unexplained, [&crashes = other.crashes_](CrashId crash) {
+            return std::binary_search(crashes.begin(), crashes.end(), crash);
+        });
+    }
+    return unexplained;
 }
 
-bool hasTrialsLeft(const CrashSuspects &suspects, const CrashRecord &record)
+bool hasTrialsLeft(const CrashSuspects &suspects, const CrashRecord &record, SuspectKind kind)
 {
-    return unexplainedCrashes(suspects, record)
-        <= (record.clearances_ > 0 ? maxSoundTrialCrashes : maxTrialCrashes);
+    const std::size_t limit = record.clearances_ > 0 ? maxSoundTrialCrashes : maxTrialCrashes;
+    if (unexplainedCrashes(suspects, record).size() <= limit)
+        return true;
+    // All crashes may have had another cause in common, so one trial finds out.
+    return kind == SuspectKind::Part && (record.events_.size() <= 1 || record.clearances_ > 0)
+        && record.trials_ < maxTrialsAfterCrowd;
 }
 
-bool insertCrash(CrashRecord &record, CrashId crash)
+bool insertCrash(const CrashEvidence &evidence, SuspectId id, CrashRecord &record, CrashId crash,
+                 Time now)
 {
     const auto at = std::lower_bound(record.crashes_.begin(), record.crashes_.end(), crash);
     if (record.crashes_.size() >= maxCrashIds || (at != record.crashes_.end() && *at == crash))
         return false;
+    const bool isKept = addCrash(record.events_, chanceAtCrash(evidence, id, crash),
+                                 crashTime(evidence, crash, now));
+    if (record.clearances_ > 0 && !isKept)
+        return false;
     record.crashes_.insert(at, crash);
     return true;
 }
 
+void clearCrashes(CrashRecord &record)
+{
+    record.trials_ = 0;
+    record.crashes_.clear();
+    record.events_ = {};
+}
+
 /// Calls the function with each suspect of the request that has a record.
 template <class Records, class Function>
 void forEachRecord(Records &records, const RequestSuspects &request, const Function &function)
 {
     if (records.empty())
         return;
-    const auto visit = [&](SuspectId id) {
+    const auto visit = [&](SuspectId id, SuspectKind kind) {
         if (const auto found = records.find(id); found != records.end())
-            function(id, found->second);
+            function(id, found->second, kind);
     };
-    visit(request.request_);
+    visit(request.request_, SuspectKind::Request);
     for (const SuspectId part : request.parts_)
-        visit(part);
+        visit(part, SuspectKind::Part);
 }
 
-void addCrash(CrashSuspects &suspects, SuspectId id, CrashId crash, bool wasSound, Duration jitter,
-              Time now)
+void recordCrashOf(CrashSuspects &suspects, SuspectId id, CrashId crash, bool wasSound,
+                   Duration jitter, Time now)
 {
     CrashRecord &record = suspects.records_[id];
     if (record.clearances_ == 0 && wasSound)
         record.clearances_ = 1;
     record.lastSeenAt_ = now;
-    if (!insertCrash(record, crash))
+    if (!insertCrash(suspects.evidence_, id, record, crash, now))
         return;
     setTrialPause(record, jitter, now);
     suspects.haveChanged_ = true;
@@ -171,20 +197,33 @@
     return parts;
 }
 
-bool isHeld(const CrashSuspects &suspects, const CrashRecord &record)
+SuspectKind kindOf(const CrashSuspects &suspects, SuspectId id)
+{
+    return lastSoundAt(suspects.sound_, id) ? SuspectKind::Part : SuspectKind::Request;
+}
+
+bool isHeld(const CrashSuspects &suspects, const CrashRecord &record, SuspectKind kind)
 {
     const std::size_t limit = crashLimitOf(record);
-    return record.crashes_.size() >= limit && unexplainedCrashes(suspects, record) >= limit;
+    if (record.crashes_.size() < limit)
+        return false;
+    if (kind == SuspectKind::Part && isLikelyChance(record.events_))
+        return false;
+    const std::vector<CrashId> crashes = unexplainedCrashes(suspects, record);
+    // The presence of a part that has been sound is weighed by its chance.
+    const bool mayBeBystander = kind == SuspectKind::Part && record.clearances_ == 0;
+    return (mayBeBystander ? countedCrashes(suspects.evidence_, crashes) : crashes.size()) >= limit;
 }
 
 std::optional<SuspectId> findHeldSuspect(const CrashSuspects &suspects,
                                          const RequestSuspects &request)
 {
     std::optional<SuspectId> held;
-    forEachRecord(suspects.records_, request, [&](SuspectId id, const CrashRecord &record) {
-        if (isHeld(suspects, record))
-            held = id;
-    });
+    forEachRecord(suspects.records_, request,
+                  [&](SuspectId id, const CrashRecord &record, SuspectKind kind) {
+                      if (isHeld(suspects, record, kind))
+                          held = id;
+                  });
     return held;
 }
 
@@ -200,48 +239,51 @@
 {
     std::size_t suspected = 0;
     Duration time = retentionPeriod;
-    forEachRecord(suspects.records_, request, [&](SuspectId, const CrashRecord &record) {
-        if (record.crashes_.empty())
-            return;
-        ++suspected;
-        if (isHeld(suspects, record) && hasTrialsLeft(suspects, record))
-            time = std::max(record.trialAfter_ - now, Duration::zero());
-    });
+    forEachRecord(suspects.records_, request,
+                  [&](SuspectId, const CrashRecord &record, SuspectKind kind) {
+                      if (record.crashes_.empty())
+                          return;
+                      ++suspected;
+                      if (isHeld(suspects, record, kind) && hasTrialsLeft(suspects, record, kind))
+                          time = std::max(record.trialAfter_ - now, Duration::zero());
+                  });
     return suspected == 1 ? time : retentionPeriod;
 }
 
 void recordTrial(CrashSuspects &suspects, const RequestSuspects &request, Duration retryJitter,
                  Time now)
 {
-    forEachRecord(suspects.records_, request, [&](SuspectId, CrashRecord &record) {
-        if (!isHeld(suspects, record))
-            return;
-        ++record.trials_;
-        setTrialPause(record, retryJitter, now);
-        suspects.haveChanged_ = true;
-    });
+    forEachRecord(suspects.records_, request,
+                  [&](SuspectId, CrashRecord &record, SuspectKind kind) {
+                      if (!isHeld(suspects, record, kind))
+                          return;
+                      ++record.trials_;
+                      setTrialPause(record, retryJitter, now);
+                      suspects.haveChanged_ = true;
+                  });
 }
 
 void recordHeld(CrashSuspects &suspects, const RequestSuspects &request, Time now)
 {
-    forEachRecord(suspects.records_, request, [&](SuspectId, CrashRecord &record) {
-        if (isHeld(suspects, record))
-            record.lastSeenAt_ = now;
-    });
+    forEachRecord(suspects.records_, request,
+                  [&](SuspectId, CrashRecord &record, SuspectKind kind) {
+                      if (isHeld(suspects, record, kind))
+                          record.lastSeenAt_ = now;
+                  });
 }
 
 void recordCrash(CrashSuspects &suspects, const RequestSuspects &request, CrashId crash,
                  Time brokenAt, Duration retryJitter, Time now)
 {
     if (const auto held = findHeldSuspect(suspects, request)) {
-        addCrash(suspects, *held, crash, false, retryJitter, now);
+        recordCrashOf(suspects, *held, crash, false, retryJitter, now);
         return;
     }
-    addCrash(suspects, request.request_, crash, false, retryJitter, now);
+    recordCrashOf(suspects, request.request_, crash, false, retryJitter, now);
     for (const SuspectId part : request.parts_) {
         const std::optional<Time> soundAt = lastSoundAt(suspects.sound_, part);
         if (!soundAt || *soundAt <= brokenAt)
-            addCrash(suspects, part, crash, soundAt.has_value(), retryJitter, now);
+            recordCrashOf(suspects, part, crash, soundAt.has_value(), retryJitter, now);
     }
 }
 
@@ -251,17 +293,18 @@
     std::vector<SuspectId> cleared;
     for (const SuspectId part : request.parts_)
         insertSound(suspects.sound_, part, now);
-    forEachRecord(suspects.records_, request, [&](SuspectId id, CrashRecord &record) {
-        if (record.crashes_.empty())
-            return;
-        if (isHeld(suspects, record))
-            cleared.push_back(id);
-        ++record.clearances_;
-        record.trials_ = 0;
-        record.crashes_.clear();
-        record.lastSeenAt_ = now;
-        suspects.haveChanged_ = true;
-    });
+    countSoundParts(suspects.evidence_, request.parts_, now);
+    forEachRecord(suspects.records_, request,
+                  [&](SuspectId id, CrashRecord &record, SuspectKind kind) {
+                      if (record.crashes_.empty())
+                          return;
+                      if (isHeld(suspects, record, kind))
+                          cleared.push_back(id);
+                      ++record.clearances_;
+                      clearCrashes(record);
+                      record.lastSeenAt_ = now;
+                      suspects.haveChanged_ = true;
+                  });
     return cleared;
 }
 
@@ -272,7 +315,8 @@
     for (const Entry &entry : suspects.records_) {
         const Duration period =
             entry.second.crashes_.empty() ? clearanceReportPeriod : crashReportPeriod;
-        if (isHeld(suspects, entry.second) || now - entry.second.lastSeenAt_ < period)
+        if (isHeld(suspects, entry.second, SuspectKind::Request)
+            || now - entry.second.lastSeenAt_ < period)
             entries.push_back(&entry);
     }
     std::sort(entries.begin(), entries.end(), [](const Entry *left, const Entry *right) {
@@ -312,12 +356,11 @@
     bool hasNews = false;
     if (reported.clearances_ > record.clearances_) {
         record.clearances_ = reported.clearances_;
-        record.crashes_.clear();
-        record.trials_ = 0;
+        clearCrashes(record);
         hasNews = true;
     }
     for (const CrashId crash : reported.crashes_)
-        hasNews = insertCrash(record, crash) || hasNews;
+        hasNews = insertCrash(suspects.evidence_, reported.suspect_, record, crash, now) || hasNews;
     if (reported.trials_ > record.trials_) {
         record.trials_ = reported.trials_;
         hasNews = true;
@@ -335,7 +378,7 @@
         return;
     std::vector<std::pair<Time, SuspectId>> oldestFirst;
     for (const auto &[id, record] : suspects.records_) {
-        if (!isHeld(suspects, record))
+        if (!isHeld(suspects, record, SuspectKind::Request))
             oldestFirst.emplace_back(record.lastSeenAt_, id);
     }
     std::sort(oldestFirst.begin(), oldestFirst.end());
--- a/Source/Edge/crashsuspects.h
+++ b/Source/Edge/crashsuspects.h
@@ -7,7 +7,11 @@
 /// started there. What crashes targets is present at every crash and in no response that a target
 /// went on writing; a part that was in such a response is cleared. Entries exchange what they know,
 /// as each sees only its own requests, and a restarted entry learns it again from its peers.
+///
+/// For a prompt part, crashes are weighed as crashevidence.h describes. A whole request is judged
+/// by the number of crashes alone.
 
+#include "Edge/crashevidence.h"
 #include "Peer/peermessages.h"
 
 #include <eelgrasscove/time.h>
@@ -34,6 +38,8 @@
     std::uint32_t trials_ = 0;
     /// Distinct crashes since the last clearance, in ascending order.
     std::vector<CrashId> crashes_;
+    /// The events at which the suspect was present, as this entry learned of them.
+    SuspectEvents events_;
     /// Time of the last crash, or of the last request that was held back for the suspect.
     Time lastSeenAt_;
     /// No trial is made before this time.
@@ -52,6 +58,7 @@
 {
     std::unordered_map<SuspectId, CrashRecord> records_;
     SoundParts sound_;
+    CrashEvidence evidence_;
     /// The records have changed since the last message to the peers.
     bool haveChanged_ = false;
 };
@@ -64,6 +71,12 @@
     std::vector<SuspectId> parts_;
 };
 
+/// A whole request or a prompt part. Crashes are weighed only for parts.
+enum class SuspectKind {
+    Request,
+    Part,
+};
+
 enum class CrashVerdict {
     Allowed,
     /// The request may be sent to find out whether its suspect is sound; see recordTrial().
@@ -120,7 +133,11 @@
 
 /// Whether requests with the suspect are held back. Crashes at which a stronger suspect was present
 /// don't count: it explains them, and the other requests at the target were bystanders.
-bool isHeld(const CrashSuspects &suspects, const CrashRecord &record);
+bool isHeld(const CrashSuspects &suspects, const CrashRecord &record, SuspectKind kind);
+
+/// Returns the kind of a suspect whose request is not at hand. A part that no response here has
+/// shown to be sound counts as a request.
+SuspectKind kindOf(const CrashSuspects &suspects, SuspectId id);
 
 /// Removes records that are older than the retention period, and the oldest beyond the limit.
 void removeExpiredCrashSuspects(CrashSuspects &suspects, Time now);
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -99,8 +99,11 @@
         return;
     const Time now = bootNow();
     const bool restarted = state.hasAgentReport_ && report.startedAt_ != state.startedAt_;
-    if (restarted || (state.isUp_ && !report.isUp_))
+    if (restarted || (state.isUp_ && !report.isUp_)) {
         target->crashedAt_ = now;
+        recordFleetCrash(crashSuspects_.evidence_, crashIdOf(state),
+                         state.running_ + state.waiting_, now);
+    }
     if (!state.hasAgentReport_ || restarted || state.isUp_ != report.isUp_
         || state.isDraining_ != report.isDraining_) {
         eventLog().note("target.state", "target", state.listed_.id_, "up", report.isUp_, "draining",
@@ -322,12 +325,13 @@
     applyPeerUsage(allowance_, vm, std::move(usage));
     for (const ReportedCrashRecord &reported : state.crashRecords_) {
         const auto known = crashSuspects_.records_.find(reported.suspect_);
+        const SuspectKind kind = kindOf(crashSuspects_, reported.suspect_);
         const bool wasHeld =
-            known != crashSuspects_.records_.end() && isHeld(crashSuspects_, known->second);
+            known != crashSuspects_.records_.end() && isHeld(crashSuspects_, known->second, kind);
         mergeCrashRecord(crashSuspects_, reported, trialJitter(), now);
         const auto merged = crashSuspects_.records_.find(reported.suspect_);
         if (!wasHeld && merged != crashSuspects_.records_.end()
-            && isHeld(crashSuspects_, merged->second))
+            && isHeld(crashSuspects_, merged->second, kind))
             logHeldSuspect(reported.suspect_, vm);
     }
 }
