Keep held crash suspects in the platform's store

Cause: what entries know of requests and prompt parts that crash targets was in their memory and messages only.

Change: a suspect that is held after its third crash is written to the key eelgrasscove/suspect/HASH under a lease of ten minutes: its number of crashes, clearances and trials, and the hashes of the crashes, so that a crash that a peer also reports isn't counted twice. The entry that ranks first for queries of the store writes for all; again only if a crash or a trial changes whether another trial is made, or the lease is half over. At most 32 keys; a cleared suspect's key is removed. An entry lists the prefix once at its start and becomes ready with it, or after two seconds without. Trials of listed suspects are spread three times wider, as all entries read the record at the same time. Values of any other form are ignored, logged and counted. The crash-suspect methods of Edge move to edgesuspects.cpp.

--- a/Source/Edge/crashsuspects.cpp
+++ b/Source/Edge/crashsuspects.cpp
@@ -28,7 +28,6 @@
 constexpr Duration trialPause = 5s;
 constexpr std::uint32_t maxPauseDoublings = 6;
 
-constexpr std::size_t maxCrashIds = 16;
 constexpr std::size_t maxRecords = 1024;
 constexpr std::size_t maxSoundParts = 4096;
 constexpr std::size_t maxReportedRecords = 32;
@@ -117,7 +116,8 @@
                  Time now)
 {
     const auto at = std::lower_bound(record.crashes_.begin(), record.crashes_.end(), crash);
-    if (record.crashes_.size() >= maxCrashIds || (at != record.crashes_.end() && *at == crash))
+    if (record.crashes_.size() >= maxCrashesPerRecord
+        || (at != record.crashes_.end() && *at == crash))
         return false;
     const bool isKept = addCrash(record.events_, chanceAtCrash(evidence, id, crash),
                                  crashTime(evidence, crash, now));
@@ -369,6 +369,12 @@
         setTrialPause(record, retryJitter, now);
 }
 
+void delayTrial(CrashSuspects &suspects, SuspectId suspect, Duration retryJitter, Time now)
+{
+    if (const auto found = suspects.records_.find(suspect); found != suspects.records_.end())
+        setTrialPause(found->second, retryJitter, now);
+}
+
 void removeExpiredCrashSuspects(CrashSuspects &suspects, Time now)
 {
     std::erase_if(suspects.records_, [&](const auto &each) {
--- a/Source/Edge/crashsuspects.h
+++ b/Source/Edge/crashsuspects.h
@@ -27,6 +27,9 @@
 /// Hash of a whole request or of a prompt part.
 using SuspectId = std::uint64_t;
 
+/// Crashes of a suspect that are kept and reported.
+constexpr std::size_t maxCrashesPerRecord = 16;
+
 /// What is known of one suspect. Of two records of the same suspect, the one with the higher number
 /// of clearances is valid; records with equal numbers complement each other.
 struct CrashRecord
@@ -131,6 +134,9 @@
 void mergeCrashRecord(CrashSuspects &suspects, const ReportedCrashRecord &reported,
                       Duration retryJitter, Time now);
 
+/// Draws the time of the next trial anew, with another random time.
+void delayTrial(CrashSuspects &suspects, SuspectId suspect, Duration retryJitter, Time now);
+
 /// Whether requests with the suspect are held back. Crashes at which a stronger suspect was present
 /// don't count: it explains them, and the other requests at the target were bystanders.
 bool isHeld(const CrashSuspects &suspects, const CrashRecord &record, SuspectKind kind);
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -216,6 +216,7 @@
                            [](bool) {}});
     registration_ = std::make_unique<Registration>(
         loop_, store, std::string(entryPrefix) + settings_.vm_, settings_.peersListen_);
+    listSuspects(store);
     operatorFeed_->start();
     targetFeed_->start();
     peerFeed_->start();
@@ -235,6 +236,7 @@
         checkRulesConfirmation(now);
         checkTargetList(now);
         recordTargetListAge(now);
+        writeSuspects(now);
     });
 
     timers.every(loadRequestPeriod, [this] {
@@ -495,7 +497,8 @@
 
 bool Edge::isReady(Time now) const
 {
-    return !isShuttingDown_ && areRulesFresh(now) && !targets_.empty() && peerFeed_->confirmedAt();
+    return !isShuttingDown_ && areRulesFresh(now) && !targets_.empty() && peerFeed_->confirmedAt()
+        && areSuspectsKnown(now);
 }
 
 void Edge::applyOperatorItem(const wire::StoreItem &item)
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -10,6 +10,7 @@
 #include "Edge/placement.h"
 #include "Edge/retrybudget.h"
 #include "Edge/ruleindex.h"
+#include "Edge/suspectstore.h"
 #include "Edge/targetpool.h"
 #include "Edge/tokenallowance.h"
 #include "Edge/waitingorder.h"
@@ -17,6 +18,7 @@
 #include "Observe/textserver.h"
 #include "Peer/peermessages.h"
 #include "Peer/storequeries.h"
+#include "Store/leasedkeys.h"
 #include "Store/registration.h"
 #include "Store/storefeed.h"
 #include "Vm/servingsettings.h"
@@ -220,8 +222,6 @@
     bool checkKey(EdgeRequest &request, Time now);
     bool checkAllowance(EdgeRequest &request, Time now);
     void placeRequest(const EdgeRequestPtr &request);
-    /// Refuses a request that may crash its target. Returns whether it was refused.
-    bool refuseIfHeld(EdgeRequest &request, Time now);
     PlacementQuery makePlaceQuery(const EdgeRequest &request, Time now) const;
     /// Returns 0 where no version of the adapter has been named.
     std::uint64_t newestVersionOf(const std::string &adapter) const;
@@ -316,11 +316,23 @@
     void sendEntryStates(Time now);
     /// Echoes of the latest messages of the peers in the data centre.
     std::vector<PeerEcho> echoesFor(NameHash dataCentre, Time now) const;
+
+    // edgesuspects.cpp: requests and prompt parts that crash targets.
+    /// Refuses a request that may crash its target. Returns whether it was refused.
+    bool refuseIfHeld(EdgeRequest &request, Time now);
     void countConfirmedCrashes(Time now);
     void recordSoundRequest(EdgeRequest &request, Time now);
     void logHeldSuspect(SuspectId suspect, std::string_view source) const;
     /// Random time by which the entries' trials of a suspect are spread.
     Duration trialJitter();
+    /// Merges what a peer or the store knows of a suspect.
+    void mergeSuspect(const ReportedCrashRecord &reported, std::string_view source);
+    /// Reads the suspects that are held since before this entry's start.
+    void listSuspects(const Endpoint &store);
+    /// Whether they have been read, or the time for which readiness waits for it has passed.
+    bool areSuspectsKnown(Time now) const;
+    /// Writes held suspects to the store and removes those that are cleared.
+    void writeSuspects(Time now);
 
     EventLoop &loop_;
     ServingSettings settings_;
@@ -404,6 +416,13 @@
         Time brokenAt_;
     };
     std::vector<CrashSuspicion> crashSuspicions_;
+    std::unique_ptr<LeasedKeys> suspectKeys_;
+    StoredSuspects storedSuspects_;
+    bool areSuspectsListed_ = false;
+    /// Listed suspects whose trials have not been spread over all entries yet.
+    std::vector<SuspectId> restoredSuspects_;
+    /// No write is made before this time.
+    Time suspectWritesAfter_;
 
     std::set<EdgeRequestPtr> requests_;
     /// Bytes of responses received since the buffers were last added up.
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -323,17 +323,8 @@
             usage.tokens_[name->second] = account.tokens_;
     }
     applyPeerUsage(allowance_, vm, std::move(usage));
-    for (const ReportedCrashRecord &reported : state.crashRecords_) {
-        const auto known = crashSuspects_.records_.find(reported.suspect_);
-        const SuspectKind kind = kindOf(crashSuspects_, reported.suspect_);
-        const bool wasHeld =
-            known != crashSuspects_.records_.end() && isHeld(crashSuspects_, known->second, kind);
-        mergeCrashRecord(crashSuspects_, reported, trialJitter(), now);
-        const auto merged = crashSuspects_.records_.find(reported.suspect_);
-        if (!wasHeld && merged != crashSuspects_.records_.end()
-            && isHeld(crashSuspects_, merged->second, kind))
-            logHeldSuspect(reported.suspect_, vm);
-    }
+    for (const ReportedCrashRecord &reported : state.crashRecords_)
+        mergeSuspect(reported, vm);
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -38,10 +38,6 @@
 /// silent: two passes of checkRequests() and the way to the client.
 constexpr Duration silentTargetMargin = 150ms;
 
-/// Longest Retry-After of a request that is held back because it or a part of its prompt crashes
-/// targets.
-constexpr Duration heldRetryAfter = 30s;
-
 /// Fraction of its remaining wait for which a request may be queued until a target's pause ends;
 /// the rest is for the wait behind the first requests that the target gets after it.
 constexpr double maxPauseWaitFraction = 2.0 / 3;
@@ -329,21 +325,6 @@
     return found == targets_.end() ? nullptr : found->second;
 }
 
-bool Edge::refuseIfHeld(EdgeRequest &request, Time now)
-{
-    if (request.isKnownSound_ || request.isTrial_)
-        return false;
-    const std::optional<SuspectId> held = findHeldSuspect(crashSuspects_, request.suspects_);
-    if (!held || judgeRequest(crashSuspects_, request.suspects_, now) != CrashVerdict::Held)
-        return false;
-    recordHeld(crashSuspects_, request.suspects_, now);
-    countMetric("eelgrasscove_requests_held_total");
-    eventLog().note("request.held", "id", request.id_, "hash", *held);
-    refuse(request, 503, "request or part of its prompt crashed targets repeatedly",
-           std::min(heldRetryAfter, timeUntilTrial(crashSuspects_, request.suspects_, now)));
-    return true;
-}
-
 void Edge::placeRequest(const EdgeRequestPtr &request)
 {
     const auto session = request->session_.lock();
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -31,18 +31,10 @@
 constexpr double notExecutedWeight = 0.5;
 constexpr double brokenWeight = 1.0;
 
-/// Time within which a crash of the target is attributed to a request whose connection broke.
-constexpr Duration crashSuspicionTimeout = 2s;
-/// Time by which the agent's report of a crash may come before the broken connection is read.
-constexpr Duration crashReportLead = 500ms;
-
 /// A target that still writes events this long after the first one has not been crashed by the
 /// request.
 constexpr Duration soundStreamTime = 300ms;
 
-/// Per entry, the time over which the entries' trials of one suspect are spread.
-constexpr Duration trialSpreadPerEntry = 400ms;
-
 /// Maximum time for which a stream to be resumed may wait for a target: its client disconnects
 /// after two seconds without an event.
 constexpr Duration maxResumeWait = 1500ms;
@@ -555,47 +547,4 @@
     endRequest(*request, 0, "client disconnected");
 }
 
-void Edge::recordSoundRequest(EdgeRequest &request, Time now)
-{
-    if (request.isKnownSound_)
-        return;
-    request.isKnownSound_ = true;
-    for (const SuspectId suspect : recordSound(crashSuspects_, request.suspects_, now))
-        eventLog().note("suspect.cleared", "hash", suspect, "id", request.id_);
-}
-
-void Edge::logHeldSuspect(SuspectId suspect, std::string_view source) const
-{
-    const CrashRecord &record = crashSuspects_.records_.at(suspect);
-    eventLog().note("suspect.held", "hash", suspect, "crashes", record.crashes_.size(),
-                    "clearances", record.clearances_, "trials", record.trials_, "source", source);
-}
-
-Duration Edge::trialJitter()
-{
-    const double fraction = std::uniform_real_distribution<double>(0, 1)(random_);
-    const auto spread = trialSpreadPerEntry * (peers_.size() + 1);
-    return std::chrono::duration_cast<Duration>(spread * fraction);
-}
-
-void Edge::countConfirmedCrashes(Time now)
-{
-    std::erase_if(crashSuspicions_, [&](const CrashSuspicion &suspicion) {
-        if (suspicion.target_->crashedAt_ + crashReportLead >= suspicion.brokenAt_) {
-            const bool wasHeld = findHeldSuspect(crashSuspects_, suspicion.suspects_).has_value();
-            recordCrash(crashSuspects_, suspicion.suspects_, suspicion.crash_, suspicion.brokenAt_,
-                        trialJitter(), now);
-            eventLog().note("suspect.counted", "id", suspicion.requestId_, "hash",
-                            suspicion.suspects_.request_, "parts",
-                            suspicion.suspects_.parts_.size(), "target",
-                            suspicion.target_->state_.listed_.id_);
-            const auto held = findHeldSuspect(crashSuspects_, suspicion.suspects_);
-            if (held && !wasHeld)
-                logHeldSuspect(*held, "crash");
-            return true;
-        }
-        return now - suspicion.brokenAt_ > crashSuspicionTimeout;
-    });
-}
-
 } // namespace eelgrasscove
--- a/Tests/PlatformWire/storewiretest.cpp
+++ b/Tests/PlatformWire/storewiretest.cpp
@@ -18,6 +18,7 @@
     BOOST_TEST(wire::writeCall("a", "node-1", 5).body_
                == R"({"precondition":[],"write":[{"key":"a","value":"bm9kZS0x","lease":5}],)"
                   R"("remove":[]})");
+    BOOST_TEST(wire::removeCall("a").body_ == R"({"precondition":[],"write":[],"remove":["a"]})");
 }
 
 BOOST_AUTO_TEST_CASE(items_and_deletions_are_decoded)
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2246,3 +2246,26 @@
     BOOST_TEST(!client.received_.empty());
     BOOST_TEST(!client.hasWhole(longBodyBytes));
 }
+
+/// Guards against what is known of a part that crashes targets being lost when all entries restart.
+BOOST_AUTO_TEST_CASE(part_that_the_store_names_as_held_is_refused_from_the_start)
+{
+    const SuspectId part = sharedPartHashes("dead:9,f:9").front();
+    ServingPath path(91,
+                     {{suspectKey(part), "3 0 1 00000001 00000002 00000003"},
+                      {suspectKey(part + 1), "3 0 1 00000001"}});
+    path.handlers_[0] = [&](const auto &from, SeenRequest &&request) {
+        from->answer(200, path.requestIdHeader(request) + signatureHeader, "data: a\n\n");
+    };
+    path.registerEngine();
+    path.waitUntilServing();
+    path.sendEngineStates(0, 1, "m/a1");
+    turnFor(path.loop_, 100ms);
+    const auto held = path.sendAdapterRequest("a1:9,dead:9,f:9");
+    BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return held->status() == 503; }));
+    BOOST_TEST(path.targets_[0]->seen_.empty());
+    const auto sound = path.sendAdapterRequest("a1:9,b1:9,f:9");
+    BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return sound->status() == 200; }));
+    BOOST_TEST(metricsText().find("eelgrasscove_stored_suspects_ignored_total 1")
+               != std::string::npos);
+}
--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -312,6 +312,8 @@
         document.Parse(body.data(), body.size());
         for (const auto &item : document["write"].GetArray())
             put(item["key"].GetString(), *decodeBase64(item["value"].GetString()));
+        for (const auto &key : document["remove"].GetArray())
+            remove(key.GetString());
         answer(from, 200, fmt::format(R"({{"revision":{}}})", revision_));
     }
 
--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE Store
 #include "Store/storefeed.h"
+#include "Store/leasedkeys.h"
 #include "Store/registration.h"
 
 #include "../Shared/servingstandins.h"
@@ -225,3 +226,36 @@
     BOOST_TEST(turnUntil(loop, 3s, [&] { return store.items_.contains("eelgrasscove/entry/a"); }));
     BOOST_TEST(store.items_["eelgrasscove/entry/a"].first == "10.0.0.1:7600");
 }
+
+/// Guards against a list that is given up after a failure of the store, and against a write whose
+/// failure isn't reported.
+BOOST_AUTO_TEST_CASE(leased_keys_are_listed_when_the_store_recovers_then_written_and_removed)
+{
+    EventLoop &loop = *new EventLoop;
+    Store &store = *new Store(loop, "127.0.0.1:17341");
+    Endpoint endpoint;
+    parseEndpoint("127.0.0.1:17341", endpoint);
+    store.put("held/a", "one");
+    store.put("other/b", "two");
+    store.fault_ = StoreFault::Busy;
+    auto &keys = *new LeasedKeys(loop, endpoint, "held/", 60s);
+    std::vector<std::string> listed;
+    keys.list([&](const auto &items) {
+        for (const wire::StoreItem &item : items)
+            listed.push_back(item.key_ + "=" + item.value_);
+    });
+    std::optional<bool> isWritten;
+    keys.write("held/c", "three", [&](bool isDone) { isWritten = isDone; });
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return isWritten == false; }));
+    store.fault_ = StoreFault::None;
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return !listed.empty(); }));
+    BOOST_TEST(listed == std::vector<std::string>{"held/a=one"}, boost::test_tools::per_element());
+    keys.write("held/c", "three", [&](bool isDone) { isWritten = isDone; });
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return isWritten == true; }));
+    BOOST_TEST(store.items_["held/c"].first == "three");
+    bool isRemoved = false;
+    keys.remove("held/c", [&](bool isDone) { isRemoved = isDone; });
+    BOOST_TEST(turnUntil(loop, 2s, [&] { return isRemoved; }));
+    BOOST_TEST(!store.items_.contains("held/c"));
+    BOOST_TEST(!keys.isBusy());
+}
