Give up a connection that opens after its timeout before the timer has fired

Such a connection now counts as timed out and the request is placed anew. Found by reading; no test shows it, as the pause has to fall into the poll.

--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -62,14 +62,25 @@
 void TargetConnection::connect(const Endpoint &peer)
 {
     countMetric("eelgrasscove_target_connections_total");
-    stream_ = TcpStream::connect(loop_, peer,
-                                 {[this] { onConnected(); },
-                                  [this](std::string_view bytes) { onData(bytes); },
-                                  [this](int error) { onEnd(error); }});
-    connectTimer_ = loop_.timers().once(connectTimeout, [this] {
-        const auto self = shared_from_this();
-        finish(ExchangeEnd::NeverSent, "connect timeout");
-    });
+    // After a pause of the process the connection may be read before the timer has fired. What was
+    // checked before the send holds for the timeout only.
+    const auto onStreamConnected = [this, startedAt = bootNow()] {
+        if (bootNow() - startedAt < connectTimeout)
+            onConnected();
+        else
+            onConnectTimeout();
+    };
+    stream_ =
+        TcpStream::connect(loop_, peer,
+                           {onStreamConnected, [this](std::string_view bytes) { onData(bytes); },
+                            [this](int error) { onEnd(error); }});
+    connectTimer_ = loop_.timers().once(connectTimeout, [this] { onConnectTimeout(); });
+}
+
+void TargetConnection::onConnectTimeout()
+{
+    const auto self = shared_from_this();
+    finish(ExchangeEnd::NeverSent, "connect timeout");
 }
 
 void TargetConnection::send(std::string bytes, std::string requestId, ExchangeCallbacks callbacks)
--- a/Source/Edge/targetpool.h
+++ b/Source/Edge/targetpool.h
@@ -71,6 +71,7 @@
 
     void connect(const Endpoint &peer);
     void onConnected();
+    void onConnectTimeout();
     void onData(std::string_view bytes);
     void onEnd(int error);
     void onHead(HttpHead &&head);
