--- a/Source/Edge/edgesuspects.cpp
+++ b/Source/Edge/edgesuspects.cpp
@@ -142,15 +142,16 @@
         return;
     const bool isWriter = storeQueryRank(nameHash(settings_.vm_), peersInContact(now)) == 0;
     const SuspectWrites plan = planSuspectWrites(crashSuspects_, storedSuspects_, isWriter, now);
-    for (const auto &[suspect, value] : plan.writes_) {
-        suspectKeys_->write(suspectKey(suspect), value, [this, suspect, value](bool isDone) {
-            eventLog().note(isDone ? "suspect.stored" : "suspect.store_failed", "hash", suspect,
-                            "value", value);
-            if (isDone)
-                return;
-            recordWriteFailed(storedSuspects_, suspect);
-            suspectWritesAfter_ = bootNow() + suspectWritePause;
-        });
+    for (const auto &write : plan.writes_) {
+        suspectKeys_->write(suspectKey(write.first), write.second,
+                            [this, suspect = write.first, value = write.second](bool isDone) {
+                                eventLog().note(isDone ? "suspect.stored" : "suspect.store_failed",
+                                                "hash", suspect, "value", value);
+                                if (isDone)
+                                    return;
+                                recordWriteFailed(storedSuspects_, suspect);
+                                suspectWritesAfter_ = bootNow() + suspectWritePause;
+                            });
     }
     for (const SuspectId suspect : plan.removals_) {
         // If the removal fails, the record expires with its lease.
--- a/Tests/EdgeDecisions/crashcrowdtest.cpp
+++ b/Tests/EdgeDecisions/crashcrowdtest.cpp
@@ -291,7 +291,6 @@
     /// Largest mean number of targets that the guilty part crashes. Before crashes were weighed it
     /// was, by row from the first with a guilty part: 2.9, 3.5, 8.3, 26.8, 4.7, 60 and 20.5.
     double maxCrashes_ = 0;
-    int maxBeyondBound_ = allowedSends;
 };
 
 constexpr std::array crowdRows = {
@@ -308,6 +307,10 @@
         "guilty part before the crowd", {22, 52, 300, 1, 10, 300ms, 0.1, Time(12s)}, 0.005, 14},
     CrowdRow{"many guilty requests", {22, 52, 300, 1, 10, 300ms, 0.5, Time(21s)}, 0.005, 36},
     CrowdRow{"guilty part without a crowd", {4, 18, 100, 0, 10, 300ms, 0.1}, 0.005, 8},
+};
+
+/// Rows of which some seeds exceed the bound; see KNOWN-RED.txt.
+constexpr std::array onceSoundRows = {
     CrowdRow{"part that was sound becomes guilty",
              {4, 18, 100, 0, 10, 300ms, 0.1, crowdAt, true},
              0.005,
@@ -317,8 +320,7 @@
     CrowdRow{"part that was sound becomes guilty in a crowd",
              {4, 18, 100, 1, 10, 300ms, 0.1, crowdAt, true},
              0.005,
-             18,
-             25},
+             18},
 };
 
 constexpr int seedsPerRow = 20;
@@ -339,18 +341,15 @@
                                           [&](Time sentAt) { return sentAt > bound; }));
 }
 
-} // namespace
-
-/// Guards against sound requests that are refused because a part that most requests share was at
-/// many crashes with a common cause, and against a guilty part that hides behind such crashes.
-BOOST_AUTO_TEST_CASE(crashes_that_come_together_accuse_no_popular_part_and_hide_no_guilty_one)
+template <std::size_t Size>
+void playRows(const std::array<CrowdRow, Size> &rows)
 {
     const std::uint64_t seed = firstSeed();
     BOOST_TEST_CONTEXT("EELGRASSCOVE_SEED=" << seed)
     {
         std::printf("crash crowds: EELGRASSCOVE_SEED=%llu\n",
                     static_cast<unsigned long long>(seed));
-        for (const CrowdRow &row : crowdRows) {
+        for (const CrowdRow &row : rows) {
             int requests = 0;
             int refused = 0;
             int beyond = 0;
@@ -373,9 +372,25 @@
             BOOST_TEST_CONTEXT(row.name_)
             {
                 BOOST_TEST(refusedShare <= row.maxRefused_);
-                BOOST_TEST(beyond <= row.maxBeyondBound_);
+                BOOST_TEST(beyond <= allowedSends);
                 BOOST_TEST(meanCrashes <= row.maxCrashes_);
             }
         }
     }
 }
+
+} // namespace
+
+/// Guards against sound requests that are refused because a part that most requests share was at
+/// many crashes with a common cause, and against a guilty part that hides behind such crashes.
+BOOST_AUTO_TEST_CASE(crashes_that_come_together_accuse_no_popular_part_and_hide_no_guilty_one)
+{
+    playRows(crowdRows);
+}
+
+/// Guards against a part that was frequent in sound responses and is never recognized when it
+/// begins to crash targets.
+BOOST_AUTO_TEST_CASE(part_that_was_sound_and_becomes_guilty_keeps_the_bound)
+{
+    playRows(onceSoundRows);
+}
