Decode the load header with ranges, and count a stated slow time in predictions

Cause: the load in a response was read without checks, so text counted as a load of 0, and the fourth figure, how long work takes at present, was not read. Change: platform/responsewire decodes all four figures with ranges; anything else is counted and logged once a target. The figure scales the predictions of prefill time, discounted by its age with a half-life of 200 ms.

--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -52,6 +52,8 @@
     /// many of them were late.
     std::uint32_t streams_ = 0;
     std::uint32_t lateStreams_ = 0;
+    /// A load that can't be read has been logged.
+    bool isLoadFaultLogged_ = false;
 };
 
 enum class RequestStage {
@@ -285,7 +287,6 @@
     void onRequestFailed(const EdgeRequestPtr &request, unsigned status, std::string_view reason);
     void onClientDisconnected(ClientSession &session);
     std::string formatResponseHeaders(const HttpHead &head) const;
-    void recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now);
     void detachFromTarget(EdgeRequest &request);
 
     // edgenotices.cpp: what targets say about the requests that they want.
@@ -300,6 +301,10 @@
     /// Places requests anew whose connections to the target are still being opened.
     void withdrawUnsent(EdgeTarget &target);
 
+    // edgepace.cpp: the load and the pace of targets.
+    /// Takes the load that the head of a response states.
+    void recordTargetLoad(EdgeTarget &target, const HttpHead &head, Time now);
+
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     /// Sends a message to the other entries of this data centre.
--- a/Source/Edge/edgenotices.cpp
+++ b/Source/Edge/edgenotices.cpp
@@ -38,6 +38,7 @@
         rememberNotice(rememberedNotices_, instanceOf(state), state.notice_, bootNow());
         state.notice_ = {};
         state.isReplaced_ = false;
+        state.workTime_ = {};
         // The agent's last report was of the instance before.
         if (state.startedAt_ != listed.startedAt_)
             state.isDraining_ = false;
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -189,28 +189,12 @@
 
 } // namespace
 
-void Edge::recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now)
-{
-    TargetState &state = request.target_->state_;
-    const std::string_view text = head.header(wire::loadHeader);
-    if (text.empty())
-        return;
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    const std::size_t comma = text.find(',');
-    if (comma == std::string_view::npos)
-        return;
-    std::from_chars(text.data(), text.data() + comma, running);
-    std::from_chars(text.data() + comma + 1, text.data() + text.size(), waiting);
-    recordLoad(state, running, waiting, now);
-}
-
 void Edge::onResponseHead(const EdgeRequestPtr &request, HttpHead &&head)
 {
     const Time now = bootNow();
     request->responseHeadReceived_ = true;
     request->target_->state_.lastContactAt_ = now;
-    recordTargetLoad(*request, head, now);
+    recordTargetLoad(*request->target_, head, now);
     request->response_ = std::move(head);
 }
 
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -104,6 +104,11 @@
     return load;
 }
 
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 /// Predicts the time to the first event at the target of a request with that many prompt tokens.
 Duration predictedFirstEvent(const TargetState &target, const PlacementQuery &query, double tokens,
                              Time now)
@@ -112,7 +117,8 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return predictFirstEvent(target.engineModel_, *query.serviceModel_, unread + tokens);
+    return scaled(predictFirstEvent(target.engineModel_, *query.serviceModel_, unread + tokens),
+                  transientFactor(target.workTime_, now));
 }
 
 /// Predicts the time for which the target still reads prompts that it has got. Without any it is
@@ -123,7 +129,8 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return predictReading(target.engineModel_, *query.serviceModel_, unread);
+    return scaled(predictReading(target.engineModel_, *query.serviceModel_, unread),
+                  transientFactor(target.workTime_, now));
 }
 
 /// Returns the predicted time to the first event at the target as a part of the objective for
@@ -156,7 +163,8 @@
     if (isUrgent(query))
         return reading <= std::max(minPromptsAhead, part(query.objective_, promptsAheadFraction));
     const Duration own =
-        predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_);
+        scaled(predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_),
+               transientFactor(target.workTime_, now));
     return reading + own <= part(query.pauseObjective_, pauseFraction);
 }
 
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -6,6 +6,7 @@
 
 #include "Edge/enginemodel.h"
 #include "Edge/targetnotice.h"
+#include "Edge/targetpace.h"
 #include "Net/tcpstream.h"
 #include "Peer/namehash.h"
 #include "Peer/peermessages.h"
@@ -57,6 +58,8 @@
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
     Time loadReportedAt_;
+    /// How long work takes at present; from the target's responses only.
+    WorkTime workTime_;
 
     // Recorded by this entry.
     /// Requests of this entry that were sent to the target and have not ended.
--- a/Tests/EdgeDecisions/placementtest.cpp
+++ b/Tests/EdgeDecisions/placementtest.cpp
@@ -568,3 +568,29 @@
     query.serviceModel_ = &model;
     BOOST_TEST((choosePlacement(fleet.all(), query, now).kind_ == PlacementKind::Send));
 }
+
+BOOST_AUTO_TEST_CASE(a_target_that_states_slow_work_gets_no_prompt_that_would_delay_its_streams)
+{
+    // Guards against predictions that ignore what the target has just stated.
+    EngineModel model;
+    for (int sample = 0; sample < 40; ++sample)
+        recordFirstEvent(model, 1000.0 * (1 + sample % 3), 30ms * (1 + sample % 3));
+    model.meanPromptTokens_ = 2000;
+    Fleet fleet;
+    TargetState &slow = fleet.add("a");
+    TargetState &usual = fleet.add("b");
+    for (TargetState *target : {&slow, &usual}) {
+        target->engineModel_ = model;
+        target->adapters_[nameHash("base/x")] = 1;
+    }
+    usual.running_ = 1;
+    PlacementQuery query = queryFor("base/x");
+    query.promptTokens_ = 2000;
+    query.serviceModel_ = &model;
+    BOOST_TEST(choosePlacement(fleet.all(), query, now).target_->listed_.id_ == "a");
+    slow.workTime_ = {250, now};
+    BOOST_TEST(choosePlacement(fleet.all(), query, now).target_->listed_.id_ == "b");
+    // A second later hardly anything of the statement is left.
+    slow.workTime_ = {250, now - 1s};
+    BOOST_TEST(choosePlacement(fleet.all(), query, now).target_->listed_.id_ == "a");
+}
--- a/Tests/PlatformWire/responsewiretest.cpp
+++ b/Tests/PlatformWire/responsewiretest.cpp
@@ -1,4 +1,5 @@
 #include "platform/responsewire.h"
+#include "platform/wirenames.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -94,4 +95,62 @@
     BOOST_TEST((decoded.delay_ == 5s));
 }
 
+BOOST_AUTO_TEST_CASE(load_is_read_only_if_every_figure_is_in_its_range)
+{
+    // Guards against a load of 0 that is read from a value which is not a number.
+    struct Row
+    {
+        const char *value_;
+        bool isValid_;
+        std::uint32_t running_ = 0;
+        std::uint32_t workTime_ = 0;
+    };
+    const std::vector<Row> rows = {
+        {"3,4,64", true, 3, 0},
+        {" 3,4,64\t", true, 3, 0},
+        {"3,4,64,250", true, 3, 250},
+        {"0,0,1,1", true, 0, 1},
+        {"65535,65535,65535,10000", true, 65535, 10000},
+        {"65536,0,64", false},
+        {"0,65536,64", false},
+        {"0,0,0", false},
+        {"0,0,65536", false},
+        {"0,0,64,0", false},
+        {"0,0,64,10001", false},
+        {"0,0,64,65535", false},
+        {"0,0,64,", false},
+        {"0,0,64,100,1", false},
+        {"0,0,64x", false},
+        {"0,0,64,100x", false},
+        {"0,0,64,nan", false},
+        {"", false},
+        {"busy", false},
+        {"3", false},
+        {"3,4", false},
+        {"3,,64", false},
+        {",4,64", false},
+        {"-1,4,64", false},
+        {"+1,4,64", false},
+        {"1.5,4,64", false},
+        {"3, 4, 64", false},
+        {"99999999999999999999,4,64", false},
+    };
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.value_)
+        {
+            const wire::LoadHeader header =
+                wire::decodeLoad(responseWith({{"x-eelgrasscove-instance-load", row.value_}}));
+            BOOST_TEST(header.isPresent_);
+            BOOST_REQUIRE_EQUAL(header.load_.has_value(), row.isValid_);
+            if (!header.load_)
+                continue;
+            BOOST_TEST(header.load_->running_ == row.running_);
+            BOOST_TEST(header.load_->workTimePercent_.value_or(0) == row.workTime_);
+        }
+    }
+    BOOST_TEST(!wire::decodeLoad(responseWith({})).isPresent_);
+    const std::string name(wire::loadHeader);
+    BOOST_TEST(!wire::decodeLoad(responseWith({{name, "1,0,64"}, {name, "2,0,64"}})).load_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
