Learn the pace of targets over all entries, and place adapters by it

Cause: adapters and streams were spread evenly over targets of which a third takes 2.4 times as long, and one entry of many sees too few first events of a target to notice. Change: entries send sums of their first events with the messages to agents, the agent fits one pace and reports it as a byte, and entries weight the rendezvous rank and the load of a target by its pace relative to the service's median. In layout 7 of the messages 32-bit token counts make up for the pace and the sums. Sums that can't be right are ignored, logged and counted.

The pace is the ratio of the sums.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -4,6 +4,7 @@
 #include "Observe/metrics.h"
 #include "Peer/datagrammetrics.h"
 #include "Peer/dissemination.h"
+#include "Peer/pacecode.h"
 #include "Vm/servingprogram.h"
 #include "platform/ruleswire.h"
 #include "platform/storewire.h"
@@ -11,6 +12,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace eelgrasscove {
 
@@ -86,6 +88,12 @@
     return fraction + (ratio - fraction) * std::pow(1 - streamWeight, streams);
 }
 
+std::uint32_t clampedTo32(std::uint64_t number)
+{
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(number, std::numeric_limits<std::uint32_t>::max()));
+}
+
 HashedAdapter hashedAdapter(const std::string &adapter, std::uint64_t version)
 {
     return {nameHash(adapter), static_cast<std::uint32_t>(version)};
@@ -246,8 +254,10 @@
     }
     failedPolls_ = 0;
     isEngineUp_ = true;
-    if (report->startedAt_ != report_.startedAt_)
+    if (report->startedAt_ != report_.startedAt_) {
         targetId_.clear();
+        paceFit_ = {};
+    }
     if (!wasEngineUp || report->startedAt_ != report_.startedAt_) {
         eventLog().note("engine.found", "engine", settings_.engine_, "fence", fencingNumber_,
                         "started", report->startedAt_, "orders", report->orders_, "adapters",
@@ -338,6 +348,7 @@
     if (targetId_.empty() && isEngineUp_ && loadRequests->targetStartedAt_ == report_.startedAt_)
         targetId_ = loadRequests->target_;
     lateRatio_ = updatedLateRatio(lateRatio_, loadRequests->streams_, loadRequests->lateStreams_);
+    recordFirstEvents(*loadRequests);
     for (const NameHash adapter : loadRequests->usedAdapters_)
         recordUse(plan_, adapter, now);
     bool hasNewRequest = false;
@@ -351,6 +362,23 @@
     }
 }
 
+void Agent::recordFirstEvents(const EntryLoadRequests &message)
+{
+    // Those of an earlier start, or of another target at this address, say nothing of this engine.
+    if (!message.firstEvents_ || message.target_ != targetId_
+        || message.targetStartedAt_ != report_.startedAt_)
+        return;
+    const std::uint8_t before = paceFit_.reported_;
+    if (!addFirstEvents(paceFit_, *message.firstEvents_)) {
+        countMetric("eelgrasscove_first_event_sums_ignored_total");
+        eventLog().note("pace.sums_ignored", "entry", message.vm_, "count",
+                        message.firstEvents_->count_);
+    } else if (paceFit_.reported_ != before) {
+        eventLog().note("engine.pace", "nanos_per_token", decodePace(paceFit_.reported_), "before",
+                        decodePace(before), "first_events", paceFit_.count_);
+    }
+}
+
 EngineStateMessage Agent::makeState(bool hasLists)
 {
     EngineStateMessage state;
@@ -362,9 +390,10 @@
     state.running_ = report_.running_;
     state.waiting_ = report_.waiting_;
     state.unread_ = report_.waiting_ + report_.unbegun_;
-    state.usedTokens_ = report_.usedTokens_;
-    state.memoryTokens_ = report_.memoryTokens_;
+    state.usedTokens_ = clampedTo32(report_.usedTokens_);
+    state.memoryTokens_ = clampedTo32(report_.memoryTokens_);
     state.lateRatio_ = static_cast<float>(lateRatio_);
+    state.pace_ = paceFit_.reported_;
     state.residencyNumber_ = residencyNumber_;
     state.hasLists_ = hasLists;
     for (const auto &[adapter, request] : plan_.requestedAdapters_) {
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -7,6 +7,7 @@
 /// orders to the same engine, and neither an election nor a lease is needed. After a restart the
 /// agent acquires a higher fencing number from the store before its first order.
 
+#include "Agent/pacefit.h"
 #include "Agent/residencyplan.h"
 #include "Net/datagramsocket.h"
 #include "Net/httpcaller.h"
@@ -56,6 +57,8 @@
     void handleOrderResponse(const wire::EngineOrder &order,
                              const std::optional<HttpResponse> &response);
     void handleDatagram(std::string_view bytes, const Endpoint &from);
+    /// Takes an entry's first events into the fit of the engine's pace.
+    void recordFirstEvents(const EntryLoadRequests &message);
     void sendStateToEntries(bool isUrgent, bool hasLoadChanged);
     /// Sends the state to the entries of a data centre if it is due.
     void sendStateToDataCentre(NameHash dataCentre, const std::vector<KnownEntry *> &entries,
@@ -83,6 +86,7 @@
     std::map<NameHash, SentState> sentStates_;
     /// Fraction of the most recent streams, over all entries, that were late.
     double lateRatio_ = 0;
+    PaceFit paceFit_;
     std::uint64_t stateNumber_ = 0;
     std::uint64_t residencyNumber_ = 0;
     std::size_t residencyHash_ = 0;
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -669,6 +669,7 @@
                    bootNow());
     std::erase(targetsOfService_[target->state_.listed_.service_], target);
     targets_.erase(found);
+    updateRelativePaces(target->state_.listed_.service_);
 }
 
 void Edge::applyPeerItem(const wire::StoreItem &item)
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -50,8 +50,10 @@
     std::map<NameHash, std::uint32_t> runningAdapters_;
     /// Streams of this entry that the target completed since the last message to its agent, and how
     /// many of them were late.
-    std::uint32_t streams_ = 0;
-    std::uint32_t lateStreams_ = 0;
+    std::uint16_t streams_ = 0;
+    std::uint16_t lateStreams_ = 0;
+    /// First events since the last message to its agent.
+    FirstEventSums firstEvents_;
     /// A load that can't be read has been logged.
     bool isLoadFaultLogged_ = false;
 };
@@ -304,6 +306,11 @@
     // edgepace.cpp: the load and the pace of targets.
     /// Takes the load that the head of a response states.
     void recordTargetLoad(EdgeTarget &target, const HttpHead &head, Time now);
+    /// Takes the first event of a send into what is learned of the target and its service.
+    void recordPaceSample(const EdgeRequest &request, Duration elapsed, Time now);
+    /// Takes the pace that the target's agent reports.
+    void applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted);
+    void updateRelativePaces(const std::string &service);
 
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
--- a/Source/Edge/edgenotices.cpp
+++ b/Source/Edge/edgenotices.cpp
@@ -39,6 +39,8 @@
         state.notice_ = {};
         state.isReplaced_ = false;
         state.workTime_ = {};
+        state.pace_ = 0;
+        state.relativePace_ = 1;
         // The agent's last report was of the instance before.
         if (state.startedAt_ != listed.startedAt_)
             state.isDraining_ = false;
--- a/Source/Edge/edgepace.cpp
+++ b/Source/Edge/edgepace.cpp
@@ -1,6 +1,7 @@
 #include "Edge/edge.h"
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
+#include "Peer/pacecode.h"
 #include "platform/responsewire.h"
 #include "platform/wirenames.h"
 
@@ -34,4 +35,44 @@
         state.workTime_ = {*header.load_->workTimePercent_, now};
 }
 
+void Edge::recordPaceSample(const EdgeRequest &request, Duration elapsed, Time now)
+{
+    EdgeTarget &target = *request.target_;
+    const Duration usual = usualTime(elapsed, target.state_.workTime_, now);
+    recordFirstEvent(target.state_.engineModel_, request.tokensAhead_, usual);
+    recordFirstEvent(serviceModelOf(request.service_), request.tokensAhead_, usual);
+    addFirstEvent(target.firstEvents_, request.tokensAhead_, usual, request.predictedFirstEvent_);
+}
+
+void Edge::applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted)
+{
+    TargetState &state = target.state_;
+    if (restarted) {
+        target.firstEvents_ = {};
+        state.workTime_ = {};
+    }
+    if (report.pace_ == state.pace_)
+        return;
+    const double before = decodePace(state.pace_);
+    state.pace_ = report.pace_;
+    updateRelativePaces(state.listed_.service_);
+    eventLog().note("target.pace", "target", state.listed_.id_, "nanos_per_token",
+                    decodePace(state.pace_), "before", before, "relative", state.relativePace_);
+}
+
+void Edge::updateRelativePaces(const std::string &service)
+{
+    const std::vector<TargetState *> states = targetStates(service);
+    std::vector<std::uint8_t> reported;
+    for (const TargetState *state : states)
+        reported.push_back(state->pace_);
+    const std::vector<double> relative = relativePaces(reported);
+    for (std::size_t at = 0; at < states.size(); ++at) {
+        states[at]->relativePace_ = relative[at];
+        if (states[at]->pace_ != 0)
+            setGauge("eelgrasscove_target_relative_pace",
+                     fmt::format("target=\"{}\"", states[at]->listed_.id_), relative[at]);
+    }
+}
+
 } // namespace eelgrasscove
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -118,6 +118,7 @@
     state.memoryTokens_ = report.memoryTokens_;
     state.pendingLoads_ = report.pendingLoads_;
     state.lateRatio_ = report.lateRatio_;
+    applyPace(*target, report, restarted);
     if (report.isDraining_) {
         applyLeaving({state.listed_.id_, report.startedAt_}, LeavingSource::Report);
         withdrawUnsent(*target);
@@ -207,6 +208,8 @@
     target.usedAdapters_.clear();
     message.streams_ = std::exchange(target.streams_, 0);
     message.lateStreams_ = std::exchange(target.lateStreams_, 0);
+    if (target.firstEvents_.count_ > 0)
+        message.firstEvents_ = std::exchange(target.firstEvents_, {});
     std::string bytes = encodePeerMessage(message);
     countDatagrams("load_requests", state.listed_.dataCentre_ == settings_.dataCentre_, 1,
                    bytes.size());
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -491,8 +491,7 @@
     if (!request.isInBacklog_)
         return;
     const Duration elapsed = now - request.sentAt_;
-    recordFirstEvent(request.target_->state_.engineModel_, request.tokensAhead_, elapsed);
-    recordFirstEvent(serviceModelOf(request.service_), request.tokensAhead_, elapsed);
+    recordPaceSample(request, elapsed, now);
     if (request.predictedFirstEvent_ > Duration::zero()) {
         const Duration error = elapsed - request.predictedFirstEvent_;
         observeDuration("eelgrasscove_first_event_prediction_error_seconds", "",
--- a/Source/Edge/enginemodel.cpp
+++ b/Source/Edge/enginemodel.cpp
@@ -56,7 +56,7 @@
 /// Returns the model to predict by, or null if too little has been learned.
 const EngineModel *modelInUse(const EngineModel &model, const EngineModel &serviceModel)
 {
-    if (model.samples_ >= minEngineSamples)
+    if (hasOwnSamples(model))
         return &model;
     return serviceModel.samples_ >= minServiceSamples ? &serviceModel : nullptr;
 }
@@ -80,7 +80,7 @@
 void recordFirstEvent(EngineModel &model, double promptTokens, Duration elapsed)
 {
     double millis = std::chrono::duration<double, std::milli>(elapsed).count();
-    if (model.samples_ >= minEngineSamples) {
+    if (hasOwnSamples(model)) {
         const double predicted = evaluate(model.firstEvent_, promptTokens);
         model.meanErrorMillis_ +=
             (std::abs(predicted - millis) - model.meanErrorMillis_) * averageWeight;
@@ -90,6 +90,11 @@
     ++model.samples_;
 }
 
+bool hasOwnSamples(const EngineModel &model)
+{
+    return model.samples_ >= minEngineSamples;
+}
+
 void recordPrompt(EngineModel &model, double promptTokens)
 {
     model.meanPromptTokens_ = model.meanPromptTokens_ == 0
--- a/Source/Edge/enginemodel.h
+++ b/Source/Edge/enginemodel.h
@@ -66,6 +66,9 @@
 /// the requests of other entries.
 double unreadTokens(const PromptBacklog &backlog, double meanPromptTokens, Time now);
 
+/// Whether the engine's own samples are enough for predictions.
+bool hasOwnSamples(const EngineModel &model);
+
 /// Predicts the time from sending a request to its first event, if promptTokens are unread at the
 /// engine then. serviceModel is used for an engine that has few samples; zero if it has few, too.
 Duration predictFirstEvent(const EngineModel &model, const EngineModel &serviceModel,
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -1,6 +1,7 @@
 #include "Edge/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <xxhash.h>
 
@@ -92,10 +93,11 @@
 }
 
 /// Returns the target's load as a fraction of its slots or of its usable memory, whichever is
-/// higher.
-double loadFraction(const TargetState &target, const PlacementQuery &query, Time now)
+/// higher. share is the part of the slots that counts.
+double loadFraction(const TargetState &target, const PlacementQuery &query, Time now,
+                    double share = 1)
 {
-    double load = estimatedLoad(target, query.entries_, now) / target.listed_.slots_;
+    double load = estimatedLoad(target, query.entries_, now) / (target.listed_.slots_ * share);
     if (target.memoryTokens_ > 0) {
         const double memory =
             static_cast<double>(target.usedTokens_) / static_cast<double>(target.memoryTokens_);
@@ -109,6 +111,14 @@
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+/// Returns the factor of predictions for the target. Few samples of its own are made up for by
+/// those of its service, which apply to the median pace.
+double paceFactor(const TargetState &target, Time now)
+{
+    const double persistent = hasOwnSamples(target.engineModel_) ? 1 : target.relativePace_;
+    return persistent * transientFactor(target.workTime_, now);
+}
+
 /// Predicts the time to the first event at the target of a request with that many prompt tokens.
 Duration predictedFirstEvent(const TargetState &target, const PlacementQuery &query, double tokens,
                              Time now)
@@ -118,7 +128,7 @@
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
     return scaled(predictFirstEvent(target.engineModel_, *query.serviceModel_, unread + tokens),
-                  transientFactor(target.workTime_, now));
+                  paceFactor(target, now));
 }
 
 /// Predicts the time for which the target still reads prompts that it has got. Without any it is
@@ -130,7 +140,7 @@
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
     return scaled(predictReading(target.engineModel_, *query.serviceModel_, unread),
-                  transientFactor(target.workTime_, now));
+                  paceFactor(target, now));
 }
 
 /// Returns the predicted time to the first event at the target as a part of the objective for
@@ -164,7 +174,7 @@
         return reading <= std::max(minPromptsAhead, part(query.objective_, promptsAheadFraction));
     const Duration own =
         scaled(predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_),
-               transientFactor(target.workTime_, now));
+               paceFactor(target, now));
     return reading + own <= part(query.pauseObjective_, pauseFraction);
 }
 
@@ -208,8 +218,8 @@
 double placementCost(const TargetState &target, const PlacementQuery &query,
                      const MedianRatios &medians, Time now)
 {
-    double cost = loadFraction(target, query, now) + waitFraction(target, query, now)
-        + faultCost(target, medians);
+    double cost = loadFraction(target, query, now, capacityShare(target.relativePace_))
+        + waitFraction(target, query, now) + faultCost(target, medians);
     if (target.listed_.dataCentre_ != query.dataCentre_)
         cost += remoteDataCentreCost;
     return cost;
@@ -263,6 +273,14 @@
         / static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
 }
 
+/// Returns the rank of a target that is to get the part share of the adapters that a usual target
+/// gets: the lowest of all with a probability in proportion to its share.
+double weightedRank(const TargetState &target, XXH64_hash_t adapterHash, double share)
+{
+    const double rank = rendezvousRank(target, adapterHash);
+    return share == 1 ? rank : 1 - std::pow(1 - rank, 1 / share);
+}
+
 /// Additional cost of an engine that is still loading its model: most adapters are loaded
 /// elsewhere, but when all engines start at once, requests are distributed over all of them from
 /// the beginning.
@@ -303,10 +321,11 @@
         const double pending = static_cast<double>(
             target->incoming_.size() - std::min(target->incoming_.size(), adapterLoadsAtOnce - 1));
         const double replacing = target->adapters_.contains(adapter) ? replacementCost : 0;
+        const double share = capacityShare(target->relativePace_);
         // Without remoteDataCentreCost, on which entries in different data centres do not agree.
-        const double cost = starting + replacing + loadFraction(*target, query, now)
+        const double cost = starting + replacing + loadFraction(*target, query, now, share)
             + waitFraction(*target, query, now) + faultCost(*target, medians)
-            + pendingLoadCost * pending + rankWeight * rendezvousRank(*target, adapterHash);
+            + pendingLoadCost * pending + rankWeight * weightedRank(*target, adapterHash, share);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = target;
--- a/Source/Edge/targetpace.h
+++ b/Source/Edge/targetpace.h
@@ -3,13 +3,19 @@
 /// Estimates how long a target's work takes compared with others and with its own usual time. Pure
 /// functions: no clock, I/O or threads.
 ///
+/// The pace of a target is the time in which it reads a prompt token. Its agent fits it to the
+/// first events of all entries, so that all entries compute the same placement of adapters.
+///
 /// A target that shares its machine is slower for a few hundred milliseconds at a time and states
 /// so in its responses. An entry sees few responses of each target, so what one states is
 /// discounted by its age.
 
+#include "Peer/peermessages.h"
+
 #include <eelgrasscove/time.h>
 
 #include <cstdint>
+#include <vector>
 
 namespace eelgrasscove {
 
@@ -24,4 +30,18 @@
 /// Returns the factor by which work takes longer now than usual; 1 if nothing has been stated.
 double transientFactor(const WorkTime &workTime, Time now);
 
+/// Returns the time that work which ended now would usually have taken.
+Duration usualTime(Duration elapsed, const WorkTime &workTime, Time now);
+
+/// Returns the pace of each target of a service, as its agent reports it (see encodePace()),
+/// relative to the median of the known ones. It is 1 where unknown or close to the median.
+std::vector<double> relativePaces(const std::vector<std::uint8_t> &reported);
+
+/// Returns the part of a usual target's load that a target with this relative pace sustains.
+double capacityShare(double relativePace);
+
+/// Adds the first event of a request to the sums for the target's agent. One that comes much later
+/// than predicted is added as if it had come sooner; predicted is zero where not known.
+void addFirstEvent(FirstEventSums &sums, double tokensAhead, Duration elapsed, Duration predicted);
+
 } // namespace eelgrasscove
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -40,12 +40,16 @@
     std::uint64_t startedAt_ = 0;
     bool isUp_ = true;
     bool isDraining_ = false;
-    std::uint64_t usedTokens_ = 0;
-    std::uint64_t memoryTokens_ = 0;
+    std::uint32_t usedTokens_ = 0;
+    std::uint32_t memoryTokens_ = 0;
     std::uint32_t pendingLoads_ = 0;
     std::uint64_t residencyNumber_ = 0;
     /// Fraction of the target's most recent streams, over all entries, that were late.
     double lateRatio_ = 0;
+    /// Time in which the target reads a prompt token, see encodePace(); 0 while it is not known.
+    std::uint8_t pace_ = 0;
+    /// The same relative to the other targets of the service.
+    double relativePace_ = 1;
 
     // Reported by the agent; without an agent, by the target list and the target's responses.
     /// Versions of the resident adapters, by name hash.
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -45,12 +45,14 @@
     std::uint32_t waiting_ = 0;
     /// Requests without a first token: waiting_ and those of running_ whose prompts are being read.
     std::uint32_t unread_ = 0;
-    std::uint64_t usedTokens_ = 0;
-    std::uint64_t memoryTokens_ = 0;
+    std::uint32_t usedTokens_ = 0;
+    std::uint32_t memoryTokens_ = 0;
     /// Number of requested loads that have not begun.
     std::uint32_t pendingLoads_ = 0;
     /// Fraction of the most recent streams at this engine, over all entries, that were late.
     float lateRatio_ = 0;
+    /// Time in which the engine reads a prompt token, see encodePace(); 0 while it is not known.
+    std::uint8_t pace_ = 0;
     /// Increases whenever the lists below change.
     std::uint64_t residencyNumber_ = 0;
     /// False if the receiver has reported that it knows this residency; the lists are then empty.
@@ -64,8 +66,8 @@
     void serialize(Archive &archive)
     {
         archive(target_, number_, startedAt_, isUp_, isDraining_, running_, waiting_, unread_,
-                usedTokens_, memoryTokens_, pendingLoads_, lateRatio_, residencyNumber_, hasLists_,
-                adapters_, incoming_, models_);
+                usedTokens_, memoryTokens_, pendingLoads_, lateRatio_, pace_, residencyNumber_,
+                hasLists_, adapters_, incoming_, models_);
     }
 };
 
@@ -85,6 +87,22 @@
     }
 };
 
+/// Sums over first events of requests at an engine, from which the time for each prompt token that
+/// the engine had to read is fitted.
+struct FirstEventSums
+{
+    std::uint16_t count_ = 0;
+    /// Prompt tokens that were unread when each request was sent, its own included.
+    float tokens_ = 0;
+    float millis_ = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(count_, tokens_, millis_);
+    }
+};
+
 /// Sent by an entry to an agent: adapters to load and adapters in use.
 struct EntryLoadRequests
 {
@@ -99,14 +117,16 @@
     /// Adapters of the requests sent to this engine since the last message or still running there.
     std::vector<NameHash> usedAdapters_;
     /// Streams of this engine since the last message, and how many of them were late.
-    std::uint32_t streams_ = 0;
-    std::uint32_t lateStreams_ = 0;
+    std::uint16_t streams_ = 0;
+    std::uint16_t lateStreams_ = 0;
+    /// First events at this engine since the last message; absent if there were none.
+    std::optional<FirstEventSums> firstEvents_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(vm_, dataCentre_, target_, targetStartedAt_, knownResidencyNumber_, loadRequests_,
-                usedAdapters_, streams_, lateStreams_);
+                usedAdapters_, streams_, lateStreams_, firstEvents_);
     }
 };
 
--- a/Tests/Dissemination/disseminationtest.cpp
+++ b/Tests/Dissemination/disseminationtest.cpp
@@ -255,3 +255,36 @@
     BOOST_TEST(!decodePeerMessage(bytes).has_value());
     BOOST_TEST(!routeOf(std::string_view(bytes).substr(0, 6)).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(
+    pace_in_a_report_and_first_events_in_the_reply_take_no_more_bytes_than_layout_6)
+{
+    // Guards against fields that add to the bytes between data centres. The limits are the sizes of
+    // the same messages in layout 6; an agent sends at least as many reports as it gets messages.
+    constexpr std::size_t messageBytes = 106;
+    constexpr std::size_t reportBytes = 107;
+    EntryLoadRequests message;
+    message.vm_ = "edge-utrecht-1";
+    message.target_ = "i-0123456789";
+    message.usedAdapters_ = {1, 2, 3};
+    const std::size_t withoutSums = encodePeerMessage(message).size();
+    message.firstEvents_ = FirstEventSums{3, 3000, 120};
+    const std::string bytes = encodePeerMessage(message);
+    const auto decoded = decodePeerMessage(bytes);
+    BOOST_REQUIRE(decoded.has_value());
+    const auto &received = std::get<EntryLoadRequests>(*decoded);
+    BOOST_REQUIRE(received.firstEvents_.has_value());
+    BOOST_TEST(received.firstEvents_->count_ == 3);
+    BOOST_TEST(received.firstEvents_->tokens_ == 3000);
+    BOOST_TEST(received.firstEvents_->millis_ == 120);
+    BOOST_TEST(withoutSums <= messageBytes);
+    EngineStateMessage state;
+    state.pace_ = 145;
+    state.adapters_ = {{1, 2}};
+    const std::string stateBytes = encodePeerMessage(state);
+    const auto decodedState = decodePeerMessage(stateBytes);
+    BOOST_REQUIRE(decodedState.has_value());
+    BOOST_TEST(std::get<EngineStateMessage>(*decodedState).pace_ == 145);
+    BOOST_TEST(stateBytes.size() <= reportBytes);
+    BOOST_TEST(bytes.size() + stateBytes.size() <= messageBytes + reportBytes);
+}
--- a/Tests/EdgeDecisions/targetpacetest.cpp
+++ b/Tests/EdgeDecisions/targetpacetest.cpp
@@ -1,4 +1,6 @@
 #include "Edge/targetpace.h"
+#include "Edge/placement.h"
+#include "Peer/pacecode.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -31,3 +33,67 @@
     }
     BOOST_TEST(transientFactor({10000, now - 1h}, now) == 1);
 }
+
+BOOST_AUTO_TEST_CASE(pace_is_relative_to_the_median_of_the_known_ones)
+{
+    const std::uint8_t usual = encodePace(24'000);
+    const std::uint8_t slow = encodePace(58'000);
+    const std::uint8_t near = encodePace(30'000);
+    const std::vector<double> relative = relativePaces({usual, slow, usual, 0, near, usual, 0});
+    BOOST_TEST(relative[1] == 58.0 / 24, boost::test_tools::tolerance(0.05));
+    for (const std::size_t at : {0U, 2U, 3U, 4U, 5U, 6U})
+        BOOST_TEST(relative[at] == 1);
+    for (const double each : relativePaces({0, 0, 0}))
+        BOOST_TEST(each == 1);
+    BOOST_TEST(relativePaces({}).empty());
+    BOOST_TEST(capacityShare(1) == 1);
+    BOOST_TEST(capacityShare(2) < 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(very_late_first_event_counts_as_twice_the_predicted_time)
+{
+    // Guards against a frozen target that appears slow for minutes after.
+    FirstEventSums sums;
+    addFirstEvent(sums, 1000, 5s, 50ms);
+    BOOST_TEST(sums.count_ == 1);
+    BOOST_TEST(sums.tokens_ == 1000);
+    BOOST_TEST(sums.millis_ == 100);
+    addFirstEvent(sums, 1000, 5s, 0ms);
+    BOOST_TEST(sums.millis_ == 5100);
+    addFirstEvent(sums, 0, 5s, 50ms);
+    BOOST_TEST(sums.count_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_is_twice_as_slow_hosts_well_under_half_as_many_adapters)
+{
+    std::vector<TargetState> states(12);
+    std::vector<TargetState *> targets;
+    for (std::size_t at = 0; at < states.size(); ++at) {
+        TargetState &state = states[at];
+        state.listed_.id_ = "i-" + std::to_string(at);
+        state.listed_.address_ = "10.0.0." + std::to_string(at) + ":80";
+        state.listed_.slots_ = 64;
+        state.hasAgentReport_ = true;
+        state.agentReportedAt_ = state.lastContactAt_ = state.loadReportedAt_ = now;
+        state.models_ = {nameHash("base")};
+        targets.push_back(&state);
+    }
+    const auto countOf = [&] {
+        std::size_t count = 0;
+        for (int number = 0; number < 4000; ++number) {
+            PlacementQuery query;
+            query.model_ = "base";
+            query.adapter_ = "base/a" + std::to_string(number);
+            const Placement place = choosePlacement(targets, query, now);
+            BOOST_REQUIRE((place.kind_ == PlacementKind::AwaitAdapter));
+            count += place.target_ == targets[0] ? 1 : 0;
+        }
+        return count;
+    };
+    const std::size_t usual = countOf();
+    states[0].relativePace_ = 2;
+    const std::size_t slow = countOf();
+    BOOST_TEST(usual > 250);
+    BOOST_TEST(slow < usual * 0.45);
+    BOOST_TEST(slow > usual * 0.25);
+}
