Count the pauses that a long prompt causes to running streams

Cause: where targets differ in pace, streams are late mostly from pauses over 400 ms, not from their first event, and the cost of a target didn't depend on how many streams a prompt would pause. Change: a term of the streams as a fraction of the slots, times the excess of the predicted reading time over what the objective for pauses allows. It is 0 where paces are equal and no target states slow work.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -65,12 +65,17 @@
 /// Such a request has less than this part of its objective left.
 constexpr double urgentFraction = 0.4;
 
+/// Weight of the term for pauses of running streams.
+constexpr double pauseCost = 1.0;
+
 /// Median ratios of a service's targets. Faults that all targets have in common, such as failing
 /// requests or streams that are late from overload, are not attributed to a single target.
 struct MedianRatios
 {
     double failures_ = 0;
     double late_ = 0;
+    /// Targets are known to differ in pace, or one states that its work takes longer than usual.
+    bool isUneven_ = false;
 };
 
 double medianOf(const std::vector<TargetState *> &targets, double TargetState::*ratio)
@@ -86,10 +91,13 @@
     return *middle;
 }
 
-MedianRatios medianRatiosOf(const std::vector<TargetState *> &targets)
+MedianRatios medianRatiosOf(const std::vector<TargetState *> &targets, Time now)
 {
+    const bool isUneven = std::any_of(targets.begin(), targets.end(), [now](const auto *target) {
+        return target->relativePace_ != 1 || transientFactor(target->workTime_, now) != 1;
+    });
     return {medianOf(targets, &TargetState::failureRatio_),
-            medianOf(targets, &TargetState::lateRatio_)};
+            medianOf(targets, &TargetState::lateRatio_), isUneven};
 }
 
 /// Returns the target's load as a fraction of its slots or of its usable memory, whichever is
@@ -215,11 +223,28 @@
         + lateStreamCost * std::max(target.lateRatio_ - medians.late_, 0.0);
 }
 
+/// Returns the cost of the pauses that the prompt causes to the streams that run at the target:
+/// those streams as a fraction of the slots, times the excess of the time for which the target
+/// reads over the part of the objective that reading may take.
+double pauseTerm(const TargetState &target, const PlacementQuery &query, Time now)
+{
+    const auto allowed = std::chrono::duration<double>(query.pauseObjective_) * pauseFraction;
+    if (query.serviceModel_ == nullptr || allowed.count() <= 0)
+        return 0;
+    const std::chrono::duration<double> reading = predictedReading(target, query, now)
+        + scaled(predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_),
+                 paceFactor(target, now));
+    const double running = static_cast<double>(target.running_) / target.listed_.slots_;
+    return pauseCost * running * std::max(reading / allowed - 1, 0.0);
+}
+
 double placementCost(const TargetState &target, const PlacementQuery &query,
                      const MedianRatios &medians, Time now)
 {
     double cost = loadFraction(target, query, now, capacityShare(target.relativePace_))
         + waitFraction(target, query, now) + faultCost(target, medians);
+    if (medians.isUneven_)
+        cost += pauseTerm(target, query, now);
     if (target.listed_.dataCentre_ != query.dataCentre_)
         cost += remoteDataCentreCost;
     return cost;
@@ -365,7 +390,7 @@
                              Time now)
 {
     Candidates candidates;
-    candidates.medians_ = medianRatiosOf(targets);
+    candidates.medians_ = medianRatiosOf(targets, now);
     const bool hasLapsed = hasListLapsed(targets);
     const NameHash model = nameHash(query.model_);
     const NameHash adapter = nameHash(query.adapter_);
--- a/Tests/EdgeDecisions/targetpacetest.cpp
+++ b/Tests/EdgeDecisions/targetpacetest.cpp
@@ -97,3 +97,41 @@
     BOOST_TEST(slow < usual * 0.45);
     BOOST_TEST(slow > usual * 0.25);
 }
+
+BOOST_AUTO_TEST_CASE(a_long_prompt_goes_where_it_pauses_fewer_streams)
+{
+    // Guards against long prompts at targets whose many streams would pause for too long.
+    EngineModel model;
+    for (int sample = 0; sample < 40; ++sample)
+        recordFirstEvent(model, 1000.0 * (1 + sample % 3), 60ms * (1 + sample % 3));
+    model.meanPromptTokens_ = 2000;
+    std::vector<TargetState> states(3);
+    std::vector<TargetState *> targets;
+    for (std::size_t at = 0; at < states.size(); ++at) {
+        TargetState &state = states[at];
+        state.listed_.id_ = "i-" + std::to_string(at);
+        state.listed_.slots_ = 64;
+        state.hasAgentReport_ = true;
+        state.agentReportedAt_ = state.lastContactAt_ = state.loadReportedAt_ = now;
+        state.models_ = {nameHash("base")};
+        state.adapters_[nameHash("base/x")] = 1;
+        state.engineModel_ = model;
+        targets.push_back(&state);
+    }
+    // The second target has fewer streams and more late ones, so that it costs a little more.
+    states[0].running_ = 30;
+    states[1].running_ = 10;
+    states[1].lateRatio_ = 0.25;
+    states[2].running_ = 64;
+    PlacementQuery query;
+    query.model_ = "base";
+    query.adapter_ = "base/x";
+    query.promptTokens_ = 6000;
+    query.serviceModel_ = &model;
+    BOOST_TEST(choosePlacement(targets, query, now).target_ == targets[0]);
+    // Targets of uneven pace: the prompt's 360 ms are twice what the objective for pauses allows.
+    states[2].relativePace_ = 2;
+    BOOST_TEST(choosePlacement(targets, query, now).target_ == targets[1]);
+    query.promptTokens_ = 1000;
+    BOOST_TEST(choosePlacement(targets, query, now).target_ == targets[0]);
+}
