Mend two findings of the linter in the code for paces

Cause: the linter found a loop without reserved capacity and a function over the limit of statements. Change: the figures of streams are moved into a message by a function of edgepace.cpp.

--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -308,6 +308,8 @@
     void recordTargetLoad(EdgeTarget &target, const HttpHead &head, Time now);
     /// Takes the first event of a send into what is learned of the target and its service.
     void recordPaceSample(const EdgeRequest &request, Duration elapsed, Time now);
+    /// Moves the figures of the target's streams since the last message into the message.
+    void takeStreamFigures(EdgeTarget &target, EntryLoadRequests &message) const;
     /// Takes the pace that the target's agent reports.
     void applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted);
     void updateRelativePaces(const std::string &service);
--- a/Source/Edge/edgepace.cpp
+++ b/Source/Edge/edgepace.cpp
@@ -5,6 +5,8 @@
 #include "platform/responsewire.h"
 #include "platform/wirenames.h"
 
+#include <utility>
+
 namespace eelgrasscove {
 
 namespace {
@@ -44,6 +46,14 @@
     addFirstEvent(target.firstEvents_, request.tokensAhead_, usual, request.predictedFirstEvent_);
 }
 
+void Edge::takeStreamFigures(EdgeTarget &target, EntryLoadRequests &message) const
+{
+    message.streams_ = std::exchange(target.streams_, 0);
+    message.lateStreams_ = std::exchange(target.lateStreams_, 0);
+    if (target.firstEvents_.count_ > 0)
+        message.firstEvents_ = std::exchange(target.firstEvents_, {});
+}
+
 void Edge::applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted)
 {
     TargetState &state = target.state_;
@@ -64,6 +74,7 @@
 {
     const std::vector<TargetState *> states = targetStates(service);
     std::vector<std::uint8_t> reported;
+    reported.reserve(states.size());
     for (const TargetState *state : states)
         reported.push_back(state->pace_);
     const std::vector<double> relative = relativePaces(reported);
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -206,10 +206,7 @@
     target.lastMessageSentAt_ = now;
     message.usedAdapters_.assign(target.usedAdapters_.begin(), target.usedAdapters_.end());
     target.usedAdapters_.clear();
-    message.streams_ = std::exchange(target.streams_, 0);
-    message.lateStreams_ = std::exchange(target.lateStreams_, 0);
-    if (target.firstEvents_.count_ > 0)
-        message.firstEvents_ = std::exchange(target.firstEvents_, {});
+    takeStreamFigures(target, message);
     std::string bytes = encodePeerMessage(message);
     countDatagrams("load_requests", state.listed_.dataCentre_ == settings_.dataCentre_, 1,
                    bytes.size());
