Learn the pace of a target from the intervals between events

Cause: the pace was the time to first events by the prompt tokens ahead. Where an entry knows of many waiting prompts the quotient falls, so overloaded targets appeared fast and got more (one target with a mean longest pause of 1.5 s: 0.65 of the median pace). Change: entries send the lower quartile of the times between the events of each stream; the agent averages them.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -348,7 +348,7 @@
     if (targetId_.empty() && isEngineUp_ && loadRequests->targetStartedAt_ == report_.startedAt_)
         targetId_ = loadRequests->target_;
     lateRatio_ = updatedLateRatio(lateRatio_, loadRequests->streams_, loadRequests->lateStreams_);
-    recordFirstEvents(*loadRequests);
+    recordEventIntervals(*loadRequests);
     for (const NameHash adapter : loadRequests->usedAdapters_)
         recordUse(plan_, adapter, now);
     bool hasNewRequest = false;
@@ -362,20 +362,20 @@
     }
 }
 
-void Agent::recordFirstEvents(const EntryLoadRequests &message)
+void Agent::recordEventIntervals(const EntryLoadRequests &message)
 {
     // Those of an earlier start, or of another target at this address, say nothing of this engine.
-    if (!message.firstEvents_ || message.target_ != targetId_
+    if (!message.eventIntervals_ || message.target_ != targetId_
         || message.targetStartedAt_ != report_.startedAt_)
         return;
     const std::uint8_t before = paceFit_.reported_;
-    if (!addFirstEvents(paceFit_, *message.firstEvents_)) {
-        countMetric("eelgrasscove_first_event_sums_ignored_total");
-        eventLog().note("pace.sums_ignored", "entry", message.vm_, "count",
-                        message.firstEvents_->count_);
+    if (!addEventIntervals(paceFit_, *message.eventIntervals_)) {
+        countMetric("eelgrasscove_event_intervals_ignored_total");
+        eventLog().note("pace.sums_ignored", "entry", message.vm_, "streams",
+                        message.eventIntervals_->streams_);
     } else if (paceFit_.reported_ != before) {
-        eventLog().note("engine.pace", "nanos_per_token", decodePace(paceFit_.reported_), "before",
-                        decodePace(before), "first_events", paceFit_.count_);
+        eventLog().note("engine.pace", "event_micros", decodePace(paceFit_.reported_), "before",
+                        decodePace(before), "streams", paceFit_.streams_);
     }
 }
 
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -58,7 +58,7 @@
                              const std::optional<HttpResponse> &response);
     void handleDatagram(std::string_view bytes, const Endpoint &from);
     /// Takes an entry's first events into the fit of the engine's pace.
-    void recordFirstEvents(const EntryLoadRequests &message);
+    void recordEventIntervals(const EntryLoadRequests &message);
     void sendStateToEntries(bool isUrgent, bool hasLoadChanged);
     /// Sends the state to the entries of a data centre if it is due.
     void sendStateToDataCentre(NameHash dataCentre, const std::vector<KnownEntry *> &entries,
--- a/Source/Agent/pacefit.cpp
+++ b/Source/Agent/pacefit.cpp
@@ -9,45 +9,39 @@
 
 namespace {
 
-/// Weight of earlier first events after each new one: about the last 1,000 count, which an engine
-/// with seven requests a second gets in two and a half minutes.
-constexpr double retention = 0.999;
+/// Weight of earlier streams after each new one: about the last 100 count, which an engine with
+/// seven requests a second gets in 15 s.
+constexpr double retention = 0.99;
 
-/// Minimum number of first events for a pace.
-constexpr double minFirstEvents = 30;
+/// Minimum number of streams for a pace.
+constexpr double minStreams = 10;
 
-/// Steps of the code by which the fit has to differ from the reported pace to replace it, as every
-/// change may move adapters.
+/// Steps of the code by which the average has to differ from the reported pace to replace it, as
+/// every change may move adapters.
 constexpr int maxDeviationSteps = 2;
 
-/// Upper limits of the means of an entry's first events. No context is that long, and no request
-/// waits for that time.
-constexpr double maxMeanTokens = 1e7;
-constexpr double maxMeanMillis = 600'000;
+/// Upper limit of the mean of an entry's streams: clients leave after shorter pauses.
+constexpr double maxMeanMillis = 60'000;
 
-/// Whether the numbers are positive and within the limits; also false for numbers that are not
-/// finite.
-bool isValid(const FirstEventSums &sums)
+/// Whether the sum is positive and within the limit; also false for numbers that are not finite.
+bool isValid(const EventIntervalSums &sums)
 {
-    const double count = sums.count_;
-    return count > 0 && sums.tokens_ > 0 && sums.tokens_ <= count * maxMeanTokens
-        && sums.millis_ >= 0 && sums.millis_ <= count * maxMeanMillis;
+    return sums.streams_ > 0 && sums.millis_ > 0 && sums.millis_ <= sums.streams_ * maxMeanMillis;
 }
 
 } // namespace
 
-bool addFirstEvents(PaceFit &fit, const FirstEventSums &sums)
+bool addEventIntervals(PaceFit &fit, const EventIntervalSums &sums)
 {
     if (!isValid(sums))
         return false;
-    const double kept = std::pow(retention, sums.count_);
-    fit.count_ = fit.count_ * kept + sums.count_;
-    fit.tokens_ = fit.tokens_ * kept + sums.tokens_;
+    const double kept = std::pow(retention, sums.streams_);
+    fit.streams_ = fit.streams_ * kept + sums.streams_;
     fit.millis_ = fit.millis_ * kept + sums.millis_;
-    if (fit.count_ < minFirstEvents)
+    if (fit.streams_ < minStreams)
         return true;
-    constexpr double nanosPerMilli = 1e6;
-    const std::uint8_t pace = encodePace(fit.millis_ / fit.tokens_ * nanosPerMilli);
+    constexpr double microsPerMilli = 1000;
+    const std::uint8_t pace = encodePace(fit.millis_ / fit.streams_ * microsPerMilli);
     const int deviation = std::abs(static_cast<int>(pace) - fit.reported_);
     if (pace != 0 && (fit.reported_ == 0 || deviation > maxDeviationSteps))
         fit.reported_ = pace;
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -57,7 +57,7 @@
     std::uint16_t streams_ = 0;
     std::uint16_t lateStreams_ = 0;
     /// First events since the last message to its agent.
-    FirstEventSums firstEvents_;
+    EventIntervalSums eventIntervals_;
     /// A load that can't be read has been logged.
     bool isLoadFaultLogged_ = false;
 };
@@ -146,6 +146,8 @@
     Time lastEventAt_;
     /// Longest interval between two forwarded events.
     Duration longestPause_{};
+    /// Milliseconds between forwarded events, of the first events of the stream.
+    std::vector<float> eventIntervals_;
 };
 
 using EdgeRequestPtr = std::shared_ptr<EdgeRequest>;
--- a/Source/Edge/edgepace.cpp
+++ b/Source/Edge/edgepace.cpp
@@ -43,22 +43,21 @@
     const Duration usual = usualTime(elapsed, target.state_.workTime_, now);
     recordFirstEvent(target.state_.engineModel_, request.tokensAhead_, usual);
     recordFirstEvent(serviceModelOf(request.service_), request.tokensAhead_, usual);
-    addFirstEvent(target.firstEvents_, request.tokensAhead_, usual, request.predictedFirstEvent_);
 }
 
 void Edge::takeStreamFigures(EdgeTarget &target, EntryLoadRequests &message) const
 {
     message.streams_ = std::exchange(target.streams_, 0);
     message.lateStreams_ = std::exchange(target.lateStreams_, 0);
-    if (target.firstEvents_.count_ > 0)
-        message.firstEvents_ = std::exchange(target.firstEvents_, {});
+    if (target.eventIntervals_.streams_ > 0)
+        message.eventIntervals_ = std::exchange(target.eventIntervals_, {});
 }
 
 void Edge::applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted)
 {
     TargetState &state = target.state_;
     if (restarted) {
-        target.firstEvents_ = {};
+        target.eventIntervals_ = {};
         state.workTime_ = {};
     }
     if (report.pace_ == state.pace_)
@@ -66,7 +65,7 @@
     const double before = decodePace(state.pace_);
     state.pace_ = report.pace_;
     updateRelativePaces(state.listed_.service_);
-    eventLog().note("target.pace", "target", state.listed_.id_, "nanos_per_token",
+    eventLog().note("target.pace", "target", state.listed_.id_, "event_micros",
                     decodePace(state.pace_), "before", before, "relative", state.relativePace_);
 }
 
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -47,6 +47,9 @@
 /// Parts of the limit on all buffers after each of which they are added up.
 constexpr std::size_t bufferChecksPerLimit = 16;
 
+/// Intervals between events that are kept of a stream to learn the pace of its target.
+constexpr std::size_t maxEventIntervals = 48;
+
 /// Maximum number of queued requests tried after a response, which frees room for one request.
 constexpr std::size_t maxTriedAfterResponse = 4;
 
@@ -295,7 +298,11 @@
         recordBegin(request, now);
     request.stage_ = RequestStage::Streaming;
     if (request.firstEventForwarded_) {
-        request.longestPause_ = std::max(request.longestPause_, now - request.lastEventAt_);
+        const Duration interval = now - request.lastEventAt_;
+        request.longestPause_ = std::max(request.longestPause_, interval);
+        if (request.eventIntervals_.size() < maxEventIntervals)
+            request.eventIntervals_.push_back(
+                std::chrono::duration<float, std::milli>(interval).count());
         session.sendStreamBytes(events);
     } else {
         request.firstEventForwarded_ = true;
@@ -361,6 +368,7 @@
         && request.firstEventAt_ - request.sentAt_ > route.objective_;
     const bool paused =
         route.pauseObjective_ > Duration::zero() && request.longestPause_ > route.pauseObjective_;
+    addStream(target.eventIntervals_, request.eventIntervals_);
     ++target.streams_;
     target.lateStreams_ += firstEventLate || paused ? 1 : 0;
 }
--- a/Source/Edge/targetpace.cpp
+++ b/Source/Edge/targetpace.cpp
@@ -21,17 +21,16 @@
 /// fast for the next request.
 constexpr double minTransientFactor = 0.5;
 
-/// Relative paces between this and its inverse count as 1. The fits of targets of the same pace
-/// differ by up to 35 % from their median with their load, and adapters are not to move for that.
-constexpr double minRelativeDifference = 1.4;
+/// Relative paces between this and its inverse count as 1. Targets of the same pace differ by up to
+/// a fifth with the number of their streams, and adapters are not to move for that.
+constexpr double minRelativeDifference = 1.25;
 
 /// Exponent of the capacity by pace. Beside the streams that it runs for longer, a slow target has
 /// longer pauses at the same number of streams, so its share is below the ratio of the paces.
 constexpr double shareExponent = -1.5;
 
-/// A first event that comes later than this multiple of the prediction waited for prompts that the
-/// entry did not know of, which says nothing of the pace.
-constexpr int maxLatenessFactor = 2;
+/// Minimum number of intervals for a quartile.
+constexpr std::size_t minIntervals = 8;
 
 } // namespace
 
@@ -59,16 +58,15 @@
     return relativePace == 1 ? 1 : std::pow(relativePace, shareExponent);
 }
 
-void addFirstEvent(FirstEventSums &sums, double tokensAhead, Duration elapsed, Duration predicted)
+void addStream(EventIntervalSums &sums, std::vector<float> intervals)
 {
-    if (tokensAhead <= 0 || sums.count_ == std::numeric_limits<std::uint16_t>::max())
+    if (intervals.size() < minIntervals
+        || sums.streams_ == std::numeric_limits<std::uint16_t>::max())
         return;
-    if (predicted > Duration::zero())
-        elapsed = std::min(elapsed, predicted * maxLatenessFactor);
-    const double millis = std::chrono::duration<double, std::milli>(elapsed).count();
-    ++sums.count_;
-    sums.tokens_ += static_cast<float>(tokensAhead);
-    sums.millis_ += static_cast<float>(millis);
+    const auto quartile = intervals.begin() + static_cast<std::ptrdiff_t>(intervals.size() / 4);
+    std::nth_element(intervals.begin(), quartile, intervals.end());
+    ++sums.streams_;
+    sums.millis_ += *quartile;
 }
 
 Duration usualTime(Duration elapsed, const WorkTime &workTime, Time now)
--- a/Source/Edge/targetpace.h
+++ b/Source/Edge/targetpace.h
@@ -3,8 +3,10 @@
 /// Estimates how long a target's work takes compared with others and with its own usual time. Pure
 /// functions: no clock, I/O or threads.
 ///
-/// The pace of a target is the time in which it reads a prompt token. Its agent fits it to the
-/// first events of all entries, so that all entries compute the same placement of adapters.
+/// The pace of a target is the typical time between two events of a stream. Its agent averages it
+/// over the streams of all entries, so that all entries compute the same placement of adapters. It
+/// is not taken from the times to first events: these depend on prompts of other entries, and where
+/// many are known to wait, an overloaded target appears fast.
 ///
 /// A target that shares its machine is slower for a few hundred milliseconds at a time and states
 /// so in its responses. An entry sees few responses of each target, so what one states is
@@ -40,8 +42,9 @@
 /// Returns the part of a usual target's load that a target with this relative pace sustains.
 double capacityShare(double relativePace);
 
-/// Adds the first event of a request to the sums for the target's agent. One that comes much later
-/// than predicted is added as if it had come sooner; predicted is zero where not known.
-void addFirstEvent(FirstEventSums &sums, double tokensAhead, Duration elapsed, Duration predicted);
+/// Adds a stream to the sums for the target's agent, by the lower quartile of the milliseconds
+/// between its events: prompts that the target reads meanwhile and slow spans lengthen the others.
+/// A stream with few events is not counted.
+void addStream(EventIntervalSums &sums, std::vector<float> intervals);
 
 } // namespace eelgrasscove
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -51,7 +51,7 @@
     std::uint64_t residencyNumber_ = 0;
     /// Fraction of the target's most recent streams, over all entries, that were late.
     double lateRatio_ = 0;
-    /// Time in which the target reads a prompt token, see encodePace(); 0 while it is not known.
+    /// Typical time between two events of a stream, see encodePace(); 0 while it is not known.
     std::uint8_t pace_ = 0;
     /// The same relative to the other targets of the service.
     double relativePace_ = 1;
--- a/Source/Peer/pacecode.cpp
+++ b/Source/Peer/pacecode.cpp
@@ -8,22 +8,22 @@
 namespace {
 
 constexpr double stepsPerDoubling = 16;
-/// Time of code 0. Engines in use take 10 to 200 microseconds a token, the middle of the range.
-constexpr double baseNanos = 64;
+/// Time of code 0. Engines in use write an event every 5 to 200 ms, the upper half of the range.
+constexpr double baseMicros = 16;
 
 } // namespace
 
-std::uint8_t encodePace(double nanosPerToken)
+std::uint8_t encodePace(double microsPerEvent)
 {
-    if (!std::isfinite(nanosPerToken) || nanosPerToken <= 0)
+    if (!std::isfinite(microsPerEvent) || microsPerEvent <= 0)
         return 0;
-    const double steps = std::round(stepsPerDoubling * std::log2(nanosPerToken / baseNanos));
+    const double steps = std::round(stepsPerDoubling * std::log2(microsPerEvent / baseMicros));
     return static_cast<std::uint8_t>(std::clamp(steps, 1.0, 255.0));
 }
 
 double decodePace(std::uint8_t pace)
 {
-    return pace == 0 ? 0 : baseNanos * std::exp2(pace / stepsPerDoubling);
+    return pace == 0 ? 0 : baseMicros * std::exp2(pace / stepsPerDoubling);
 }
 
 } // namespace eelgrasscove
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -51,7 +51,7 @@
     std::uint32_t pendingLoads_ = 0;
     /// Fraction of the most recent streams at this engine, over all entries, that were late.
     float lateRatio_ = 0;
-    /// Time in which the engine reads a prompt token, see encodePace(); 0 while it is not known.
+    /// Typical time between two events of a stream, see encodePace(); 0 while it is not known.
     std::uint8_t pace_ = 0;
     /// Increases whenever the lists below change.
     std::uint64_t residencyNumber_ = 0;
@@ -87,19 +87,16 @@
     }
 };
 
-/// Sums over first events of requests at an engine, from which the time for each prompt token that
-/// the engine had to read is fitted.
-struct FirstEventSums
+/// Sum over streams of an engine of the typical time between two of their events.
+struct EventIntervalSums
 {
-    std::uint16_t count_ = 0;
-    /// Prompt tokens that were unread when each request was sent, its own included.
-    float tokens_ = 0;
+    std::uint16_t streams_ = 0;
     float millis_ = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(count_, tokens_, millis_);
+        archive(streams_, millis_);
     }
 };
 
@@ -119,14 +116,14 @@
     /// Streams of this engine since the last message, and how many of them were late.
     std::uint16_t streams_ = 0;
     std::uint16_t lateStreams_ = 0;
-    /// First events at this engine since the last message; absent if there were none.
-    std::optional<FirstEventSums> firstEvents_;
+    /// Streams of this engine that ended since the last message; absent if there were none.
+    std::optional<EventIntervalSums> eventIntervals_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(vm_, dataCentre_, target_, targetStartedAt_, knownResidencyNumber_, loadRequests_,
-                usedAdapters_, streams_, lateStreams_, firstEvents_);
+                usedAdapters_, streams_, lateStreams_, eventIntervals_);
     }
 };
 
--- a/Tests/EdgeDecisions/targetpacetest.cpp
+++ b/Tests/EdgeDecisions/targetpacetest.cpp
@@ -50,18 +50,19 @@
     BOOST_TEST(capacityShare(2) < 0.5);
 }
 
-BOOST_AUTO_TEST_CASE(very_late_first_event_counts_as_twice_the_predicted_time)
+BOOST_AUTO_TEST_CASE(
+    prompts_that_are_read_meanwhile_and_slow_spans_do_not_change_the_typical_interval)
 {
-    // Guards against a frozen target that appears slow for minutes after.
-    FirstEventSums sums;
-    addFirstEvent(sums, 1000, 5s, 50ms);
-    BOOST_TEST(sums.count_ == 1);
-    BOOST_TEST(sums.tokens_ == 1000);
-    BOOST_TEST(sums.millis_ == 100);
-    addFirstEvent(sums, 1000, 5s, 0ms);
-    BOOST_TEST(sums.millis_ == 5100);
-    addFirstEvent(sums, 0, 5s, 50ms);
-    BOOST_TEST(sums.count_ == 2);
+    // Guards against an overloaded target that appears slower, or a queue that makes it appear
+    // faster, than it is.
+    EventIntervalSums sums;
+    std::vector<float> intervals(20, 30);
+    std::fill(intervals.begin(), intervals.begin() + 12, 400);
+    addStream(sums, intervals);
+    BOOST_TEST(sums.streams_ == 1);
+    BOOST_TEST(sums.millis_ == 30);
+    addStream(sums, {5, 5, 5});
+    BOOST_TEST(sums.streams_ == 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_is_twice_as_slow_hosts_well_under_half_as_many_adapters)
--- a/Tests/LoadPlay/unevenplaytest.cpp
+++ b/Tests/LoadPlay/unevenplaytest.cpp
@@ -143,6 +143,7 @@
     bool isLate_ = false;
     bool isPaused_ = false;
     Time lastEventAt_;
+    std::vector<float> intervals_;
 };
 
 struct Engine
@@ -182,7 +183,7 @@
 {
     std::vector<TargetState> states_;
     std::vector<TargetState *> targets_;
-    std::vector<FirstEventSums> sums_;
+    std::vector<EventIntervalSums> sums_;
     AdapterDemand demand_;
     EngineModel serviceModel_;
     std::vector<std::size_t> waiting_;
@@ -355,6 +356,8 @@
         stream.stepsToEvent_ = stepsPerEvent;
         if (stream.hasBegun_) {
             stream.isPaused_ = stream.isPaused_ || at - stream.lastEventAt_ > pauseObjective;
+            stream.intervals_.push_back(
+                std::chrono::duration<float, std::milli>(at - stream.lastEventAt_).count());
         } else {
             stream.hasBegun_ = true;
             stream.isLate_ = at - stream.arrivedAt_ > firstEventObjective;
@@ -365,8 +368,6 @@
             const Duration elapsed = usualTime(at - stream.sentAt_, state.workTime_, at);
             recordFirstEvent(state.engineModel_, stream.tokensAhead_, elapsed);
             recordFirstEvent(entry.serviceModel_, stream.tokensAhead_, elapsed);
-            addFirstEvent(entry.sums_[stream.engine_], stream.tokensAhead_, elapsed,
-                          stream.predicted_);
             --state.promptBacklog_.ownRequests_;
             state.promptBacklog_.ownTokens_ -= stream.promptTokens_;
             recordLoad(state, static_cast<std::uint32_t>(engine.running_.size()),
@@ -395,7 +396,9 @@
 
     void end(const Stream &stream)
     {
-        --entries_[stream.entry_].states_[stream.engine_].outstanding_;
+        Entry &entry = entries_[stream.entry_];
+        --entry.states_[stream.engine_].outstanding_;
+        addStream(entry.sums_[stream.engine_], stream.intervals_);
         count(stream, true);
     }
 
@@ -503,8 +506,8 @@
     {
         for (Entry &entry : entries_) {
             for (std::size_t at = 0; at < engineCount; ++at) {
-                if (entry.sums_[at].count_ > 0)
-                    addFirstEvents(engines_[at].fit_, entry.sums_[at]);
+                if (entry.sums_[at].streams_ > 0)
+                    addEventIntervals(engines_[at].fit_, entry.sums_[at]);
                 entry.sums_[at] = {};
             }
         }
