Let slow targets need replicas sooner, and predict by their pace

Cause: adapters that were loaded at a slow target before its pace was known stay there, and its own fit of first events makes an overloaded target appear fast. Change: the load that calls for a replica and the number of replicas count the target's share of capacity; a target whose pace differs is predicted by the model of its service.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -119,12 +119,18 @@
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
-/// Returns the factor of predictions for the target. Few samples of its own are made up for by
-/// those of its service, which apply to the median pace.
+/// Returns the model of the target's first events. That of a target whose pace differs from the
+/// others' is its service's, to which paceFactor() applies: its own fit takes the prompts that wait
+/// there for a fast target.
+const EngineModel &modelOf(const TargetState &target, const PlacementQuery &query)
+{
+    return target.relativePace_ == 1 ? target.engineModel_ : *query.serviceModel_;
+}
+
+/// Returns the factor of predictions for the target.
 double paceFactor(const TargetState &target, Time now)
 {
-    const double persistent = hasOwnSamples(target.engineModel_) ? 1 : target.relativePace_;
-    return persistent * transientFactor(target.workTime_, now);
+    return target.relativePace_ * transientFactor(target.workTime_, now);
 }
 
 /// Predicts the time to the first event at the target of a request with that many prompt tokens.
@@ -135,7 +141,7 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return scaled(predictFirstEvent(target.engineModel_, *query.serviceModel_, unread + tokens),
+    return scaled(predictFirstEvent(modelOf(target, query), *query.serviceModel_, unread + tokens),
                   paceFactor(target, now));
 }
 
@@ -147,7 +153,7 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return scaled(predictReading(target.engineModel_, *query.serviceModel_, unread),
+    return scaled(predictReading(modelOf(target, query), *query.serviceModel_, unread),
                   paceFactor(target, now));
 }
 
@@ -181,7 +187,7 @@
     if (isUrgent(query))
         return reading <= std::max(minPromptsAhead, part(query.objective_, promptsAheadFraction));
     const Duration own =
-        scaled(predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_),
+        scaled(predictReading(modelOf(target, query), *query.serviceModel_, query.promptTokens_),
                paceFactor(target, now));
     return reading + own <= part(query.pauseObjective_, pauseFraction);
 }
@@ -190,7 +196,7 @@
 /// event, whichever is higher.
 double engineLoad(const TargetState &target, const PlacementQuery &query, Time now)
 {
-    const double slots = loadFraction(target, query, now);
+    const double slots = loadFraction(target, query, now, capacityShare(target.relativePace_));
     if (query.objective_ <= Duration::zero())
         return slots;
     const Duration wait = predictedFirstEvent(target, query, query.promptTokens_, now);
@@ -232,7 +238,7 @@
     if (query.serviceModel_ == nullptr || allowed.count() <= 0)
         return 0;
     const std::chrono::duration<double> reading = predictedReading(target, query, now)
-        + scaled(predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_),
+        + scaled(predictReading(modelOf(target, query), *query.serviceModel_, query.promptTokens_),
                  paceFactor(target, now));
     const double running = static_cast<double>(target.running_) / target.listed_.slots_;
     return pauseCost * running * std::max(reading / allowed - 1, 0.0);
@@ -492,7 +498,9 @@
     if (query.adapter_.empty())
         return false;
     const double running = query.requestsPerSecond_ * meanRunSeconds;
-    const double replicas = running / (placement.target_->listed_.slots_ * maxReplicaLoad);
+    const TargetState &target = *placement.target_;
+    const double capacity = target.listed_.slots_ * capacityShare(target.relativePace_);
+    const double replicas = running / (capacity * maxReplicaLoad);
     if (static_cast<double>(candidates.ready_.size() + candidates.pendingCount_) < replicas)
         return true;
     return (placement.load_ > replicaLoadThreshold || placement.kind_ == PlacementKind::AwaitRoom)
