--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -7,9 +7,12 @@
 #include "Edge/adapterversions.h"
 #include "Edge/clientsession.h"
 #include "Edge/crashsuspects.h"
+#include "Edge/evacuation.h"
+#include "Edge/homes.h"
 #include "Edge/placement.h"
 #include "Edge/retrybudget.h"
 #include "Edge/ruleindex.h"
+#include "Edge/suspectstore.h"
 #include "Edge/targetpool.h"
 #include "Edge/tokenallowance.h"
 #include "Edge/waitingorder.h"
@@ -17,6 +20,7 @@
 #include "Observe/textserver.h"
 #include "Peer/peermessages.h"
 #include "Peer/storequeries.h"
+#include "Store/leasedkeys.h"
 #include "Store/registration.h"
 #include "Store/storefeed.h"
 #include "Vm/servingsettings.h"
@@ -191,8 +195,6 @@
     std::set<std::string> peerNames() const;
     void removeMissingTargets(Time now);
     bool isReady(Time now) const;
-    /// Whether the rules were confirmed recently enough to accept keys.
-    bool areRulesFresh(Time now) const;
     Time rulesConfirmedAt() const;
     /// Queries the store if the last confirmation is old or peers know changes that this entry
     /// doesn't know.
@@ -224,8 +226,6 @@
     bool checkKey(EdgeRequest &request, Time now);
     bool checkAllowance(EdgeRequest &request, Time now);
     void placeRequest(const EdgeRequestPtr &request);
-    /// Refuses a request that may crash its target. Returns whether it was refused.
-    bool refuseIfHeld(EdgeRequest &request, Time now);
     PlacementQuery makePlaceQuery(const EdgeRequest &request, Time now) const;
     /// Returns 0 where no version of the adapter has been named.
     std::uint64_t newestVersionOf(const std::string &adapter) const;
@@ -314,6 +314,66 @@
     void applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted);
     void updateRelativePaces(const std::string &service);
 
+    // edgecold.cpp: cold targets.
+    /// Applies the cold limits of new rules.
+    void applyColdRules();
+    /// Sets the cold limits of all targets, and this entry's shares of them, from the rules and the
+    /// list of entries.
+    void refreshColdLimits();
+    void refreshColdLimit(EdgeTarget &target, Time now);
+    /// Applies the remaining cold time of a list entry that was written at the revision.
+    void applyListedTime(EdgeTarget &target, const ListedTarget &listed, std::uint64_t revision);
+    /// Applies the remaining cold time in a response to a request that was sent at sentAt.
+    void applyColdHeader(const TargetInstance &instance, Time sentAt, const HttpHead &head);
+    /// Called before the report is applied to the target's state.
+    void applyColdReport(EdgeTarget &target, const EngineStateMessage &report, Time now);
+    /// Called when the target has refused a connection.
+    void markRefusingTarget(EdgeTarget &target, Time now);
+    /// Counts all targets of the data centre as cold, at the end of its evacuation.
+    void markDataCentreCold(const std::string &dataCentre, Time now);
+    void recordColdSendTo(TargetState &state, Time now);
+    /// Called when a request is withdrawn before a byte of it was sent. One whose connection was
+    /// refused still counts, so that few attempts are made until the target returns.
+    void removeColdSend(const EdgeRequest &request);
+    /// Expected time until a request that waits for quotas can be sent. firstQuotaIn is the time
+    /// until the first quota is available.
+    Duration expectedQuotaWait(const EdgeRequest &request, bool isNewInQueue, Duration firstQuotaIn,
+                               Time now);
+    void countColdTargets(Time now) const;
+
+    // edgeevacuation.cpp: evacuated data centres, homes, and the age of what is known of them.
+    /// The time for which this entry may act on a confirmation of the operators' keys.
+    Duration rulesAgeBound() const;
+    /// Whether the operators' keys were confirmed recently enough to send requests.
+    bool areRulesFresh(Time now) const;
+    /// Refuses a request that depends on a confirmation that is too old. Returns whether it was
+    /// refused.
+    bool refuseIfRulesAreOld(EdgeRequest &request, Time now);
+    /// Takes the evacuations among the operators' keys of a complete list.
+    void applyEvacuationItems(const std::vector<wire::StoreItem> &items);
+    /// Returns whether the item is an evacuation.
+    bool applyEvacuationItem(const wire::StoreItem &item);
+    /// Logs the changes and applies them to the targets, where evacuations are enabled.
+    void applyEvacuationChanges(const std::vector<EvacuationChange> &changes);
+    void enforceEvacuationChanges(const std::vector<EvacuationChange> &changes);
+    /// Begins or ends the known evacuations after the settings were read again.
+    void onEvacuationBoundReloaded(bool wasSet);
+    /// Marks the targets of evacuated data centres, and moves the requests that are on their way to
+    /// targets that have become so.
+    void updateEvacuatedTargets();
+    /// Returns whether the target has become evacuated.
+    bool markIfEvacuated(TargetState &state) const;
+    /// The same for one target whose list entry has changed.
+    void updateIfEvacuated(EdgeTarget &target);
+    void withdrawEvacuated(EdgeTarget &target);
+    /// Called before the targets of the data centre get requests again.
+    void onEvacuationEnded(const std::string &dataCentre, Time now);
+    std::size_t countTargetsIn(const std::string &dataCentre) const;
+    /// Logs and counts the values of new rules that could not be read.
+    static void recordRuleFaults(const ServingRules &rules);
+    /// Sets the homes of the request's route and account.
+    void setHomes(PlacementQuery &query, const EdgeRequest &request) const;
+
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     /// Sends a message to the other entries of this data centre.
@@ -330,11 +390,23 @@
     void sendEntryStates(Time now);
     /// Echoes of the latest messages of the peers in the data centre.
     std::vector<PeerEcho> echoesFor(NameHash dataCentre, Time now) const;
+
+    // edgesuspects.cpp: requests and prompt parts that crash targets.
+    /// Refuses a request that may crash its target. Returns whether it was refused.
+    bool refuseIfHeld(EdgeRequest &request, Time now);
     void countConfirmedCrashes(Time now);
     void recordSoundRequest(EdgeRequest &request, Time now);
     void logHeldSuspect(SuspectId suspect, std::string_view source) const;
     /// Random time by which the entries' trials of a suspect are spread.
     Duration trialJitter();
+    /// Merges what a peer or the store knows of a suspect.
+    void mergeSuspect(const ReportedCrashRecord &reported, std::string_view source);
+    /// Reads the suspects that are held since before this entry's start.
+    void listSuspects(const Endpoint &store);
+    /// Whether they have been read, or the time for which readiness waits for it has passed.
+    bool areSuspectsKnown(Time now) const;
+    /// Writes held suspects to the store and removes those that are cleared.
+    void writeSuspects(Time now);
 
     EventLoop &loop_;
     ServingSettings settings_;
@@ -359,6 +431,7 @@
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
     RememberedNotices rememberedNotices_;
+    Evacuations evacuations_;
     /// Another entry, as listed in the store.
     struct Peer
     {
@@ -368,6 +441,11 @@
         std::optional<Time> removedAt_;
     };
     std::map<std::string, Peer> peers_;
+    /// Names of all entries, among which the limits of cold targets are divided; empty before the
+    /// list of entries is known.
+    std::vector<std::string> coldEntries_;
+    /// A service has had cold targets since the start of the entry.
+    bool hasColdLimits_ = false;
     Time startedAt_;
     /// The newest message of a peer: its timestamp by the peer's clock, and the time at which it
     /// was received.
@@ -418,6 +496,13 @@
         Time brokenAt_;
     };
     std::vector<CrashSuspicion> crashSuspicions_;
+    std::unique_ptr<LeasedKeys> suspectKeys_;
+    StoredSuspects storedSuspects_;
+    bool areSuspectsListed_ = false;
+    /// Listed suspects whose trials have not been spread over all entries yet.
+    std::vector<SuspectId> restoredSuspects_;
+    /// No write is made before this time.
+    Time suspectWritesAfter_;
 
     std::set<EdgeRequestPtr> requests_;
     /// Bytes of responses received since the buffers were last added up.
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -99,13 +99,17 @@
         return;
     const Time now = bootNow();
     const bool restarted = state.hasAgentReport_ && report.startedAt_ != state.startedAt_;
-    if (restarted || (state.isUp_ && !report.isUp_))
+    if (restarted || (state.isUp_ && !report.isUp_)) {
         target->crashedAt_ = now;
+        recordFleetCrash(crashSuspects_.evidence_, crashIdOf(state),
+                         state.running_ + state.waiting_, now);
+    }
     if (!state.hasAgentReport_ || restarted || state.isUp_ != report.isUp_
         || state.isDraining_ != report.isDraining_) {
         eventLog().note("target.state", "target", state.listed_.id_, "up", report.isUp_, "draining",
                         report.isDraining_, "started", report.startedAt_, "number", report.number_);
     }
+    applyColdReport(*target, report, now);
     state.hasAgentReport_ = true;
     state.agentReportedAt_ = now;
     if (report.isUp_)
@@ -190,13 +194,13 @@
         if (at == now)
             requestsByAdapter.try_emplace(adapter, 1);
     }
+    if (declinesRequests(exclusionOf(state, now)))
+        requestsByAdapter.clear();
     for (const auto &[adapter, requests] : requestsByAdapter) {
         message.loadRequests_.push_back({adapter, newestVersionOf(adapter), requests});
         if (message.loadRequests_.size() == maxLoadRequestsPerMessage)
             break;
     }
-    if (declinesRequests(exclusionOf(state, now)))
-        requestsByAdapter.clear();
     for (const auto &[adapter, runs] : target.runningAdapters_)
         target.usedAdapters_.insert(adapter);
     // An empty message is sent only to keep the agent from removing this entry.
@@ -320,16 +324,8 @@
             usage.tokens_[name->second] = account.tokens_;
     }
     applyPeerUsage(allowance_, vm, std::move(usage));
-    for (const ReportedCrashRecord &reported : state.crashRecords_) {
-        const auto known = crashSuspects_.records_.find(reported.suspect_);
-        const bool wasHeld =
-            known != crashSuspects_.records_.end() && isHeld(crashSuspects_, known->second);
-        mergeCrashRecord(crashSuspects_, reported, trialJitter(), now);
-        const auto merged = crashSuspects_.records_.find(reported.suspect_);
-        if (!wasHeld && merged != crashSuspects_.records_.end()
-            && isHeld(crashSuspects_, merged->second))
-            logHeldSuspect(reported.suspect_, vm);
-    }
+    for (const ReportedCrashRecord &reported : state.crashRecords_)
+        mergeSuspect(reported, vm);
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -38,10 +38,6 @@
 /// silent: two passes of checkRequests() and the way to the client.
 constexpr Duration silentTargetMargin = 150ms;
 
-/// Longest Retry-After of a request that is held back because it or a part of its prompt crashes
-/// targets.
-constexpr Duration heldRetryAfter = 30s;
-
 /// Fraction of its remaining wait for which a request may be queued until a target's pause ends;
 /// the rest is for the wait behind the first requests that the target gets after it.
 constexpr double maxPauseWaitFraction = 2.0 / 3;
@@ -216,13 +212,10 @@
 
 bool Edge::checkKey(EdgeRequest &request, Time now)
 {
+    if (refuseIfRulesAreOld(request, now))
+        return false;
     if (request.route_.open_ || rules_->rules().accounts_.empty())
         return true;
-    if (!areRulesFresh(now)) {
-        refuseAndCloseConnection(request,
-                                 "rules not confirmed within the bound for withdrawn keys");
-        return false;
-    }
     const std::string_view authorization = request.head_.header(wire::authorizationHeader);
     if (authorization.starts_with(wire::bearerPrefix))
         request.key_ = authorization.substr(wire::bearerPrefix.size());
@@ -266,6 +259,7 @@
 {
     PlacementQuery query;
     query.dataCentre_ = settings_.dataCentre_;
+    setHomes(query, request);
     query.model_ = request.model_;
     query.adapter_ = request.adapter_;
     query.tried_ = request.triedTargets_;
@@ -329,21 +323,6 @@
     return found == targets_.end() ? nullptr : found->second;
 }
 
-bool Edge::refuseIfHeld(EdgeRequest &request, Time now)
-{
-    if (request.isKnownSound_ || request.isTrial_)
-        return false;
-    const std::optional<SuspectId> held = findHeldSuspect(crashSuspects_, request.suspects_);
-    if (!held || judgeRequest(crashSuspects_, request.suspects_, now) != CrashVerdict::Held)
-        return false;
-    recordHeld(crashSuspects_, request.suspects_, now);
-    countMetric("eelgrasscove_requests_held_total");
-    eventLog().note("request.held", "id", request.id_, "hash", *held);
-    refuse(request, 503, "request or part of its prompt crashed targets repeatedly",
-           std::min(heldRetryAfter, timeUntilTrial(crashSuspects_, request.suspects_, now)));
-    return true;
-}
-
 void Edge::placeRequest(const EdgeRequestPtr &request)
 {
     const auto session = request->session_.lock();
@@ -424,6 +403,8 @@
             refuse(*request, 503, "every target pauses or leaves", wait);
             return;
         }
+    } else if (placement.kind_ == PlacementKind::AwaitQuota) {
+        wait = expectedQuotaWait(*request, isNewInQueue, placement.pauseLeft_, now);
     } else if (isNewInQueue && placement.kind_ == PlacementKind::AwaitRoom) {
         const WaitingRequest own = waitingRequestOf(*request);
         const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &other) {
@@ -494,6 +475,7 @@
     ++state.outstanding_;
     state.lastSentAt_ = now;
     recordSend(state.notice_, now);
+    recordColdSendTo(state, now);
     if (!request->model_.empty())
         addToBacklog(*request, predictedFirstEvent, now);
     if (!request->adapter_.empty()) {
--- a/Source/Edge/placement.h
+++ b/Source/Edge/placement.h
@@ -9,6 +9,7 @@
 /// requested one gets another replica before its target is full.
 
 #include "Edge/adapterversions.h"
+#include "Edge/homes.h"
 #include "Edge/targetstate.h"
 
 #include <set>
@@ -20,6 +21,9 @@
 struct PlacementQuery
 {
     std::string dataCentre_;
+    /// The regions in which the request may run, and those of the data centres; null for none.
+    RequestHomes homes_;
+    const RegionTable *regions_ = nullptr;
     /// Empty for plain services.
     std::string model_;
     /// "MODEL/NAME"; empty where the request is for the model itself.
@@ -63,17 +67,20 @@
     AwaitTarget,
     /// Every target pauses or leaves.
     AwaitPauseEnd,
+    /// This entry may send no request to the targets now, as they are cold.
+    AwaitQuota,
     /// No target can serve the request.
     None,
 };
 
-constexpr NameTable<PlacementKind, 7> placementKindNames = {{
+constexpr NameTable<PlacementKind, 8> placementKindNames = {{
     {PlacementKind::Send, "send"},
     {PlacementKind::AwaitAdapter, "await_adapter"},
     {PlacementKind::AwaitRoom, "await_room"},
     {PlacementKind::AwaitReading, "await_reading"},
     {PlacementKind::AwaitTarget, "await_target"},
     {PlacementKind::AwaitPauseEnd, "await_pause_end"},
+    {PlacementKind::AwaitQuota, "await_quota"},
     {PlacementKind::None, "none"},
 }};
 
@@ -89,7 +96,8 @@
     double load_ = 0;
     /// Predicted time from sending to target_ to the first event; zero where not known.
     Duration firstEvent_{};
-    /// Time until the first pause ends, for AwaitPauseEnd.
+    /// Time until the first pause ends, for AwaitPauseEnd, or until the first target may get a
+    /// request of this entry, for AwaitQuota.
     Duration pauseLeft_{};
 };
 
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -41,6 +41,8 @@
 {
     if (target.isReplaced_)
         return TargetExclusion::Replaced;
+    if (target.isEvacuated_)
+        return TargetExclusion::Evacuated;
     if (target.listed_.draining_ || target.notice_.leaving_ == LeavingSource::List)
         return TargetExclusion::ListedAsLeaving;
     if (target.isDraining_ || target.notice_.leaving_ == LeavingSource::Report)
@@ -57,7 +59,9 @@
         target.hasAgentReport_ ? agentMaxRequestsWhileSilent : maxRequestsWhileSilent;
     if (target.outstanding_ >= maxRequests && isSilent(target, now))
         return TargetExclusion::Silent;
-    return now < target.avoidUntil_ ? TargetExclusion::Avoided : TargetExclusion::None;
+    if (now < target.avoidUntil_)
+        return TargetExclusion::Avoided;
+    return isColdLimited(target.cold_, now) ? TargetExclusion::ColdLimited : TargetExclusion::None;
 }
 
 bool isUsable(const TargetState &target, Time now)
@@ -69,6 +73,7 @@
 {
     switch (exclusion) {
     case TargetExclusion::Replaced:
+    case TargetExclusion::Evacuated:
     case TargetExclusion::ListedAsLeaving:
     case TargetExclusion::ReportedAsLeaving:
     case TargetExclusion::RespondedAsLeaving:
@@ -79,6 +84,7 @@
     case TargetExclusion::Down:
     case TargetExclusion::Silent:
     case TargetExclusion::Avoided:
+    case TargetExclusion::ColdLimited:
         return false;
     }
     return false;
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -4,6 +4,7 @@
 /// target's responses, and decides whether requests may be sent to the target. Pure functions: no
 /// clock, I/O or threads.
 
+#include "Edge/coldtarget.h"
 #include "Edge/enginemodel.h"
 #include "Edge/targetnotice.h"
 #include "Edge/targetpace.h"
@@ -28,8 +29,12 @@
     std::optional<Time> missingSince_;
     /// Another target has taken over its address, though the list still contains this one.
     bool isReplaced_ = false;
+    /// Its data centre is evacuated, as the operators' keys say.
+    bool isEvacuated_ = false;
     /// What this instance has said about the requests that it wants.
     TargetNotice notice_;
+    /// The cold time, this entry's share of the limit in it, and its recent sends.
+    ColdTarget cold_;
 
     // Reported by the agent, where there is one.
     /// A report of the agent has been received.
@@ -88,6 +93,8 @@
     None,
     /// Another target has taken over its address.
     Replaced,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// The target list says that it leaves.
     ListedAsLeaving,
     /// Its agent says that it leaves.
@@ -104,11 +111,14 @@
     Silent,
     /// It was silent recently.
     Avoided,
+    /// It is cold, and this entry has no quota or has used it up.
+    ColdLimited,
 };
 
-constexpr NameTable<TargetExclusion, 10> targetExclusionNames = {{
+constexpr NameTable<TargetExclusion, 12> targetExclusionNames = {{
     {TargetExclusion::None, "none"},
     {TargetExclusion::Replaced, "replaced"},
+    {TargetExclusion::Evacuated, "evacuated"},
     {TargetExclusion::ListedAsLeaving, "listed_as_leaving"},
     {TargetExclusion::ReportedAsLeaving, "reported_as_leaving"},
     {TargetExclusion::RespondedAsLeaving, "responded_as_leaving"},
@@ -117,6 +127,7 @@
     {TargetExclusion::Down, "down"},
     {TargetExclusion::Silent, "silent"},
     {TargetExclusion::Avoided, "avoided"},
+    {TargetExclusion::ColdLimited, "cold_limited"},
 }};
 
 /// Returns why the target may get no requests, irrespective of its load and failures. Requests,
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -9,11 +9,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace eelgrasscove {
 
+/// Names of the regions in which requests may run.
+using AllowedRegions = std::set<std::string>;
+
 /// What may be repeated of a route's requests.
 enum class RequestKind {
     /// May run more than once.
@@ -60,6 +64,8 @@
     bool open_ = false;
     /// A stream may go on at another target after its last event.
     bool resumable_ = false;
+    /// Requests may run in these regions only; everywhere where it is not set.
+    std::optional<AllowedRegions> allowedRegions_;
 };
 
 /// A base model that the engines of a service may hold.
@@ -86,6 +92,21 @@
     std::vector<ServedModel> models_;
 };
 
+/// Longest cold time of a target that is taken from the rules or from a target.
+constexpr Duration maxColdTime = std::chrono::hours(1);
+
+/// What the targets of a service can handle for some time after their start.
+struct ColdLimits
+{
+    Duration time_{};
+    /// Requests per second from all entries together; 0 if the service has no cold targets.
+    double perSecond_ = 0;
+    /// False if the rules state values that can't be used.
+    bool isValid_ = true;
+
+    bool operator==(const ColdLimits &) const = default;
+};
+
 struct ServedService
 {
     std::string name_;
@@ -93,6 +114,7 @@
     std::uint32_t connections_ = 100;
     /// Model services only.
     std::optional<EngineLimits> engine_;
+    ColdLimits cold_;
 };
 
 struct ServingAccount
@@ -106,6 +128,8 @@
     double burstTokens_ = 0;
     /// What a request counts that doesn't tell its tokens.
     double plainTokens_ = 0;
+    /// Requests may run in these regions only; everywhere where it is not set.
+    std::optional<AllowedRegions> allowedRegions_;
 };
 
 /// What a client may send and how long it may take.
@@ -125,6 +149,29 @@
     std::vector<ServedService> services_;
     std::vector<ServingAccount> accounts_;
     ClientLimits limits_;
+    /// Values that could not be read and were replaced by the safe choice, as messages; no more
+    /// than a few of them.
+    std::vector<std::string> faults_;
+    /// Number of these values.
+    std::size_t faultCount_ = 0;
+};
+
+enum class ColdForm {
+    Absent,
+    /// A remaining time from 0 to maxColdTime.
+    Stated,
+    /// Any other value.
+    Invalid,
+};
+
+/// What a target states about its remaining cold time.
+struct ColdStatement
+{
+    ColdForm form_ = ColdForm::Absent;
+    /// Zero unless the form is Stated.
+    Duration left_{};
+
+    bool operator==(const ColdStatement &) const = default;
 };
 
 /// A target as the list of targets has it.
@@ -142,6 +189,8 @@
     std::vector<std::string> adapters_;
     /// The base models held.
     std::vector<std::string> models_;
+    /// At the time when the entry was written.
+    ColdStatement cold_;
 
     bool operator==(const ListedTarget &) const = default;
 };
