Test the exchange of first events and pace between an entry and an agent

Cause: the tests of either end don't show that the other gets the sums and the pace. Change: one case on the path of an engine, which also sends a load header that can't be read.

--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2269,3 +2269,63 @@
     BOOST_TEST(metricsText().find("eelgrasscove_stored_suspects_ignored_total 1")
                != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(first_events_reach_the_agent_and_its_pace_is_shown)
+{
+    // Guards against paces that are never learned, as neither end alone shows the whole exchange.
+    ServingPath path(94);
+    const std::string host = "127.0.0.2:";
+    Agent agent(path.loop_, host + std::to_string(path.basePort_ + 6), path.address(6));
+    std::string load = "3,0,8,250";
+    Server engine(path.loop_, host + std::to_string(path.basePort_ + 1),
+                  [&load](const auto &from, SeenRequest &&request) {
+                      from->stream_->write(fmt::format(
+                          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{}{}"
+                          "X-Eelgrasscove-Instance-Load: {}\r\nContent-Length: 17\r\n\r\n"
+                          "id: 1\ndata: one\n\n",
+                          ServingPath::requestIdHeader(request), signatureHeader, load));
+                  });
+    path.store_.put("servers/e-0",
+                    fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                                R"("state":"ready","born":1,)"
+                                R"("models":[{{"name":"m","version":1}}]}})",
+                                engine.address_.text()));
+    path.waitUntilServing();
+    EngineStateMessage state;
+    state.target_ = nameHash("e-0");
+    state.startedAt_ = 1;
+    state.isUp_ = true;
+    state.residencyNumber_ = 1;
+    state.hasLists_ = true;
+    state.adapters_ = {{nameHash("m/a1"), 1}};
+    state.models_ = {nameHash("m")};
+    state.pace_ = 145;
+    agent.report(state);
+    turnFor(path.loop_, 100ms);
+    const auto send = [&] {
+        return path.sendAndAwaitHead("POST", "/advise/a",
+                                     "Authorization: Bearer k1\r\n"
+                                     "X-Eelgrasscove-Model-Name: m/a1\r\n"
+                                     "X-Eelgrasscove-Token-Usage: 1000,20\r\n");
+    };
+    const std::uint64_t ignored = ServingPath::metric("eelgrasscove_load_headers_ignored_total");
+    BOOST_REQUIRE(send()->status() == 200);
+    BOOST_TEST(ServingPath::metric("eelgrasscove_load_headers_ignored_total") == ignored);
+    const auto firstEvents = [&] {
+        FirstEventSums sums;
+        for (const EntryLoadRequests &message : agent.messages_) {
+            if (message.firstEvents_) {
+                sums.count_ += message.firstEvents_->count_;
+                sums.tokens_ += message.firstEvents_->tokens_;
+            }
+        }
+        return sums;
+    };
+    BOOST_TEST(turnUntil(path.loop_, 3s, [&] { return firstEvents().count_ == 1; }));
+    BOOST_TEST(firstEvents().tokens_ == 1000);
+    BOOST_TEST(metricsText().find("eelgrasscove_target_relative_pace{target=\"e-0\"} 1")
+               != std::string::npos);
+    load = "busy";
+    BOOST_REQUIRE(send()->status() == 200);
+    BOOST_TEST(ServingPath::metric("eelgrasscove_load_headers_ignored_total") == ignored + 1);
+}
