--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2269,3 +2269,73 @@
     BOOST_TEST(metricsText().find("eelgrasscove_stored_suspects_ignored_total 1")
                != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(event_intervals_reach_the_agent_and_its_pace_is_shown)
+{
+    // Guards against paces that are never learned, as neither end alone shows the whole exchange.
+    ServingPath path(94);
+    const std::string host = "127.0.0.2:";
+    Agent agent(path.loop_, host + std::to_string(path.basePort_ + 6), path.address(6));
+    std::string load = "3,0,8,250";
+    // Of nine events, the time between two of which is the least that counts as a pace.
+    constexpr int events = 9;
+    Server engine(
+        path.loop_, host + std::to_string(path.basePort_ + 1),
+        [&](const auto &from, SeenRequest &&request) {
+            const auto event = [](int id) { return fmt::format("id: {}\ndata: x\n\n", id); };
+            from->stream_->write(
+                fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{}{}"
+                            "X-Eelgrasscove-Instance-Load: {}\r\nContent-Length: {}\r\n\r\n{}",
+                            ServingPath::requestIdHeader(request), signatureHeader, load,
+                            event(1).size() * events, event(1)));
+            for (int id = 2; id <= events; ++id) {
+                path.loop_.timers().once(20ms * id,
+                                         [from, text = event(id)] { from->stream_->write(text); });
+            }
+        });
+    path.store_.put("servers/e-0",
+                    fmt::format(R"({{"service":"mind","address":"{}","zone":"here","slots":8,)"
+                                R"("state":"ready","born":1,)"
+                                R"("models":[{{"name":"m","version":1}}]}})",
+                                engine.address_.text()));
+    path.waitUntilServing();
+    EngineStateMessage state;
+    state.target_ = nameHash("e-0");
+    state.startedAt_ = 1;
+    state.isUp_ = true;
+    state.residencyNumber_ = 1;
+    state.hasLists_ = true;
+    state.adapters_ = {{nameHash("m/a1"), 1}};
+    state.models_ = {nameHash("m")};
+    state.pace_ = 145;
+    agent.report(state);
+    turnFor(path.loop_, 100ms);
+    const auto send = [&] {
+        return path.sendAndAwaitHead("POST", "/advise/a",
+                                     "Authorization: Bearer k1\r\n"
+                                     "X-Eelgrasscove-Model-Name: m/a1\r\n"
+                                     "X-Eelgrasscove-Token-Usage: 1000,20\r\n");
+    };
+    const std::uint64_t ignored = ServingPath::metric("eelgrasscove_load_headers_ignored_total");
+    // A client that leaves ends its stream.
+    const auto client = send();
+    BOOST_REQUIRE(client->status() == 200);
+    BOOST_TEST(ServingPath::metric("eelgrasscove_load_headers_ignored_total") == ignored);
+    const auto reported = [&] {
+        EventIntervalSums sums;
+        for (const EntryLoadRequests &message : agent.messages_) {
+            if (message.eventIntervals_) {
+                sums.streams_ += message.eventIntervals_->streams_;
+                sums.millis_ += message.eventIntervals_->millis_;
+            }
+        }
+        return sums;
+    };
+    BOOST_TEST(turnUntil(path.loop_, 3s, [&] { return reported().streams_ == 1; }));
+    BOOST_TEST(reported().millis_ > 0);
+    BOOST_TEST(metricsText().find("eelgrasscove_target_relative_pace{target=\"e-0\"} 1")
+               != std::string::npos);
+    load = "busy";
+    BOOST_REQUIRE(send()->status() == 200);
+    BOOST_TEST(ServingPath::metric("eelgrasscove_load_headers_ignored_total") == ignored + 1);
+}
