--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -54,8 +54,12 @@
     std::map<NameHash, std::uint32_t> runningAdapters_;
     /// Streams of this entry that the target completed since the last message to its agent, and how
     /// many of them were late.
-    std::uint32_t streams_ = 0;
-    std::uint32_t lateStreams_ = 0;
+    std::uint16_t streams_ = 0;
+    std::uint16_t lateStreams_ = 0;
+    /// First events since the last message to its agent.
+    EventIntervalSums eventIntervals_;
+    /// A load that can't be read has been logged.
+    bool isLoadFaultLogged_ = false;
 };
 
 enum class RequestStage {
@@ -142,6 +146,8 @@
     Time lastEventAt_;
     /// Longest interval between two forwarded events.
     Duration longestPause_{};
+    /// Milliseconds between forwarded events, of the first events of the stream.
+    std::vector<float> eventIntervals_;
 };
 
 using EdgeRequestPtr = std::shared_ptr<EdgeRequest>;
@@ -285,7 +291,6 @@
     void onRequestFailed(const EdgeRequestPtr &request, unsigned status, std::string_view reason);
     void onClientDisconnected(ClientSession &session);
     std::string formatResponseHeaders(const HttpHead &head) const;
-    void recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now);
     void detachFromTarget(EdgeRequest &request);
 
     // edgenotices.cpp: what targets say about the requests that they want.
@@ -360,6 +365,17 @@
     /// Sets the homes of the request's route and account.
     void setHomes(PlacementQuery &query, const EdgeRequest &request) const;
 
+    // edgepace.cpp: the load and the pace of targets.
+    /// Takes the load that the head of a response states.
+    void recordTargetLoad(EdgeTarget &target, const HttpHead &head, Time now);
+    /// Takes the first event of a send into what is learned of the target and its service.
+    void recordPaceSample(const EdgeRequest &request, Duration elapsed, Time now);
+    /// Moves the figures of the target's streams since the last message into the message.
+    void takeStreamFigures(EdgeTarget &target, EntryLoadRequests &message) const;
+    /// Takes the pace that the target's agent reports.
+    void applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted);
+    void updateRelativePaces(const std::string &service);
+
     // edgepeers.cpp: datagrams from and to agents and other entries.
     void onDatagram(std::string_view bytes, const Endpoint &from);
     /// Sends a message to the other entries of this data centre.
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -122,6 +122,7 @@
     state.memoryTokens_ = report.memoryTokens_;
     state.pendingLoads_ = report.pendingLoads_;
     state.lateRatio_ = report.lateRatio_;
+    applyPace(*target, report, restarted);
     if (report.isDraining_) {
         applyLeaving({state.listed_.id_, report.startedAt_}, LeavingSource::Report);
         withdrawUnsent(*target);
@@ -209,8 +210,7 @@
     target.lastMessageSentAt_ = now;
     message.usedAdapters_.assign(target.usedAdapters_.begin(), target.usedAdapters_.end());
     target.usedAdapters_.clear();
-    message.streams_ = std::exchange(target.streams_, 0);
-    message.lateStreams_ = std::exchange(target.lateStreams_, 0);
+    takeStreamFigures(target, message);
     std::string bytes = encodePeerMessage(message);
     countDatagrams("load_requests", state.listed_.dataCentre_ == settings_.dataCentre_, 1,
                    bytes.size());
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -47,6 +47,9 @@
 /// Parts of the limit on all buffers after each of which they are added up.
 constexpr std::size_t bufferChecksPerLimit = 16;
 
+/// Intervals between events that are kept of a stream to learn the pace of its target.
+constexpr std::size_t maxEventIntervals = 48;
+
 /// Maximum number of queued requests tried after a response, which frees room for one request.
 constexpr std::size_t maxTriedAfterResponse = 4;
 
@@ -181,28 +184,12 @@
 
 } // namespace
 
-void Edge::recordTargetLoad(EdgeRequest &request, const HttpHead &head, Time now)
-{
-    TargetState &state = request.target_->state_;
-    const std::string_view text = head.header(wire::loadHeader);
-    if (text.empty())
-        return;
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    const std::size_t comma = text.find(',');
-    if (comma == std::string_view::npos)
-        return;
-    std::from_chars(text.data(), text.data() + comma, running);
-    std::from_chars(text.data() + comma + 1, text.data() + text.size(), waiting);
-    recordLoad(state, running, waiting, now);
-}
-
 void Edge::onResponseHead(const EdgeRequestPtr &request, HttpHead &&head)
 {
     const Time now = bootNow();
     request->responseHeadReceived_ = true;
     request->target_->state_.lastContactAt_ = now;
-    recordTargetLoad(*request, head, now);
+    recordTargetLoad(*request->target_, head, now);
     request->response_ = std::move(head);
 }
 
@@ -311,7 +298,11 @@
         recordBegin(request, now);
     request.stage_ = RequestStage::Streaming;
     if (request.firstEventForwarded_) {
-        request.longestPause_ = std::max(request.longestPause_, now - request.lastEventAt_);
+        const Duration interval = now - request.lastEventAt_;
+        request.longestPause_ = std::max(request.longestPause_, interval);
+        if (request.eventIntervals_.size() < maxEventIntervals)
+            request.eventIntervals_.push_back(
+                std::chrono::duration<float, std::milli>(interval).count());
         session.sendStreamBytes(events);
     } else {
         request.firstEventForwarded_ = true;
@@ -377,6 +368,7 @@
         && request.firstEventAt_ - request.sentAt_ > route.objective_;
     const bool paused =
         route.pauseObjective_ > Duration::zero() && request.longestPause_ > route.pauseObjective_;
+    addStream(target.eventIntervals_, request.eventIntervals_);
     ++target.streams_;
     target.lateStreams_ += firstEventLate || paused ? 1 : 0;
 }
@@ -502,8 +494,7 @@
     if (!request.isInBacklog_)
         return;
     const Duration elapsed = now - request.sentAt_;
-    recordFirstEvent(request.target_->state_.engineModel_, request.tokensAhead_, elapsed);
-    recordFirstEvent(serviceModelOf(request.service_), request.tokensAhead_, elapsed);
+    recordPaceSample(request, elapsed, now);
     if (request.predictedFirstEvent_ > Duration::zero()) {
         const Duration error = elapsed - request.predictedFirstEvent_;
         observeDuration("eelgrasscove_first_event_prediction_error_seconds", "",
--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -1,6 +1,7 @@
 #include "Edge/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <xxhash.h>
 
@@ -64,12 +65,17 @@
 /// Such a request has less than this part of its objective left.
 constexpr double urgentFraction = 0.4;
 
+/// Weight of the term for pauses of running streams.
+constexpr double pauseCost = 1.0;
+
 /// Median ratios of a service's targets. Faults that all targets have in common, such as failing
 /// requests or streams that are late from overload, are not attributed to a single target.
 struct MedianRatios
 {
     double failures_ = 0;
     double late_ = 0;
+    /// Targets are known to differ in pace, or one states that its work takes longer than usual.
+    bool isUneven_ = false;
 };
 
 double medianOf(const std::vector<TargetState *> &targets, double TargetState::*ratio)
@@ -85,17 +91,21 @@
     return *middle;
 }
 
-MedianRatios medianRatiosOf(const std::vector<TargetState *> &targets)
+MedianRatios medianRatiosOf(const std::vector<TargetState *> &targets, Time now)
 {
+    const bool isUneven = std::any_of(targets.begin(), targets.end(), [now](const auto *target) {
+        return target->relativePace_ != 1 || transientFactor(target->workTime_, now) != 1;
+    });
     return {medianOf(targets, &TargetState::failureRatio_),
-            medianOf(targets, &TargetState::lateRatio_)};
+            medianOf(targets, &TargetState::lateRatio_), isUneven};
 }
 
 /// Returns the target's load as a fraction of its slots or of its usable memory, whichever is
-/// higher.
-double loadFraction(const TargetState &target, const PlacementQuery &query, Time now)
+/// higher. share is the part of the slots that counts.
+double loadFraction(const TargetState &target, const PlacementQuery &query, Time now,
+                    double share = 1)
 {
-    double load = estimatedLoad(target, query.entries_, now) / target.listed_.slots_;
+    double load = estimatedLoad(target, query.entries_, now) / (target.listed_.slots_ * share);
     if (target.memoryTokens_ > 0) {
         const double memory =
             static_cast<double>(target.usedTokens_) / static_cast<double>(target.memoryTokens_);
@@ -104,6 +114,25 @@
     return load;
 }
 
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+/// Returns the model of the target's first events. That of a target whose pace differs from the
+/// others' is its service's, to which paceFactor() applies: its own fit takes the prompts that wait
+/// there for a fast target.
+const EngineModel &modelOf(const TargetState &target, const PlacementQuery &query)
+{
+    return target.relativePace_ == 1 ? target.engineModel_ : *query.serviceModel_;
+}
+
+/// Returns the factor of predictions for the target.
+double paceFactor(const TargetState &target, Time now)
+{
+    return target.relativePace_ * transientFactor(target.workTime_, now);
+}
+
 /// Predicts the time to the first event at the target of a request with that many prompt tokens.
 Duration predictedFirstEvent(const TargetState &target, const PlacementQuery &query, double tokens,
                              Time now)
@@ -112,7 +141,8 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return predictFirstEvent(target.engineModel_, *query.serviceModel_, unread + tokens);
+    return scaled(predictFirstEvent(modelOf(target, query), *query.serviceModel_, unread + tokens),
+                  paceFactor(target, now));
 }
 
 /// Predicts the time for which the target still reads prompts that it has got. Without any it is
@@ -123,7 +153,8 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return predictReading(target.engineModel_, *query.serviceModel_, unread);
+    return scaled(predictReading(modelOf(target, query), *query.serviceModel_, unread),
+                  paceFactor(target, now));
 }
 
 /// Returns the predicted time to the first event at the target as a part of the objective for
@@ -156,7 +187,8 @@
     if (isUrgent(query))
         return reading <= std::max(minPromptsAhead, part(query.objective_, promptsAheadFraction));
     const Duration own =
-        predictReading(target.engineModel_, *query.serviceModel_, query.promptTokens_);
+        scaled(predictReading(modelOf(target, query), *query.serviceModel_, query.promptTokens_),
+               paceFactor(target, now));
     return reading + own <= part(query.pauseObjective_, pauseFraction);
 }
 
@@ -164,7 +196,7 @@
 /// event, whichever is higher.
 double engineLoad(const TargetState &target, const PlacementQuery &query, Time now)
 {
-    const double slots = loadFraction(target, query, now);
+    const double slots = loadFraction(target, query, now, capacityShare(target.relativePace_));
     if (query.objective_ <= Duration::zero())
         return slots;
     const Duration wait = predictedFirstEvent(target, query, query.promptTokens_, now);
@@ -197,11 +229,28 @@
         + lateStreamCost * std::max(target.lateRatio_ - medians.late_, 0.0);
 }
 
+/// Returns the cost of the pauses that the prompt causes to the streams that run at the target:
+/// those streams as a fraction of the slots, times the excess of the time for which the target
+/// reads over the part of the objective that reading may take.
+double pauseTerm(const TargetState &target, const PlacementQuery &query, Time now)
+{
+    const auto allowed = std::chrono::duration<double>(query.pauseObjective_) * pauseFraction;
+    if (query.serviceModel_ == nullptr || allowed.count() <= 0)
+        return 0;
+    const std::chrono::duration<double> reading = predictedReading(target, query, now)
+        + scaled(predictReading(modelOf(target, query), *query.serviceModel_, query.promptTokens_),
+                 paceFactor(target, now));
+    const double running = static_cast<double>(target.running_) / target.listed_.slots_;
+    return pauseCost * running * std::max(reading / allowed - 1, 0.0);
+}
+
 double placementCost(const TargetState &target, const PlacementQuery &query,
                      const MedianRatios &medians, Time now)
 {
-    double cost = loadFraction(target, query, now) + waitFraction(target, query, now)
-        + faultCost(target, medians);
+    double cost = loadFraction(target, query, now, capacityShare(target.relativePace_))
+        + waitFraction(target, query, now) + faultCost(target, medians);
+    if (medians.isUneven_)
+        cost += pauseTerm(target, query, now);
     if (target.listed_.dataCentre_ != query.dataCentre_)
         cost += remoteDataCentreCost;
     return cost;
@@ -255,6 +304,14 @@
         / static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
 }
 
+/// Returns the rank of a target that is to get the part share of the adapters that a usual target
+/// gets: the lowest of all with a probability in proportion to its share.
+double weightedRank(const TargetState &target, XXH64_hash_t adapterHash, double share)
+{
+    const double rank = rendezvousRank(target, adapterHash);
+    return share == 1 ? rank : 1 - std::pow(1 - rank, 1 / share);
+}
+
 /// Additional cost of an engine that is still loading its model: most adapters are loaded
 /// elsewhere, but when all engines start at once, requests are distributed over all of them from
 /// the beginning.
@@ -295,10 +352,11 @@
         const double pending = static_cast<double>(
             target->incoming_.size() - std::min(target->incoming_.size(), adapterLoadsAtOnce - 1));
         const double replacing = target->adapters_.contains(adapter) ? replacementCost : 0;
+        const double share = capacityShare(target->relativePace_);
         // Without remoteDataCentreCost, on which entries in different data centres do not agree.
-        const double cost = starting + replacing + loadFraction(*target, query, now)
+        const double cost = starting + replacing + loadFraction(*target, query, now, share)
             + waitFraction(*target, query, now) + faultCost(*target, medians)
-            + pendingLoadCost * pending + rankWeight * rendezvousRank(*target, adapterHash);
+            + pendingLoadCost * pending + rankWeight * weightedRank(*target, adapterHash, share);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = target;
@@ -346,7 +404,7 @@
                              Time now)
 {
     Candidates candidates;
-    candidates.medians_ = medianRatiosOf(targets);
+    candidates.medians_ = medianRatiosOf(targets, now);
     const bool hasLapsed = hasListLapsed(targets);
     const NameHash model = nameHash(query.model_);
     const NameHash adapter = nameHash(query.adapter_);
@@ -440,7 +498,9 @@
     if (query.adapter_.empty())
         return false;
     const double running = query.requestsPerSecond_ * meanRunSeconds;
-    const double replicas = running / (placement.target_->listed_.slots_ * maxReplicaLoad);
+    const TargetState &target = *placement.target_;
+    const double capacity = target.listed_.slots_ * capacityShare(target.relativePace_);
+    const double replicas = running / (capacity * maxReplicaLoad);
     if (static_cast<double>(candidates.ready_.size() + candidates.pendingCount_) < replicas)
         return true;
     return (placement.load_ > replicaLoadThreshold || placement.kind_ == PlacementKind::AwaitRoom)
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -7,6 +7,7 @@
 #include "Edge/coldtarget.h"
 #include "Edge/enginemodel.h"
 #include "Edge/targetnotice.h"
+#include "Edge/targetpace.h"
 #include "Net/tcpstream.h"
 #include "Peer/namehash.h"
 #include "Peer/peermessages.h"
@@ -44,12 +45,16 @@
     std::uint64_t startedAt_ = 0;
     bool isUp_ = true;
     bool isDraining_ = false;
-    std::uint64_t usedTokens_ = 0;
-    std::uint64_t memoryTokens_ = 0;
+    std::uint32_t usedTokens_ = 0;
+    std::uint32_t memoryTokens_ = 0;
     std::uint32_t pendingLoads_ = 0;
     std::uint64_t residencyNumber_ = 0;
     /// Fraction of the target's most recent streams, over all entries, that were late.
     double lateRatio_ = 0;
+    /// Typical time between two events of a stream, see encodePace(); 0 while it is not known.
+    std::uint8_t pace_ = 0;
+    /// The same relative to the other targets of the service.
+    double relativePace_ = 1;
 
     // Reported by the agent; without an agent, by the target list and the target's responses.
     /// Versions of the resident adapters, by name hash.
@@ -62,6 +67,8 @@
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
     Time loadReportedAt_;
+    /// How long work takes at present; from the target's responses only.
+    WorkTime workTime_;
 
     // Recorded by this entry.
     /// Requests of this entry that were sent to the target and have not ended.
