--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -171,6 +171,22 @@
     }
 };
 
+/// Requests of one service and priority that wait for room at one entry.
+struct WaitingRow
+{
+    NameHash service_ = 0;
+    /// 0 is the most urgent.
+    std::uint8_t priority_ = 0;
+    std::uint16_t waiting_ = 0;
+    std::uint16_t longestWaitMillis_ = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service_, priority_, waiting_, longestWaitMillis_);
+    }
+};
+
 /// Sent by an entry to all other entries.
 struct EntryState
 {
@@ -197,13 +213,16 @@
     std::vector<PeerEcho> echoes_;
     std::optional<std::vector<AdapterRequestRate>> topAdapterRates_;
     std::vector<ReportedCrashRecord> crashRecords_;
+    /// What waits for room at the sender; empty if nothing does.
+    std::vector<WaitingRow> waitingRows_;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(vm_, dataCentre_, timestampMicros_, startedAtMicros_, rulesVersion_,
                 rulesAgeMicros_, operatorRevision_, targetsRevision_, targetsAgeMicros_,
-                targetsListRevision_, usage_, echoes_, topAdapterRates_, crashRecords_);
+                targetsListRevision_, usage_, echoes_, topAdapterRates_, crashRecords_,
+                waitingRows_);
     }
 };
 
