--- a/Source/Edge/waitingorder.h
+++ b/Source/Edge/waitingorder.h
@@ -22,6 +22,8 @@
     Time objectiveAt_;
     /// The request is refused if it is still waiting at this time.
     Time waitUntil_;
+    /// The request's account has used more than its fair share.
+    bool isAboveShare_ = false;
 };
 
 /// Whether the response begins before the objective if the request is sent now.
