--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -250,6 +250,7 @@
             target->pool_.closeExpired(now);
         removeExpiredCrashSuspects(crashSuspects_, now);
         removeExpiredNotices(rememberedNotices_, now);
+        removeExpiredUses(accountUses_, now);
         removeMissingTargets(now);
         removeDepartedPeers(now);
         countColdTargets(now);
