Give two tests of the serving path ports of their own

Cause: the tests of scarce room and of crowds used the same ports (the stand-in needs the address to be free, in a run of all tests).

--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2342,7 +2342,7 @@
 
 BOOST_AUTO_TEST_CASE(less_urgent_requests_wait_while_more_urgent_ones_wait_at_a_peer)
 {
-    ServingPath path(54);
+    ServingPath path(95);
     PeerEntry peer(path);
     std::string rules = fmt::format(fmt::runtime(rulesFormat), 2, "\"k1\"", 0, 0);
     const std::string look = "\"timeout_ms\":2000,";
@@ -2383,7 +2383,7 @@
 
 BOOST_AUTO_TEST_CASE(requests_that_wait_for_room_are_reported_to_the_peers_while_they_wait)
 {
-    ServingPath path(55);
+    ServingPath path(96);
     PeerEntry peer(path);
     path.waitUntilServing();
     BOOST_REQUIRE(turnUntil(path.loop_, 2s, [&] { return peer.received_ > 0; }));
