--- a/Source/Edge/crashevidence.cpp
+++ b/Source/Edge/crashevidence.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-/// Crashes within this time are one event. Chosen: agents report the crashes of one cause within
+/// Crashes within this time are one event: agents report the crashes of one cause within
 /// some 100 ms, and a crashed target takes 3 s and more to return.
 constexpr Duration eventSpan = 1s;
 
@@ -18,7 +18,7 @@
 /// Parts counted in half a period. With more, the half ends early.
 constexpr std::size_t maxCountedParts = 4096;
 
-/// A suspect is held only if the probability of its presence by chance is below this. Chosen: some
+/// A suspect is held only if the probability of its presence by chance is below this: some
 /// ten parts of an account are at the crashes of an event, and events are rare.
 constexpr double maxChance = 1e-3;
 /// Events without a sound response between them from which on presence is not considered chance.
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -195,7 +195,7 @@
     /// 0 is the most urgent.
     std::uint8_t priority_ = 0;
     std::uint16_t waiting_ = 0;
-    /// Those of them that have waited for so long that they lack room.
+    /// Number of them that have waited for longer than the limit from which on they lack room.
     std::uint16_t lacking_ = 0;
     std::uint16_t longestWaitMillis_ = 0;
 
--- a/Source/Vm/servingsettings.h
+++ b/Source/Vm/servingsettings.h
@@ -33,8 +33,8 @@
     Duration allowanceWindow_ = std::chrono::seconds(8);
     /// Tokens that may run beyond an account's limit in a window.
     double allowanceSlack_ = 0;
-    /// Requests may reach targets of an evacuated data centre for so long after the store has
-    /// acknowledged the evacuation; without it there are no evacuations.
+    /// Time after the store's acknowledgement of an evacuation within which requests may still reach
+    /// targets of the data centre. Without it, evacuations are ignored.
     std::optional<Duration> evacuation_;
 };
 
--- a/Tests/LoadPlay/scarcityplaytest.cpp
+++ b/Tests/LoadPlay/scarcityplaytest.cpp
@@ -80,7 +80,7 @@
     double firstAccountFactor_ = 1;
     Duration reportDelay_ = 20ms;
     double reportLoss_ = 0;
-    /// Entries with odd and even numbers don't hear each other.
+    /// Entries with odd and even numbers exchange no messages.
     bool isPartitioned_ = false;
     Duration span_ = 12s;
     unsigned seed_ = 1;
@@ -758,7 +758,7 @@
     check(compare(lost, 1), "three in ten reports lost");
     Load cut = halfOfTargetsGone(22);
     cut.isPartitioned_ = true;
-    check(compare(cut, 1), "halves of the entries don't hear each other");
+    check(compare(cut, 1), "halves of the entries out of contact");
 }
 
 BOOST_AUTO_TEST_CASE(requests_are_not_held_or_refused_without_a_shortage)
