--- a/Source/Vm/servingsettings.h
+++ b/Source/Vm/servingsettings.h
@@ -33,8 +33,8 @@
     Duration allowanceWindow_ = std::chrono::seconds(8);
     /// Tokens that may run beyond an account's limit in a window.
     double allowanceSlack_ = 0;
-    /// Time after the store's acknowledgement of an evacuation within which requests may still reach
-    /// targets of the data centre. Without it, evacuations are ignored.
+    /// Time after the store's acknowledgement of an evacuation within which requests may still
+    /// reach targets of the data centre. Without it, evacuations are ignored.
     std::optional<Duration> evacuation_;
 };
 
