Update the relative paces of a service once a second

Cause: each report of a new pace computed the relative paces of all targets and set a metric for each. Change: the services with new paces are collected and updated once a second, and a metric is set only if its value changes.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -254,6 +254,7 @@
         removeMissingTargets(now);
         removeDepartedPeers(now);
         countColdTargets(now);
+        updateRelativePaces();
     });
 }
 
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -402,6 +402,8 @@
     void takeStreamFigures(EdgeTarget &target, EntryLoadRequests &message) const;
     /// Takes the pace that the target's agent reports.
     void applyPace(EdgeTarget &target, const EngineStateMessage &report, bool restarted);
+    /// Updates the relative paces of the services in servicesWithNewPaces_.
+    void updateRelativePaces();
     void updateRelativePaces(const std::string &service);
 
     // edgepeers.cpp: datagrams from and to agents and other entries.
@@ -546,6 +548,9 @@
     std::set<std::pair<std::string, int>> waitingInMetrics_;
     /// What has been learned of the engines of each service.
     std::map<std::string, EngineModel> serviceModels_;
+    /// Services with targets whose reported paces have changed since updateRelativePaces(). After a
+    /// start all of them change, and each change concerns all targets of the service.
+    std::set<std::string> servicesWithNewPaces_;
     /// Targets whose resident adapters have changed since placeAtChangedTargets().
     std::vector<std::shared_ptr<EdgeTarget>> changedTargets_;
     std::minstd_rand random_;
--- a/Source/Edge/edgepace.cpp
+++ b/Source/Edge/edgepace.cpp
@@ -64,9 +64,16 @@
         return;
     const double before = decodePace(state.pace_);
     state.pace_ = report.pace_;
-    updateRelativePaces(state.listed_.service_);
+    servicesWithNewPaces_.insert(state.listed_.service_);
     eventLog().note("target.pace", "target", state.listed_.id_, "event_micros",
-                    decodePace(state.pace_), "before", before, "relative", state.relativePace_);
+                    decodePace(state.pace_), "before", before, "relative_before",
+                    state.relativePace_);
+}
+
+void Edge::updateRelativePaces()
+{
+    for (const std::string &service : std::exchange(servicesWithNewPaces_, {}))
+        updateRelativePaces(service);
 }
 
 void Edge::updateRelativePaces(const std::string &service)
@@ -78,10 +85,14 @@
         reported.push_back(state->pace_);
     const std::vector<double> relative = relativePaces(reported);
     for (std::size_t at = 0; at < states.size(); ++at) {
-        states[at]->relativePace_ = relative[at];
-        if (states[at]->pace_ != 0)
-            setGauge("eelgrasscove_target_relative_pace",
-                     fmt::format("target=\"{}\"", states[at]->listed_.id_), relative[at]);
+        TargetState &state = *states[at];
+        const bool hasChanged = state.relativePace_ != relative[at] || !state.hasPaceMetric_;
+        state.relativePace_ = relative[at];
+        if (state.pace_ == 0 || !hasChanged)
+            continue;
+        state.hasPaceMetric_ = true;
+        setGauge("eelgrasscove_target_relative_pace",
+                 fmt::format("target=\"{}\"", state.listed_.id_), relative[at]);
     }
 }
 
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -55,6 +55,8 @@
     std::uint8_t pace_ = 0;
     /// The same relative to the other targets of the service.
     double relativePace_ = 1;
+    /// The relative pace has been set as a metric.
+    bool hasPaceMetric_ = false;
 
     // Reported by the agent; without an agent, by the target list and the target's responses.
     /// Versions of the resident adapters, by name hash.
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -2333,8 +2333,11 @@
     };
     BOOST_TEST(turnUntil(path.loop_, 3s, [&] { return reported().streams_ == 1; }));
     BOOST_TEST(reported().millis_ > 0);
-    BOOST_TEST(metricsText().find("eelgrasscove_target_relative_pace{target=\"e-0\"} 1")
-               != std::string::npos);
+    const auto isPaceShown = [] {
+        return metricsText().find("eelgrasscove_target_relative_pace{target=\"e-0\"} 1")
+            != std::string::npos;
+    };
+    BOOST_TEST(turnUntil(path.loop_, 2s, isPaceShown));
     load = "busy";
     BOOST_REQUIRE(send()->status() == 200);
     BOOST_TEST(ServingPath::metric("eelgrasscove_load_headers_ignored_total") == ignored + 1);
