Mend four findings of the linter

Change: the model is passed by reference where it is known to exist; while loops with the same draws; a cast.

--- a/Source/Edge/placement.cpp
+++ b/Source/Edge/placement.cpp
@@ -122,9 +122,9 @@
 /// Returns the model of the target's first events. That of a target whose pace differs from the
 /// others' is its service's, to which paceFactor() applies: its own fit takes the prompts that wait
 /// there for a fast target.
-const EngineModel &modelOf(const TargetState &target, const PlacementQuery &query)
+const EngineModel &modelOf(const TargetState &target, const EngineModel &serviceModel)
 {
-    return target.relativePace_ == 1 ? target.engineModel_ : *query.serviceModel_;
+    return target.relativePace_ == 1 ? target.engineModel_ : serviceModel;
 }
 
 /// Returns the factor of predictions for the target.
@@ -141,7 +141,8 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return scaled(predictFirstEvent(modelOf(target, query), *query.serviceModel_, unread + tokens),
+    return scaled(predictFirstEvent(modelOf(target, *query.serviceModel_), *query.serviceModel_,
+                                    unread + tokens),
                   paceFactor(target, now));
 }
 
@@ -153,8 +154,9 @@
         return Duration::zero();
     const double unread =
         unreadTokens(target.promptBacklog_, query.serviceModel_->meanPromptTokens_, now);
-    return scaled(predictReading(modelOf(target, query), *query.serviceModel_, unread),
-                  paceFactor(target, now));
+    return scaled(
+        predictReading(modelOf(target, *query.serviceModel_), *query.serviceModel_, unread),
+        paceFactor(target, now));
 }
 
 /// Returns the predicted time to the first event at the target as a part of the objective for
@@ -179,16 +181,16 @@
 bool mayReadNext(const TargetState &target, const PlacementQuery &query, Time now)
 {
     const Duration reading = predictedReading(target, query, now);
-    if (reading <= Duration::zero())
+    if (query.serviceModel_ == nullptr || reading <= Duration::zero())
         return true;
     const auto part = [](Duration whole, double fraction) {
         return std::chrono::duration_cast<Duration>(whole * fraction);
     };
     if (isUrgent(query))
         return reading <= std::max(minPromptsAhead, part(query.objective_, promptsAheadFraction));
-    const Duration own =
-        scaled(predictReading(modelOf(target, query), *query.serviceModel_, query.promptTokens_),
-               paceFactor(target, now));
+    const Duration own = scaled(predictReading(modelOf(target, *query.serviceModel_),
+                                               *query.serviceModel_, query.promptTokens_),
+                                paceFactor(target, now));
     return reading + own <= part(query.pauseObjective_, pauseFraction);
 }
 
@@ -238,7 +240,8 @@
     if (query.serviceModel_ == nullptr || allowed.count() <= 0)
         return 0;
     const std::chrono::duration<double> reading = predictedReading(target, query, now)
-        + scaled(predictReading(modelOf(target, query), *query.serviceModel_, query.promptTokens_),
+        + scaled(predictReading(modelOf(target, *query.serviceModel_), *query.serviceModel_,
+                                query.promptTokens_),
                  paceFactor(target, now));
     const double running = static_cast<double>(target.running_) / target.listed_.slots_;
     return pauseCost * running * std::max(reading / allowed - 1, 0.0);
--- a/Tests/EdgeDecisions/crashcrowdtest.cpp
+++ b/Tests/EdgeDecisions/crashcrowdtest.cpp
@@ -67,9 +67,11 @@
                 && (now_ - Time(1s)) % settings_.restartInterval_ == 0s)
                 entries_[nextRestart_++ % entries_.size()] = {};
             crashCrowd();
-            for (double due = settings_.requestsPerSecond_ * seconds(step); due > 0; --due) {
+            double due = settings_.requestsPerSecond_ * seconds(step);
+            while (due > 0) {
                 if (draw() < due)
                     arrive(drawRequest());
+                due -= 1;
             }
             advanceRuns();
             deliver();
@@ -113,7 +115,10 @@
 
     static double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
     double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-    std::size_t drawIndex(std::size_t size) { return static_cast<std::size_t>(draw() * size); }
+    std::size_t drawIndex(std::size_t size)
+    {
+        return static_cast<std::size_t>(draw() * static_cast<double>(size));
+    }
     Duration jitter()
     {
         return std::chrono::duration_cast<Duration>(400ms * settings_.entries_ * draw());
--- a/Tests/LoadPlay/unevenplaytest.cpp
+++ b/Tests/LoadPlay/unevenplaytest.cpp
@@ -234,8 +234,10 @@
         for (; now_ < end + 6s; now_ += tick) {
             if (now_ < end)
                 arrivals += requestsPerSecond * std::chrono::duration<double>(tick).count();
-            for (; arrivals >= 1; arrivals -= 1)
+            while (arrivals >= 1) {
                 arrive();
+                arrivals -= 1;
+            }
             for (std::size_t at = 0; at < engineCount; ++at) {
                 advance(at);
                 updateResidency(engines_[at]);
