--- a/Source/Edge/crashevidence.cpp
+++ b/Source/Edge/crashevidence.cpp
@@ -22,8 +22,7 @@
 /// ten parts of an account are at the crashes of an event, and events are rare.
 constexpr double maxChance = 1e-3;
 /// Events without a sound response between them from which on presence is not considered chance.
-/// With two, parts of an account whose targets all crash twice are held: 2 % instead of 0.4 % of
-/// the requests in crashcrowdtest.cpp.
+/// With two, the parts of an account whose targets all crash twice would be held.
 constexpr std::size_t maxChanceEvents = 3;
 /// Crashes of one event that are kept of a suspect that has been sound: more than those after which
 /// it gets no trial. Of the crashes that a record holds, those of one event leave room for others.
--- a/Source/Edge/crashsuspects.cpp
+++ b/Source/Edge/crashsuspects.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t maxTrialCrashes = 3;
 constexpr std::size_t maxSoundTrialCrashes = 5;
 /// Trials of a part that has been sound, or whose crashes all belong to one event, whatever their
-/// number. One, so that the
-/// bound on requests after the third crash also holds where several entries make it at once.
+/// number. One, so that the bound on requests after the third crash also holds where several
+/// entries make it at once.
 constexpr std::uint32_t maxTrialsAfterCrowd = 1;
 /// Pause before the first trial, which doubles with each trial made before.
 constexpr Duration trialPause = 5s;
--- a/Tests/ServingPath/coldtest.cpp
+++ b/Tests/ServingPath/coldtest.cpp
@@ -143,6 +143,6 @@
     BOOST_TEST((bootNow() - returnedAt < 6s));
     BOOST_TEST(metricsText().find("\neelgrasscove_cold_sends_total ") != std::string::npos);
     BOOST_TEST(metricsText().find("\neelgrasscove_cold_limited_total ") != std::string::npos);
-    // No client is told the target's state.
+    // The header about the target's cold time is not forwarded to clients.
     BOOST_TEST(clients[0]->received_.find("Cold-Remaining") == std::string::npos);
 }
