Treat a response with an invalid status line as malformed

What callers saw: a target answered with status 000. The entry took every status below 200 for an interim response, waited on, and answered 504 at the route's timeout (2 s) without trying another target. With status 600, 999 or 0200 the client got that answer as a response, and so with HTTP/0.9 or HTTP/2.0 before a status.

Cause: the parser accepts any number of up to three digits, with leading zeros, and any version; nothing else checked them (RFC 9110, section 15, and RFC 9112, section 4, allow 100 to 599 and HTTP/1.x).

Change: HttpReader, which reads all messages of the serving programs, scans the status line as it arrives, so that a message is malformed before its head ends. Requests of another major version get 505. The reader states why a message is malformed, and send.failed logs it. A malformed response ends its exchange as before: at once, 502, or sent to another target where the request may be repeated.

Evidence: on the code before, response_with_an_invalid_status_is_ended_at_once_and_tried_elsewhere (ServingPath) failed 91 of 164 checks, response_whose_status_line_is_invalid_is_malformed_before_its_head_ends (Net) 33 of 114 and request_of_another_major_version_is_malformed 18 of 36; sound_response_of_a_rare_form_is_forwarded and response_with_a_sound_head_is_complete passed. With the change all five pass.

--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -18,6 +18,19 @@
 /// of the event loop, which reads everything that arrived during the pause.
 constexpr Duration deliveryDelayAfterPause = std::chrono::milliseconds(5);
 
+/// Returns the status of the response to a malformed request.
+unsigned statusOf(HttpFault fault)
+{
+    switch (fault) {
+    case HttpFault::HeadTooLong:
+        return 431;
+    case HttpFault::Version:
+        return 505;
+    default:
+        return 400;
+    }
+}
+
 } // namespace
 
 ClientSession::ClientSession(EventLoop &loop, std::shared_ptr<TcpStream> stream,
@@ -54,7 +67,7 @@
     if (isBodyTooLarge_) {
         refuse(413);
     } else if (reader_.state() == HttpReadState::Malformed) {
-        refuse(reader_.isHeadTooLong() ? 431 : 400);
+        refuse(statusOf(reader_.fault()));
     } else if (reader_.state() == HttpReadState::Complete) {
         bufferedBytes_ += bytes.substr(consumed);
         hasActiveRequest_ = true;
--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <fmt/core.h>
 
 namespace eelgrasscove {
 
@@ -145,7 +146,8 @@
         const std::size_t consumed = reader_.feed(bytes);
         bytes.remove_prefix(std::min(consumed, bytes.size()));
         if (reader_.state() == HttpReadState::Malformed) {
-            finish(ExchangeEnd::Garbled, "invalid HTTP response");
+            finish(ExchangeEnd::Garbled,
+                   fmt::format("invalid response: {}", nameOf(httpFaultNames, reader_.fault())));
             return;
         }
         if (isSkipping_) {
--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -15,6 +15,9 @@
 /// connection if it is short.
 constexpr std::size_t maxResponseHeaders = 256;
 
+/// Makes the parser fail; 1 and 2 stand for a message without a body.
+constexpr int headRefused = -1;
+
 constexpr std::array<std::string_view, 9> connectionHeaders = {
     "connection", "keep-alive", "proxy-connection", "transfer-encoding",   "content-length",
     "te",         "trailer",    "upgrade",          "proxy-authorization",
@@ -73,20 +76,30 @@
     http_parser_init(&parser_, kind_ == HttpKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
     head_ = {};
+    scan_ = {};
     headBytes_ = 0;
     state_ = HttpReadState::Open;
+    fault_ = HttpFault::None;
     wasLastValue_ = false;
     hasBegun_ = false;
     isHeadRead_ = false;
-    isHeadTooLong_ = false;
 }
 
 bool HttpReader::addHeadBytes(std::size_t length)
 {
     headBytes_ += length;
-    isHeadTooLong_ = headBytes_ + head_.headers_.size() * headerLineBytes > maxHeadBytes_
+    const bool isTooLong = headBytes_ + head_.headers_.size() * headerLineBytes > maxHeadBytes_
         || (kind_ == HttpKind::Response && head_.headers_.size() > maxResponseHeaders);
-    return !isHeadTooLong_;
+    if (isTooLong)
+        fault_ = HttpFault::HeadTooLong;
+    return !isTooLong;
+}
+
+void HttpReader::fail(HttpFault fault)
+{
+    state_ = HttpReadState::Malformed;
+    if (fault_ == HttpFault::None)
+        fault_ = fault;
 }
 
 void HttpReader::appendHeaderText(const char *at, std::size_t length, bool isValue)
@@ -122,6 +135,10 @@
     };
     settings.on_headers_complete = [](http_parser *parser) {
         auto *reader = static_cast<HttpReader *>(parser->data);
+        if (parser->http_major != 1) {
+            reader->fault_ = HttpFault::Version;
+            return headRefused;
+        }
         reader->isHeadRead_ = true;
         HttpHead head = std::move(reader->head_);
         reader->head_ = {};
@@ -152,6 +169,12 @@
     if (state_ != HttpReadState::Open || bytes.empty())
         return 0;
     hasBegun_ = true;
+    const HttpFault headFault =
+        kind_ == HttpKind::Response ? scanHead(scan_, bytes) : HttpFault::None;
+    if (headFault != HttpFault::None) {
+        fail(headFault);
+        return 0;
+    }
     const std::size_t consumed =
         http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
     if (state_ == HttpReadState::Complete) {
@@ -159,7 +182,7 @@
         return consumed;
     }
     if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)
-        state_ = HttpReadState::Malformed;
+        fail(HttpFault::Syntax);
     return consumed;
 }
 
@@ -172,7 +195,7 @@
     if (state_ == HttpReadState::Complete)
         callbacks_.onComplete_();
     else
-        state_ = HttpReadState::Malformed;
+        fail(HttpFault::Syntax);
 }
 
 void appendHeader(std::string &text, std::string_view name, std::string_view value)
--- a/Source/Net/httpreader.h
+++ b/Source/Net/httpreader.h
@@ -2,6 +2,8 @@
 
 /// Incremental parsing of HTTP/1.1 messages and formatting of their headers. Does no I/O.
 
+#include "Net/headscan.h"
+
 #include <cstdint>
 #include <functional>
 #include <http_parser.h>
@@ -44,11 +46,6 @@
 /// Returns whether a header applies only to its connection and must not be forwarded.
 bool isConnectionHeader(std::string_view name);
 
-enum class HttpKind {
-    Request,
-    Response,
-};
-
 /// Callbacks of a reader: the head, each piece of the body, and the end of the message.
 struct HttpCallbacks
 {
@@ -62,7 +59,7 @@
     Open,
     /// One message is complete; the bytes after it were not consumed.
     Complete,
-    /// Not HTTP, or a head above the size limit.
+    /// Not HTTP/1, or a head above the size limit; fault() tells which.
     Malformed,
 };
 
@@ -87,25 +84,27 @@
     /// Returns whether any byte of the current message has been received.
     bool hasBegun() const { return hasBegun_; }
     bool isHeadRead() const { return isHeadRead_; }
-    /// Returns whether the head exceeded the size limit.
-    bool isHeadTooLong() const { return isHeadTooLong_; }
+    /// Returns why the message is malformed.
+    HttpFault fault() const { return fault_; }
 
 private:
     static http_parser_settings makeParserSettings();
     void appendHeaderText(const char *at, std::size_t length, bool isValue);
     bool addHeadBytes(std::size_t length);
+    void fail(HttpFault fault);
 
     HttpKind kind_;
     std::size_t maxHeadBytes_;
     HttpCallbacks callbacks_;
     http_parser parser_{};
     HttpHead head_;
+    HeadScan scan_;
     std::size_t headBytes_ = 0;
     HttpReadState state_ = HttpReadState::Open;
+    HttpFault fault_ = HttpFault::None;
     bool wasLastValue_ = false;
     bool hasBegun_ = false;
     bool isHeadRead_ = false;
-    bool isHeadTooLong_ = false;
 };
 
 /// Appends "name: value" and a line end.
--- a/Tests/Net/httpreadertest.cpp
+++ b/Tests/Net/httpreadertest.cpp
@@ -25,8 +25,60 @@
     HttpReader reader_;
 };
 
+/// Checks what becomes of a message that is fed in pieces of several sizes.
+void checkState(HttpKind kind, std::string_view message, HttpReadState expected)
+{
+    for (const std::size_t pieceSize : {std::size_t(1), std::size_t(7), message.size()}) {
+        CollectingReader collector(kind);
+        for (std::size_t at = 0; at < message.size(); at += pieceSize)
+            collector.reader_.feed(message.substr(at, pieceSize));
+        BOOST_TEST((collector.reader_.state() == expected),
+                   message << " in pieces of " << pieceSize << " bytes");
+        BOOST_TEST(collector.completeCount_ == (expected == HttpReadState::Complete ? 1 : 0));
+    }
+}
+
+void checkMalformed(HttpKind kind, std::string_view message)
+{
+    checkState(kind, message, HttpReadState::Malformed);
+}
+
+void checkComplete(HttpKind kind, std::string_view message)
+{
+    checkState(kind, message, HttpReadState::Complete);
+}
+
 } // namespace
 
+BOOST_AUTO_TEST_CASE(response_whose_status_line_is_invalid_is_malformed_before_its_head_ends)
+{
+    for (const std::string line :
+         {"HTTP/1.1 000 Note", "HTTP/1.1 0200 OK", "HTTP/1.1 00200 OK", "HTTP/1.1 20 OK",
+          "HTTP/1.1 2", "HTTP/1.1 099 Note", "HTTP/1.1 600 Note", "HTTP/1.1 999 Note",
+          "HTTP/1.1 1000 Note", "HTTP/1.1 2x0 Note", "HTTP/1.1 -20 Note", "HTTP/1.1  000 Note",
+          "HTTP/1.1 OK", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1. 200 OK", "http/1.1 200 OK",
+          "HTTP/1.10 200 OK", "ICY 200 OK"})
+        checkMalformed(HttpKind::Response, line + "\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(response_with_a_sound_head_is_complete)
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.9 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ",
+          "HTTP/1.1  200 OK", "HTTP/1.1 404 Not \t\xfc", "HTTP/1.1 599 Note",
+          "\r\n\r\nHTTP/1.1 200 OK", "HTTP/1.1 200 OK\nA: b",
+          "HTTP/1.1 200 OK\r\nX-Note:\t a\tb \xfc\x80 ", "HTTP/1.1 200 OK\r\nx!#$%&'*+-.^_`|~9:"})
+        checkComplete(HttpKind::Response, head + "\r\nContent-Length: 2\r\n\r\nok");
+}
+
+BOOST_AUTO_TEST_CASE(request_of_another_major_version_is_malformed)
+{
+    for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.1"})
+        checkMalformed(HttpKind::Request, "GET / " + version + "\r\nHost: a\r\n\r\n");
+    for (const std::string version : {"HTTP/1.0", "HTTP/1.1", "HTTP/1.9"})
+        checkComplete(HttpKind::Request, "GET / " + version + "\r\nHost: a\r\n\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(request_is_parsed_in_pieces_of_any_size)
 {
     const std::string text = "POST /a/b?c HTTP/1.1\r\nHost: desk\r\nX-One: 1\r\n"
@@ -84,7 +136,7 @@
     CollectingReader collector(HttpKind::Request, 100);
     collector.reader_.feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
     BOOST_TEST((collector.reader_.state() == HttpReadState::Malformed));
-    BOOST_TEST(collector.reader_.isHeadTooLong());
+    BOOST_TEST((collector.reader_.fault() == HttpFault::HeadTooLong));
 }
 
 BOOST_AUTO_TEST_CASE(reader_parses_consecutive_messages_after_reset)
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -416,6 +416,49 @@
     }
 }
 
+/// Lets the targets respond with these first lines of a head, the headers of a sound response and a
+/// body.
+void respondWith(ServingPath &path, const std::string &lines, const std::string &body,
+                 bool endsWithConnection)
+{
+    for (auto &handler : path.handlers_) {
+        handler = [=](const auto &from, SeenRequest &&request) {
+            from->stream_->write(lines + ServingPath::requestIdHeader(request) + signatureHeader
+                                 + "\r\n" + body);
+            if (endsWithConnection)
+                from->breakOff();
+        };
+    }
+}
+
+/// Checks that what the targets send, on connections that stay open, is no response for any route:
+/// the request fails before the timeout of its route, once it has been sent as often as it may be.
+void checkResponseIsNone(ServingPath &path, const std::string &lines, const std::string &body)
+{
+    const std::vector<std::pair<const char *, std::size_t>> sends = {
+        {"/book/a", 1}, {"/look/a", 2}, {"/ask/a", 1}, {"/tell/a", 2}};
+    for (const auto &[target, expected] : sends) {
+        BOOST_TEST_CONTEXT(target << " " << lines)
+        {
+            respondWith(path, lines, body, false);
+            for (Server *each : path.targets_)
+                each->seen_.clear();
+            const Time sentAt = bootNow();
+            const auto client = path.sendAndAwaitHead("POST", target);
+            BOOST_TEST((bootNow() - sentAt < 900ms));
+            BOOST_TEST(client->status() == 502);
+            BOOST_TEST(client->received_.find(signatureHeader) == std::string::npos);
+            BOOST_TEST(path.receivedRequests() == expected);
+        }
+    }
+    // A sound target serves what may be repeated.
+    path.handlers_[1] = [](const auto &from, SeenRequest &&request) {
+        from->answer(200, ServingPath::requestIdHeader(request) + signatureHeader, "done");
+    };
+    for (int request = 0; request < 2; ++request)
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/look/a")->received_.ends_with("done"), lines);
+}
+
 /// The memory that this process has in use.
 std::size_t residentBytes()
 {
@@ -1115,6 +1158,42 @@
     BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 502);
 }
 
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_status_is_ended_at_once_and_tried_elsewhere)
+{
+    ServingPath path(97);
+    path.waitUntilServing();
+    for (const std::string status : {"000", "0200", "20", "099", "600", "999"}) {
+        checkResponseIsNone(path, "HTTP/1.1 " + status + " Note\r\n", "done");
+    }
+    for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.1"})
+        checkResponseIsNone(path, version + " 200 OK\r\n", "done");
+}
+
+BOOST_AUTO_TEST_CASE(sound_response_of_a_rare_form_is_forwarded)
+{
+    ServingPath path(98);
+    path.waitUntilServing();
+    const std::vector<std::pair<unsigned, std::string>> rows = {
+        {200, "HTTP/1.1 200\r\n"},
+        {200, "HTTP/1.1 200 \r\n"},
+        {200, "HTTP/1.0 200 OK\r\n"},
+        {200, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n"},
+        {299, "HTTP/1.1 299 Note\r\n"},
+        {404, "HTTP/1.1 404 Not \t\xfc\r\n"},
+        {599, "HTTP/1.1 599 Note\r\n"},
+        {200, "HTTP/1.1 200 OK\r\nX-Note:\t a\tb \xfc\x80 \r\nx!#$%&'*+-.^_`|~9:\r\n"},
+    };
+    for (const auto &[status, lines] : rows) {
+        for (const std::string length : {"", "Content-Length: 4\r\n"}) {
+            respondWith(path, lines + length, "done", length.empty());
+            const auto client = path.sendAndAwaitHead("POST", "/book/a");
+            BOOST_TEST(client->status() == status, lines);
+            BOOST_TEST(client->received_.ends_with("done"), lines);
+            BOOST_TEST(client->received_.find(signatureHeader) != std::string::npos, lines);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(client_disconnect_cancels_the_request_at_the_target)
 {
     ServingPath path(10);
