Treat a message with an invalid header name or a folded line as malformed

What callers saw: a target answered with a field name that held a blank ("X Note: a", "X-Note : a"). The client got 200 with that line passed on. A line that began with a blank was joined to the value before it, so that a damaged " Content-Length: 4" ended up in another header, and the body then was what arrived until the connection ended.

Cause: Debian builds http_parser without its strict checks, so it accepts blanks in names and obsolete line folding (RFC 9110, section 5.1, and RFC 9112, section 5); the names of requests were checked on their own path, those of responses nowhere.

Change: HttpReader checks each name, in trailers too, and refuses a line of the head that begins with a blank. Names with control characters were refused by the parser before. The check of requests uses the same function. A client whose request is malformed gets the reason in the body, and request.malformed logs it.

--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -1,5 +1,7 @@
 #include "Edge/clientsession.h"
 
+#include "Observe/eventlog.h"
+
 #include <fmt/core.h>
 
 namespace eelgrasscove {
@@ -67,7 +69,7 @@
     if (isBodyTooLarge_) {
         refuse(413);
     } else if (reader_.state() == HttpReadState::Malformed) {
-        refuse(statusOf(reader_.fault()));
+        refuseMalformed(reader_.fault());
     } else if (reader_.state() == HttpReadState::Complete) {
         bufferedBytes_ += bytes.substr(consumed);
         hasActiveRequest_ = true;
@@ -104,11 +106,19 @@
         request_.body_ += bytes;
 }
 
-void ClientSession::refuse(unsigned status)
+void ClientSession::refuse(unsigned status, std::string_view headers, std::string_view body)
 {
     hasActiveRequest_ = true;
     clientAcceptsKeepAlive_ = false;
-    sendResponse(status, "", "");
+    sendResponse(status, headers, body);
+}
+
+void ClientSession::refuseMalformed(HttpFault fault)
+{
+    const unsigned status = statusOf(fault);
+    const std::string_view reason = nameOf(httpFaultNames, fault);
+    eventLog().note("request.malformed", "status", status, "reason", reason);
+    refuse(status, "Content-Type: text/plain\r\n", fmt::format("{}\n", reason));
 }
 
 void ClientSession::onEnd()
--- a/Source/Edge/clientsession.h
+++ b/Source/Edge/clientsession.h
@@ -92,7 +92,9 @@
     void deliverRequest();
     void onHead(HttpHead &&head);
     void onBody(std::string_view bytes);
-    void refuse(unsigned status);
+    /// Responds and closes the connection, as the end of the request is unknown.
+    void refuse(unsigned status, std::string_view headers = {}, std::string_view body = {});
+    void refuseMalformed(HttpFault fault);
     void finishResponse();
     void closeNow(bool flushFirst);
     std::string formatHead(unsigned status, std::string_view headers) const;
--- a/Source/Net/headscan.cpp
+++ b/Source/Net/headscan.cpp
@@ -1,5 +1,7 @@
 #include "Net/headscan.h"
 
+#include <algorithm>
+
 namespace eelgrasscove {
 
 namespace {
@@ -9,8 +11,6 @@
 constexpr std::size_t minorVersionColumn = 7;
 constexpr std::size_t statusCodeColumn = statusLineStart.size();
 constexpr std::size_t statusCodeEnd = statusCodeColumn + 3;
-/// The columns that are checked, the byte after the code among them.
-constexpr std::size_t statusLineColumns = statusCodeEnd + 1;
 
 bool isDigit(char byte)
 {
@@ -33,24 +33,64 @@
         return byte >= '1' && byte <= '5';
     if (column < statusCodeEnd)
         return isDigit(byte);
-    return byte == ' ' || isLineEnd(byte);
+    return column > statusCodeEnd || byte == ' ' || isLineEnd(byte);
+}
+
+bool isNameCharacter(char character)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return isDigit(character) || (character >= 'a' && character <= 'z')
+        || (character >= 'A' && character <= 'Z')
+        || others.find(character) != std::string_view::npos;
+}
+
+HttpFault scanStartLine(HeadScan &scan, HttpKind kind, char byte)
+{
+    const bool isEmptyLine = scan.column_ == 0 && isLineEnd(byte);
+    // RFC 9112, section 4, allows a reader to accept more than one blank here.
+    const bool isRepeatedBlank = scan.column_ == statusCodeColumn && byte == ' ';
+    if (isEmptyLine || isRepeatedBlank)
+        return HttpFault::None;
+    if (kind == HttpKind::Response && !fitsStatusLine(scan.column_, byte))
+        return HttpFault::StatusLine;
+    ++scan.column_;
+    if (byte == '\n')
+        scan.position_ = HeadPosition::LineStart;
+    return HttpFault::None;
 }
 
 } // namespace
 
-HttpFault scanHead(HeadScan &scan, std::string_view bytes)
+bool isHeaderName(std::string_view name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), isNameCharacter);
+}
+
+HttpFault scanHead(HeadScan &scan, HttpKind kind, std::string_view bytes)
 {
     for (const char byte : bytes) {
-        if (scan.column_ == statusLineColumns)
+        HttpFault fault = HttpFault::None;
+        switch (scan.position_) {
+        case HeadPosition::StartLine:
+            fault = scanStartLine(scan, kind, byte);
+            break;
+        case HeadPosition::LineStart:
+            if (byte == ' ' || byte == '\t')
+                fault = HttpFault::FoldedLine;
+            else if (byte == '\n')
+                scan.position_ = HeadPosition::End;
+            else if (byte != '\r')
+                scan.position_ = HeadPosition::Line;
+            break;
+        case HeadPosition::Line:
+            if (byte == '\n')
+                scan.position_ = HeadPosition::LineStart;
             break;
-        const bool isEmptyLine = scan.column_ == 0 && isLineEnd(byte);
-        // RFC 9112, section 4, allows a reader to accept more than one blank here.
-        const bool isRepeatedBlank = scan.column_ == statusCodeColumn && byte == ' ';
-        if (isEmptyLine || isRepeatedBlank)
-            continue;
-        if (!fitsStatusLine(scan.column_, byte))
-            return HttpFault::StatusLine;
-        ++scan.column_;
+        case HeadPosition::End:
+            return HttpFault::None;
+        }
+        if (fault != HttpFault::None)
+            return fault;
     }
     return HttpFault::None;
 }
--- a/Source/Net/headscan.h
+++ b/Source/Net/headscan.h
@@ -25,24 +25,44 @@
     Version,
     /// Responses: the version isn't 1.x, or the status code isn't a number from 100 to 599.
     StatusLine,
+    /// A header name has a character that is not allowed there, a blank for example.
+    HeaderName,
+    /// A line begins with a blank. It could continue the value of the header before it, which is
+    /// obsolete, or be a header with an invalid name.
+    FoldedLine,
 };
 
-constexpr NameTable<HttpFault, 5> httpFaultNames = {{
+constexpr NameTable<HttpFault, 7> httpFaultNames = {{
     {HttpFault::None, "none"},
     {HttpFault::Syntax, "invalid syntax"},
     {HttpFault::HeadTooLong, "head exceeds the size limit"},
     {HttpFault::Version, "version is not HTTP/1"},
     {HttpFault::StatusLine, "status line is not HTTP/1 with a status code from 100 to 599"},
+    {HttpFault::HeaderName, "header name has a character that is not allowed there"},
+    {HttpFault::FoldedLine, "line of the head begins with a blank"},
 }};
 
+enum class HeadPosition {
+    /// Before the first line or in it.
+    StartLine,
+    LineStart,
+    Line,
+    /// After the empty line.
+    End,
+};
+
 /// Progress of the scan of one head.
 struct HeadScan
 {
-    /// Bytes of the status line so far, up to the byte after the code; repeated blanks don't count.
+    HeadPosition position_ = HeadPosition::StartLine;
+    /// Bytes of the start line so far; repeated blanks before a status code don't count.
     std::size_t column_ = 0;
 };
 
-/// Scans the next bytes of a response; those after its status code are ignored.
-HttpFault scanHead(HeadScan &scan, std::string_view bytes);
+/// Scans the next bytes of a message; those after its head are ignored.
+HttpFault scanHead(HeadScan &scan, HttpKind kind, std::string_view bytes);
+
+/// Returns whether a header may have this name: a token as in RFC 9110, section 5.6.2.
+bool isHeaderName(std::string_view name);
 
 } // namespace eelgrasscove
--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -122,6 +122,11 @@
     };
     settings.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
         auto *reader = static_cast<HttpReader *>(parser->data);
+        // A piece of the name of a header or of a trailer field.
+        if (length > 0 && !isHeaderName({at, length})) {
+            reader->fault_ = HttpFault::HeaderName;
+            return 1;
+        }
         reader->appendHeaderText(at, length, false);
         return reader->addHeadBytes(length) ? 0 : 1;
     };
@@ -169,8 +174,7 @@
     if (state_ != HttpReadState::Open || bytes.empty())
         return 0;
     hasBegun_ = true;
-    const HttpFault headFault =
-        kind_ == HttpKind::Response ? scanHead(scan_, bytes) : HttpFault::None;
+    const HttpFault headFault = scanHead(scan_, kind_, bytes);
     if (headFault != HttpFault::None) {
         fail(headFault);
         return 0;
--- a/Tests/Net/httpreadertest.cpp
+++ b/Tests/Net/httpreadertest.cpp
@@ -71,6 +71,32 @@
         checkComplete(HttpKind::Response, head + "\r\nContent-Length: 2\r\n\r\nok");
 }
 
+BOOST_AUTO_TEST_CASE(message_with_an_invalid_header_name_is_malformed)
+{
+    using namespace std::string_literals;
+    for (const std::string &line :
+         {"X Note: a"s, "X-Note : a"s, " X-Note: a"s, "\tX-Note: a"s, "X\tNote: a"s, "X\x01: a"s,
+          "X\0Note: a"s, "X\x7f: a"s, "X\x80: a"s, "X\rNote: a"s, "X(Note): a"s, ": a"s, "Note"s,
+          "Content-Length : 2"s, "Content Length: 2"s, " Content-Length: 2"s,
+          "\tTransfer-Encoding: chunked"s, "Transfer-Encoding : chunked"s}) {
+        for (const std::string before : {"", "Host: a\r\n", "Host:\r\n"}) {
+            checkMalformed(HttpKind::Response,
+                           "HTTP/1.1 200 OK\r\n" + before + line + "\r\nX-Other: b\r\n\r\n");
+            checkMalformed(HttpKind::Request,
+                           "GET / HTTP/1.1\r\n" + before + line + "\r\nX-Other: b\r\n\r\n");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_trailer_name_is_malformed)
+{
+    const std::string chunks =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for (const std::string line : {"X Note: a", "X-Note : a", "X\x01: a"})
+        checkMalformed(HttpKind::Response, chunks + "X-Other: b\r\n" + line + "\r\n\r\n");
+    checkComplete(HttpKind::Response, chunks + "X-Note: a\r\nX-Other: b\r\n\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(request_of_another_major_version_is_malformed)
 {
     for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.1"})
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1169,6 +1169,21 @@
         checkResponseIsNone(path, version + " 200 OK\r\n", "done");
 }
 
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_header_name_is_ended_at_once_and_tried_elsewhere)
+{
+    using namespace std::string_literals;
+    ServingPath path(99);
+    path.waitUntilServing();
+    for (const std::string &line :
+         {"X Note: a"s, "X-Note : a"s, " X-Note: a"s, "\tX-Note: a"s, "X\x01Note: a"s,
+          "X\tNote: a"s, "X\0Note: a"s, "X\x7fNote: a"s, "Content-Length : 4"s,
+          " Content-Length: 4"s, "Transfer Encoding: chunked"s}) {
+        checkResponseIsNone(path, "HTTP/1.1 200 OK\r\n" + line + "\r\n", "done");
+        checkResponseIsNone(
+            path, "HTTP/1.1 200 OK\r\nServer: a\r\n" + line + "\r\nContent-Length: 4\r\n", "done");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sound_response_of_a_rare_form_is_forwarded)
 {
     ServingPath path(98);
@@ -2274,6 +2289,28 @@
     BOOST_TEST(path.receivedRequests() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(malformed_request_is_refused_with_a_reason_and_reaches_no_target)
+{
+    ServingPath path(100);
+    path.waitUntilServing();
+    const std::vector<std::pair<unsigned, std::string>> rows = {
+        {505, "GET /open/a HTTP/2.0\r\n"},
+        {400, "GET /open/a HTTP/1.1\r\nX Note: a\r\n"},
+        {400, "GET /open/a HTTP/1.1\r\nX-Note: a\r\n X-Other: b\r\n"},
+        {400, "GET /open/a HTTP/1.1\r\nX\x01: a\r\n"},
+        {431, "GET /open/a HTTP/1.1\r\nX-Note: " + std::string(8192, 'a') + "\r\n"},
+    };
+    for (const auto &[status, lines] : rows) {
+        Client client(path.loop_, path.address(4));
+        client.send(lines + "Host: desk.example\r\nX-Eelgrasscove-Request-Id: r\r\n\r\n");
+        BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return client.ended_; }));
+        BOOST_TEST(client.status() == status, lines.substr(0, 60));
+        BOOST_TEST(!client.received_.ends_with("\r\n\r\n"), lines.substr(0, 60));
+        BOOST_TEST(ServingPath::headerOf(client, "Connection") == "close");
+    }
+    BOOST_TEST(path.receivedRequests() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(slow_client_that_asks_for_a_close_gets_its_whole_response)
 {
     ServingPath path(87);
