Treat an invalid status as no response in the daemon's HTTP clients

What callers saw: a target of the daemon that answered with status 000 or 600 ended its run with that status, and its connection was used again. An order to an engine that was answered so counted as failed, and a call of the store as answered.

Cause: Beast's parser takes any three digits for a status code, and neither client checked them.

Change: both clients check the status with the function that the serving programs use. A run fails as sent, an order has an unknown outcome, a call has no reply, and a stream of changes ends.

--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -116,7 +116,7 @@
     // A second response to an earlier request. Targets state the id, so that one without it can be
     // the response to this request only if there was no earlier one.
     const bool isOther = id.empty() ? isReused() : id != requestId_;
-    const bool isInterim = head.status_ < 200;
+    const bool isInterim = statusKindOf(head.status_) == StatusKind::Interim;
     if (isOther && !isInterim && skippedBytes_ == 0) {
         eventLog().note("response.skipped", "target", pool_ != nullptr ? pool_->target_.text() : "",
                         "request", requestId_, "response", id, "status", head.status_);
--- a/Source/Net/headscan.h
+++ b/Source/Net/headscan.h
@@ -62,6 +62,25 @@
 /// Scans the next bytes of a message; those after its head are ignored.
 HttpFault scanHead(HeadScan &scan, HttpKind kind, std::string_view bytes);
 
+/// Classes of status codes (RFC 9110, section 15).
+enum class StatusKind {
+    /// Outside 100 to 599.
+    Invalid,
+    /// 1xx; the response to the request follows.
+    Interim,
+    Final,
+};
+
+constexpr StatusKind statusKindOf(unsigned status)
+{
+    constexpr unsigned firstInterim = 100;
+    constexpr unsigned firstFinal = 200;
+    constexpr unsigned last = 599;
+    if (status < firstInterim || status > last)
+        return StatusKind::Invalid;
+    return status < firstFinal ? StatusKind::Interim : StatusKind::Final;
+}
+
 /// Returns whether a header may have this name: a token as in RFC 9110, section 5.6.2.
 bool isHeaderName(std::string_view name);
 
--- a/Source/Platform/httpclient.cpp
+++ b/Source/Platform/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "Platform/httpclient.h"
 
+#include "Net/headscan.h"
+
 #include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -90,6 +92,11 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+HttpReply invalidStatusReply(unsigned status)
+{
+    return {HttpEnd::NoReply, 0, "", "invalid status " + std::to_string(status)};
+}
+
 } // namespace
 
 struct HttpClient::Impl
@@ -223,6 +230,10 @@
                                  return;
                              }
                              auto &response = exchange->parser_->get();
+                             if (statusKindOf(response.result_int()) == StatusKind::Invalid) {
+                                 finish(exchange, invalidStatusReply(response.result_int()), false);
+                                 return;
+                             }
                              HttpReply reply;
                              reply.end_ = HttpEnd::Replied;
                              reply.status_ = response.result_int();
@@ -323,6 +334,11 @@
                                         endStream(id, stream, error);
                                         return;
                                     }
+                                    const unsigned status = stream->parser_.get().result_int();
+                                    if (statusKindOf(status) == StatusKind::Invalid) {
+                                        endStream(id, stream, http::error::bad_status);
+                                        return;
+                                    }
                                     stream->stream_->expires_never();
                                     readStreamPart(id, stream);
                                 });
--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -1,5 +1,6 @@
 #include "Target/engineclient.h"
 
+#include "Net/headscan.h"
 #include "Target/enginecodec.h"
 #include "Target/responsetokencounter.h"
 #include "Vm/boundedring.h"
@@ -190,7 +191,7 @@
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxReplyBytes);
         co_await http::async_read(stream, buffer, parser, redirectTo(error));
-        if (error)
+        if (error || statusKindOf(parser.get().result_int()) == StatusKind::Invalid)
             co_return reply;
         reply.status_ = parser.get().result_int();
         reply.body_ = std::move(parser.get().body());
@@ -405,7 +406,8 @@
         parser.skip(method == http::verb::head);
         error_code error;
         co_await http::async_read_header(*run->stream_, buffer, parser, redirectTo(error));
-        if (error || isIdleCloseNotice(*run, parser.get().result()))
+        if (error || isIdleCloseNotice(*run, parser.get().result())
+            || statusKindOf(parser.get().result_int()) == StatusKind::Invalid)
             co_return false;
         const auto type = parser.get()[http::field::content_type];
         counter.format_ = settings_.isModelEngine_ ? responseFormat({type.data(), type.size()})
--- a/Tests/EngineClient/engineclienttest.cpp
+++ b/Tests/EngineClient/engineclienttest.cpp
@@ -342,6 +342,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_status_fails_the_run_and_closes_the_connection)
+{
+    for (const std::string status : {"000", "099", "0200", "600", "999"}) {
+        const std::string response =
+            "HTTP/1.1 " + status + " Note\r\nContent-Length: 4\r\n\r\ndone";
+        LocalTarget target([&](std::size_t) { return Exchange{response}; });
+        Client client(target.port(), true);
+        for (const char *attempt : {"a", "b"}) {
+            client.start(attempt);
+            BOOST_TEST(client.awaitResult(attempt) == RunResult::FailedSent, status);
+        }
+        BOOST_TEST(target.connections() == 2);
+        BOOST_REQUIRE(client.client_.submit(ReadEngineState{7}));
+        BOOST_TEST(client.await<EngineUnreachable>().has_value(), status);
+        BOOST_REQUIRE(client.client_.submit(AdapterOrder{.adapter_ = {"ledger"}}));
+        const auto order = client.await<OrderEnded>();
+        BOOST_TEST((order && order->outcome_ == OrderOutcome::Unknown), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_run_is_not_read_on_where_its_body_has_no_end)
 {
     standins::EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
--- a/Tests/Platform/endlessresponsetest.cpp
+++ b/Tests/Platform/endlessresponsetest.cpp
@@ -81,6 +81,29 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(call_answered_with_an_invalid_status_has_no_reply)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        // The bytes after the answer keep the connection in use until the client closes it.
+        EndlessServer server("HTTP/1.1 " + status + " Note\r\nContent-Length: 2\r\n\r\n{}", "x");
+        BoundedRing<HttpReply> replies(1);
+        BoundedRing<std::string> ends(1);
+        std::atomic<std::uint64_t> received = 0;
+        HttpClient client;
+        client.start();
+        client.call(callOf(server), [&](HttpReply reply) { replies.tryPush(std::move(reply)); });
+        const std::optional<HttpReply> reply = replies.pop(5s);
+        BOOST_TEST((reply && reply->end_ == HttpEnd::NoReply), status);
+        BOOST_TEST(awaitClosed(server, 2s));
+        client.openStream(
+            callOf(server), [&](std::string_view part) { received += part.size(); },
+            [&](const std::string &error) { ends.tryPush(std::string(error)); });
+        BOOST_TEST(ends.pop(5s).has_value(), status);
+        BOOST_TEST(received == 0);
+        client.stop();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stream_that_its_reader_closes_is_not_read_on)
 {
     EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
