Treat a message with an invalid line end as malformed

What callers saw: a target sent a chunk whose data was longer than its size, or a carriage return inside the status line. The client got 200 with a part of the body, or a 404 whose body was the rest of the head.

Cause: without its strict checks http_parser skips the byte after a carriage return in the status line, at the end of the head and in the size of a chunk, and the two bytes after the data of a chunk, whatever they are (RFC 9112, sections 2.2 and 7.1).

Change: the scan of the head refuses a carriage return without a line feed. The parser is paused after the size and the data of each chunk, and the reader checks the bytes that it skipped.

--- a/Source/Net/headscan.cpp
+++ b/Source/Net/headscan.cpp
@@ -69,6 +69,11 @@
 HttpFault scanHead(HeadScan &scan, HttpKind kind, std::string_view bytes)
 {
     for (const char byte : bytes) {
+        if (scan.position_ == HeadPosition::End)
+            break;
+        if (scan.isAfterReturn_ && byte != '\n')
+            return HttpFault::LineEnd;
+        scan.isAfterReturn_ = byte == '\r';
         HttpFault fault = HttpFault::None;
         switch (scan.position_) {
         case HeadPosition::StartLine:
@@ -87,7 +92,7 @@
                 scan.position_ = HeadPosition::LineStart;
             break;
         case HeadPosition::End:
-            return HttpFault::None;
+            break;
         }
         if (fault != HttpFault::None)
             return fault;
--- a/Source/Net/headscan.h
+++ b/Source/Net/headscan.h
@@ -30,9 +30,11 @@
     /// A line begins with a blank. It could continue the value of the header before it, which is
     /// obsolete, or be a header with an invalid name.
     FoldedLine,
+    /// A carriage return without a line feed, or chunk data that is not followed by a line end.
+    LineEnd,
 };
 
-constexpr NameTable<HttpFault, 7> httpFaultNames = {{
+constexpr NameTable<HttpFault, 8> httpFaultNames = {{
     {HttpFault::None, "none"},
     {HttpFault::Syntax, "invalid syntax"},
     {HttpFault::HeadTooLong, "head exceeds the size limit"},
@@ -40,6 +42,7 @@
     {HttpFault::StatusLine, "status line is not HTTP/1 with a status code from 100 to 599"},
     {HttpFault::HeaderName, "header name has a character that is not allowed there"},
     {HttpFault::FoldedLine, "line of the head begins with a blank"},
+    {HttpFault::LineEnd, "line of the head or of a chunk has no valid end"},
 }};
 
 enum class HeadPosition {
@@ -57,6 +60,7 @@
     HeadPosition position_ = HeadPosition::StartLine;
     /// Bytes of the start line so far; repeated blanks before a status code don't count.
     std::size_t column_ = 0;
+    bool isAfterReturn_ = false;
 };
 
 /// Scans the next bytes of a message; those after its head are ignored.
--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -77,6 +77,7 @@
     parser_.data = this;
     head_ = {};
     scan_ = {};
+    lastByte_ = 0;
     headBytes_ = 0;
     state_ = HttpReadState::Open;
     fault_ = HttpFault::None;
@@ -159,6 +160,18 @@
         reader->callbacks_.onBody_({at, length});
         return 0;
     };
+    // Without its strict checks the parser skips the ends of these lines whatever they are. Paused,
+    // it returns after them.
+    settings.on_chunk_header = [](http_parser *parser) {
+        http_parser_pause(parser, 1);
+        return 0;
+    };
+    settings.on_chunk_complete = [](http_parser *parser) {
+        // The last chunk is complete before the line end of the message.
+        if ((parser->flags & F_TRAILING) == 0)
+            http_parser_pause(parser, 1);
+        return 0;
+    };
     settings.on_message_complete = [](http_parser *parser) {
         auto *reader = static_cast<HttpReader *>(parser->data);
         reader->state_ = HttpReadState::Complete;
@@ -168,9 +181,37 @@
     return settings;
 }
 
-std::size_t HttpReader::feed(std::string_view bytes)
+bool HttpReader::endsLine(std::string_view bytes) const
+{
+    if (!bytes.ends_with('\n'))
+        return false;
+    // The parser has taken the byte before for a carriage return.
+    return bytes.size() > 1 ? bytes[bytes.size() - 2] == '\r' : lastByte_ == '\r';
+}
+
+/// Parses up to the end of the message, and checks the line ends of the chunked coding on the way.
+std::size_t HttpReader::parse(std::string_view bytes)
 {
     static const http_parser_settings settings = makeParserSettings();
+    std::size_t consumed = 0;
+    bool isPaused = true;
+    while (isPaused && consumed < bytes.size()) {
+        consumed += http_parser_execute(&parser_, &settings, bytes.data() + consumed,
+                                        bytes.size() - consumed);
+        isPaused = HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED && state_ == HttpReadState::Open;
+        if (!isPaused)
+            break;
+        if (!endsLine(bytes.substr(0, consumed))) {
+            fail(HttpFault::LineEnd);
+            return consumed;
+        }
+        http_parser_pause(&parser_, 0);
+    }
+    return consumed;
+}
+
+std::size_t HttpReader::feed(std::string_view bytes)
+{
     if (state_ != HttpReadState::Open || bytes.empty())
         return 0;
     hasBegun_ = true;
@@ -179,12 +220,18 @@
         fail(headFault);
         return 0;
     }
-    const std::size_t consumed =
-        http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    const std::size_t consumed = parse(bytes);
+    if (state_ == HttpReadState::Malformed)
+        return consumed;
     if (state_ == HttpReadState::Complete) {
-        callbacks_.onComplete_();
+        const bool isChunked = (parser_.flags & F_CHUNKED) != 0;
+        if (isChunked && bytes[consumed - 1] != '\n')
+            fail(HttpFault::LineEnd);
+        else
+            callbacks_.onComplete_();
         return consumed;
     }
+    lastByte_ = bytes.back();
     if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)
         fail(HttpFault::Syntax);
     return consumed;
--- a/Source/Net/httpreader.h
+++ b/Source/Net/httpreader.h
@@ -91,6 +91,8 @@
     static http_parser_settings makeParserSettings();
     void appendHeaderText(const char *at, std::size_t length, bool isValue);
     bool addHeadBytes(std::size_t length);
+    std::size_t parse(std::string_view bytes);
+    bool endsLine(std::string_view bytes) const;
     void fail(HttpFault fault);
 
     HttpKind kind_;
@@ -99,6 +101,8 @@
     http_parser parser_{};
     HttpHead head_;
     HeadScan scan_;
+    /// The last byte of the bytes fed before.
+    char lastByte_ = 0;
     std::size_t headBytes_ = 0;
     HttpReadState state_ = HttpReadState::Open;
     HttpFault fault_ = HttpFault::None;
--- a/Tests/Net/httpreadertest.cpp
+++ b/Tests/Net/httpreadertest.cpp
@@ -97,6 +97,28 @@
     checkComplete(HttpKind::Response, chunks + "X-Note: a\r\nX-Other: b\r\n\r\n");
 }
 
+BOOST_AUTO_TEST_CASE(message_with_an_invalid_line_end_is_malformed)
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\rX\r\n\r\n", "HTTP/1.1 200 O\rK\r\nX-Note: a\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX-Note: a\r\n\rX", "HTTP/1.1 200 OK\r\r\nX-Note: a\r\n\r\n"})
+        checkMalformed(HttpKind::Response, head);
+    checkMalformed(HttpKind::Request, "GET / HTTP/1.1\r\nHost: a\r\n\rX");
+    for (const std::string chunks :
+         {"2\r\nokXY0\r\n\r\n", "2\r\nok\rX0\r\n\r\n", "2\r\nokX\n0\r\n\r\n", "2\rXok\r\n0\r\n\r\n",
+          "2\r\nokmore\r\n0\r\n\r\n", "2\r\nok\r\n0\r\n\rX", "2\r\nok\r\n0\rX\r\n",
+          "2\r\nok\n\n0\r\n\r\n"}) {
+        checkMalformed(HttpKind::Response,
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+        checkMalformed(HttpKind::Request,
+                       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    }
+    for (const std::string chunks : {"0\r\n\r\n", "2\r\n\r\n\r\n0\r\n\r\n",
+                                     "2;a=b\r\nok\r\n1\r\n\r\r\n0\r\nX-Note: a\r\n\r\n"})
+        checkComplete(HttpKind::Response,
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+}
+
 BOOST_AUTO_TEST_CASE(request_of_another_major_version_is_malformed)
 {
     for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.1"})
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1184,6 +1184,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_line_end_is_ended_at_once_and_tried_elsewhere)
+{
+    ServingPath path(101);
+    path.waitUntilServing();
+    checkResponseIsNone(path, "HTTP/1.1 404 Not\rFound\r\nContent-Length: 4\r\n", "done");
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    for (const std::string chunks : {"4\r\ndoneXY0\r\n\r\n", "4\r\ndone, more0\r\n\r\n",
+                                     "4\rXdone\r\n0\r\n\r\n", "4\r\ndone\r\n0\r\n\rX"})
+        checkResponseIsNone(path, chunked, chunks);
+}
+
 BOOST_AUTO_TEST_CASE(sound_response_of_a_rare_form_is_forwarded)
 {
     ServingPath path(98);
@@ -1206,6 +1217,10 @@
             BOOST_TEST(client->received_.ends_with("done"), lines);
             BOOST_TEST(client->received_.find(signatureHeader) != std::string::npos, lines);
         }
+        respondWith(path, lines + "Transfer-Encoding: chunked\r\n",
+                    "2;a=b\r\n\r\n\r\n4\r\ndone\r\n0\r\nX-Note: a\r\n\r\n", false);
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->received_.ends_with("\r\ndone"),
+                   lines);
     }
 }
 
