Treat a message with a transfer coding other than chunked as malformed

What callers saw: a target answered with "Transfer-Encoding: xchunked" or "chunked, gzip". The client got 200 with the coded body, chunk sizes among it, and without the header.

Cause: the parser reads such a body up to the end of the connection, as RFC 9112, section 6.3, says, but the header concerns one connection and is not forwarded, so nobody can decode the body. No other coding than chunked may be sent to this program, as its requests have no TE header (RFC 9112, section 7).

Change: HttpReader refuses any other coding, and chunked more than once. A request gets 501.

--- a/Source/Edge/clientsession.cpp
+++ b/Source/Edge/clientsession.cpp
@@ -26,6 +26,8 @@
     switch (fault) {
     case HttpFault::HeadTooLong:
         return 431;
+    case HttpFault::TransferCoding:
+        return 501;
     case HttpFault::Version:
         return 505;
     default:
--- a/Source/Net/headscan.h
+++ b/Source/Net/headscan.h
@@ -32,9 +32,11 @@
     FoldedLine,
     /// A carriage return without a line feed, or chunk data that is not followed by a line end.
     LineEnd,
+    /// The coding isn't chunked, applied once. No other may be sent, as no TE header asks for one.
+    TransferCoding,
 };
 
-constexpr NameTable<HttpFault, 8> httpFaultNames = {{
+constexpr NameTable<HttpFault, 9> httpFaultNames = {{
     {HttpFault::None, "none"},
     {HttpFault::Syntax, "invalid syntax"},
     {HttpFault::HeadTooLong, "head exceeds the size limit"},
@@ -43,6 +45,7 @@
     {HttpFault::HeaderName, "header name has a character that is not allowed there"},
     {HttpFault::FoldedLine, "line of the head begins with a blank"},
     {HttpFault::LineEnd, "line of the head or of a chunk has no valid end"},
+    {HttpFault::TransferCoding, "transfer coding is not chunked"},
 }};
 
 enum class HeadPosition {
--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -23,6 +23,18 @@
     "te",         "trailer",    "upgrade",          "proxy-authorization",
 };
 
+/// Returns whether the body has no transfer coding or is chunked.
+bool hasKnownCoding(const HttpHead &head)
+{
+    constexpr std::string_view codingHeader = "Transfer-Encoding";
+    const auto isCoding = [&](const HttpHeader &header) {
+        return equalIgnoringCase(header.name_, codingHeader);
+    };
+    const auto count = std::count_if(head.headers_.begin(), head.headers_.end(), isCoding);
+    return count == 0
+        || (count == 1 && equalIgnoringCase(trimmedValue(head.header(codingHeader)), "chunked"));
+}
+
 } // namespace
 
 bool equalIgnoringCase(std::string_view left, std::string_view right)
@@ -141,10 +153,12 @@
     };
     settings.on_headers_complete = [](http_parser *parser) {
         auto *reader = static_cast<HttpReader *>(parser->data);
-        if (parser->http_major != 1) {
+        if (parser->http_major != 1)
             reader->fault_ = HttpFault::Version;
+        else if (!hasKnownCoding(reader->head_))
+            reader->fault_ = HttpFault::TransferCoding;
+        if (reader->fault_ != HttpFault::None)
             return headRefused;
-        }
         reader->isHeadRead_ = true;
         HttpHead head = std::move(reader->head_);
         reader->head_ = {};
--- a/Tests/Net/httpreadertest.cpp
+++ b/Tests/Net/httpreadertest.cpp
@@ -119,6 +119,21 @@
                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
 }
 
+BOOST_AUTO_TEST_CASE(message_with_a_transfer_coding_that_is_not_chunked_is_malformed)
+{
+    for (const std::string coding :
+         {"gzip", "xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked",
+          "chunked\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip", "chun ked",
+          "chunked;", ""}) {
+        const std::string rest = "Transfer-Encoding: " + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        checkMalformed(HttpKind::Response, "HTTP/1.1 200 OK\r\n" + rest);
+        checkMalformed(HttpKind::Request, "POST / HTTP/1.1\r\n" + rest);
+    }
+    for (const std::string line : {"Transfer-Encoding: Chunked ", "transfer-encoding:chunked"})
+        checkComplete(HttpKind::Response,
+                      "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(request_of_another_major_version_is_malformed)
 {
     for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.1"})
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1195,6 +1195,16 @@
         checkResponseIsNone(path, chunked, chunks);
 }
 
+BOOST_AUTO_TEST_CASE(response_with_an_unknown_transfer_coding_is_ended_at_once_and_tried_elsewhere)
+{
+    ServingPath path(102);
+    path.waitUntilServing();
+    for (const std::string coding : {"gzip", "xchunked", "chunked, gzip", "gzip, chunked", ""}) {
+        checkResponseIsNone(path, "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n",
+                            "4\r\ndone\r\n0\r\n\r\n");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sound_response_of_a_rare_form_is_forwarded)
 {
     ServingPath path(98);
@@ -2310,6 +2320,7 @@
     path.waitUntilServing();
     const std::vector<std::pair<unsigned, std::string>> rows = {
         {505, "GET /open/a HTTP/2.0\r\n"},
+        {501, "POST /open/a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n"},
         {400, "GET /open/a HTTP/1.1\r\nX Note: a\r\n"},
         {400, "GET /open/a HTTP/1.1\r\nX-Note: a\r\n X-Other: b\r\n"},
         {400, "GET /open/a HTTP/1.1\r\nX\x01: a\r\n"},
