Skip interim responses in the clients of the store and of engines

In a call of the store or of an engine the interim response was taken for the final one, and the final one for the response to the next call.

Cause: three of four clients took the first head for the final one (RFC 9110, section 15.2). Connections to targets of the platform skip interim responses; that is unchanged.

Change: HttpCaller, HttpClient and EngineClient skip up to 16 interim responses to a request, and then treat it as not answered.

--- a/Source/Net/headscan.h
+++ b/Source/Net/headscan.h
@@ -88,6 +88,10 @@
     return status < firstFinal ? StatusKind::Interim : StatusKind::Final;
 }
 
+/// Interim responses to one request after which a client of the store or of an engine gives the
+/// connection up. Servers send one or two; one in trouble may send them without end.
+constexpr int maxInterimResponses = 16;
+
 /// Returns whether a header may have this name: a token as in RFC 9110, section 5.6.2.
 bool isHeaderName(std::string_view name);
 
--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -62,6 +62,7 @@
     text += "\r\n";
     text += call.body_;
     response_ = {};
+    interimResponses_ = 0;
     isBodyTooLong_ = false;
     reader_.reset();
     isSent_ = true;
@@ -90,6 +91,21 @@
         response_.body_ += bytes;
 }
 
+/// Reads up to the end of the final response, or to the limit on interim ones.
+void HttpCaller::readResponse(std::string_view bytes)
+{
+    const auto isInterim = [this] {
+        return reader_.state() == HttpReadState::Complete
+            && statusKindOf(response_.status_) == StatusKind::Interim;
+    };
+    std::size_t consumed = reader_.feed(bytes);
+    while (isInterim() && ++interimResponses_ <= maxInterimResponses) {
+        bytes.remove_prefix(consumed);
+        reader_.reset();
+        consumed = reader_.feed(bytes);
+    }
+}
+
 void HttpCaller::handleData(std::string_view bytes)
 {
     if (!isSent_) {
@@ -97,14 +113,15 @@
         closeStream();
         return;
     }
-    reader_.feed(bytes);
+    readResponse(bytes);
     if (isBodyTooLong_) {
         eventLog().note("response.too_long", "server", peer_.text(), "call", calls_.front().target_,
                         "limit_bytes", maxBodyBytes_);
     } else if (reader_.state() == HttpReadState::Open) {
         return;
     }
-    const bool isComplete = !isBodyTooLong_ && reader_.state() == HttpReadState::Complete;
+    const bool isComplete = !isBodyTooLong_ && reader_.state() == HttpReadState::Complete
+        && statusKindOf(response_.status_) == StatusKind::Final;
     if (!isComplete || !keepAlive_)
         closeStream();
     finish(isComplete ? std::optional(std::move(response_)) : std::nullopt);
--- a/Source/Net/httpcaller.h
+++ b/Source/Net/httpcaller.h
@@ -59,6 +59,7 @@
     void sendNext();
     void connect();
     void appendBody(std::string_view bytes);
+    void readResponse(std::string_view bytes);
     void handleData(std::string_view bytes);
     void handleEnd();
     void finish(std::optional<HttpResponse> response);
@@ -72,6 +73,7 @@
     std::deque<Call> calls_;
     HttpResponse response_;
     TimerId timeoutTimer_ = 0;
+    int interimResponses_ = 0;
     bool isConnected_ = false;
     bool isSent_ = false;
     bool keepAlive_ = true;
--- a/Source/Platform/httpclient.cpp
+++ b/Source/Platform/httpclient.cpp
@@ -92,9 +92,9 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-HttpReply invalidStatusReply(unsigned status)
+HttpReply noFinalReply(unsigned status)
 {
-    return {HttpEnd::NoReply, 0, "", "invalid status " + std::to_string(status)};
+    return {HttpEnd::NoReply, 0, "", "no final response, but status " + std::to_string(status)};
 }
 
 } // namespace
@@ -116,6 +116,7 @@
         std::optional<http::request_serializer<http::string_body>> serializer_;
         beast::flat_buffer buffer_{mostUnparsedBytes};
         std::optional<http::response_parser<http::string_body>> parser_;
+        int interimResponses_ = 0;
     };
     using ExchangePtr = std::shared_ptr<Exchange>;
 
@@ -221,6 +222,13 @@
     void read(const ExchangePtr &exchange)
     {
         exchange->buffer_.clear();
+        exchange->interimResponses_ = 0;
+        readResponse(exchange);
+    }
+
+    /// Reads the next response, an interim one or the final one.
+    void readResponse(const ExchangePtr &exchange)
+    {
         exchange->parser_.emplace();
         exchange->parser_->body_limit(mostReplyBytes);
         http::async_read(*exchange->stream_, exchange->buffer_, *exchange->parser_,
@@ -230,8 +238,14 @@
                                  return;
                              }
                              auto &response = exchange->parser_->get();
-                             if (statusKindOf(response.result_int()) == StatusKind::Invalid) {
-                                 finish(exchange, invalidStatusReply(response.result_int()), false);
+                             const StatusKind kind = statusKindOf(response.result_int());
+                             if (kind == StatusKind::Interim
+                                 && ++exchange->interimResponses_ <= maxInterimResponses) {
+                                 readResponse(exchange);
+                                 return;
+                             }
+                             if (kind != StatusKind::Final) {
+                                 finish(exchange, noFinalReply(response.result_int()), false);
                                  return;
                              }
                              HttpReply reply;
@@ -335,7 +349,7 @@
                                         return;
                                     }
                                     const unsigned status = stream->parser_.get().result_int();
-                                    if (statusKindOf(status) == StatusKind::Invalid) {
+                                    if (statusKindOf(status) != StatusKind::Final) {
                                         endStream(id, stream, http::error::bad_status);
                                         return;
                                     }
--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -173,6 +173,29 @@
         run->pendingEvents_.clear();
     }
 
+    /// Reads the head of the final response, after those of interim ones. Returns false if there is
+    /// none.
+    template <class Body>
+    static asio::awaitable<bool>
+    readFinalHead(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                  std::optional<http::response_parser<Body>> &parser,
+                  boost::optional<std::uint64_t> bodyLimit, bool skipsBody)
+    {
+        for (int responses = 0; responses <= maxInterimResponses; ++responses) {
+            parser.emplace();
+            parser->body_limit(bodyLimit);
+            parser->skip(skipsBody);
+            error_code error;
+            co_await http::async_read_header(stream, buffer, *parser, redirectTo(error));
+            if (error)
+                co_return false;
+            const StatusKind kind = statusKindOf(parser->get().result_int());
+            if (kind != StatusKind::Interim)
+                co_return kind == StatusKind::Final;
+        }
+        co_return false;
+    }
+
     /// Sends one request with a short reply on a new connection. The timeout covers the whole call.
     asio::awaitable<Reply> call(Request request, Duration timeout)
     {
@@ -188,13 +211,15 @@
         co_await http::async_write(stream, request, redirectTo(error));
         if (error)
             co_return reply;
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxReplyBytes);
-        co_await http::async_read(stream, buffer, parser, redirectTo(error));
-        if (error || statusKindOf(parser.get().result_int()) == StatusKind::Invalid)
+        std::optional<http::response_parser<http::string_body>> parser;
+        const bool hasHead = co_await readFinalHead(stream, buffer, parser, maxReplyBytes, false);
+        if (!hasHead)
             co_return reply;
-        reply.status_ = parser.get().result_int();
-        reply.body_ = std::move(parser.get().body());
+        co_await http::async_read(stream, buffer, *parser, redirectTo(error));
+        if (error)
+            co_return reply;
+        reply.status_ = parser->get().result_int();
+        reply.body_ = std::move(parser->get().body());
         co_return reply;
     }
 
@@ -401,29 +426,27 @@
     {
         beast::flat_buffer buffer(maxUnparsedBytes);
         buffer.reserve(readBufferBytes);
-        http::response_parser<http::buffer_body> parser;
-        parser.body_limit(boost::none);
-        parser.skip(method == http::verb::head);
-        error_code error;
-        co_await http::async_read_header(*run->stream_, buffer, parser, redirectTo(error));
-        if (error || isIdleCloseNotice(*run, parser.get().result())
-            || statusKindOf(parser.get().result_int()) == StatusKind::Invalid)
+        std::optional<http::response_parser<http::buffer_body>> parser;
+        const bool hasHead = co_await readFinalHead(*run->stream_, buffer, parser, boost::none,
+                                                    method == http::verb::head);
+        if (!hasHead || isIdleCloseNotice(*run, parser->get().result()))
             co_return false;
-        const auto type = parser.get()[http::field::content_type];
+        const auto type = parser->get()[http::field::content_type];
         counter.format_ = settings_.isModelEngine_ ? responseFormat({type.data(), type.size()})
                                                    : ResponseFormat::Opaque;
         run->pendingEvents_.emplace_back(
-            RunResponseHead{attempt, parser.get().result_int(), std::string(type)});
+            RunResponseHead{attempt, parser->get().result_int(), std::string(type)});
         std::array<char, readBufferBytes> bytes;
-        while (!parser.is_done()) {
+        error_code error;
+        while (!parser->is_done()) {
             if (mustDeliverPending(*run, buffer))
                 co_await deliverPendingEvents(run);
-            parser.get().body().data = bytes.data();
-            parser.get().body().size = bytes.size();
-            co_await http::async_read_some(*run->stream_, buffer, parser, redirectTo(error));
+            parser->get().body().data = bytes.data();
+            parser->get().body().size = bytes.size();
+            co_await http::async_read_some(*run->stream_, buffer, *parser, redirectTo(error));
             if (error && error != http::error::need_buffer)
                 co_return false;
-            const std::size_t count = bytes.size() - parser.get().body().size;
+            const std::size_t count = bytes.size() - parser->get().body().size;
             if (count == 0)
                 continue;
             const std::string_view read(bytes.data(), count);
@@ -431,7 +454,7 @@
             run->pendingEvents_.emplace_back(
                 RunResponseBytes{attempt, std::string(read), generatedTokens(counter)});
         }
-        run->isReusable_ = parser.keep_alive() && buffer.size() == 0 && !run->isCancelled_;
+        run->isReusable_ = parser->keep_alive() && buffer.size() == 0 && !run->isCancelled_;
         co_return true;
     }
 
--- a/Tests/EngineClient/engineclienttest.cpp
+++ b/Tests/EngineClient/engineclienttest.cpp
@@ -362,6 +362,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(run_is_answered_by_its_final_response_after_interim_ones)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    LocalTarget target([&](std::size_t) { return Exchange{interim + interim + completeResponse}; });
+    Client client(target.port(), true);
+    for (const char *attempt : {"a", "b"}) {
+        client.start(attempt);
+        const auto head = client.await<RunResponseHead>();
+        BOOST_TEST((head && head->status_ == 200));
+        BOOST_TEST(client.awaitResult(attempt) == RunResult::Complete);
+    }
+    BOOST_TEST(target.connections() == 1);
+    BOOST_REQUIRE(client.client_.submit(AdapterOrder{.adapter_ = {"ledger"}}));
+    const auto order = client.await<OrderEnded>();
+    BOOST_TEST((order && order->outcome_ == OrderOutcome::Done));
+}
+
+BOOST_AUTO_TEST_CASE(run_fails_at_a_target_that_sends_interim_responses_without_end)
+{
+    standins::EndlessServer server("", "HTTP/1.1 103 Early Hints\r\n\r\n");
+    Client client(server.port());
+    client.start("a");
+    BOOST_TEST(client.awaitResult("a", endlessTimeout) == RunResult::FailedSent);
+    BOOST_TEST(awaitClosed(server));
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_run_is_not_read_on_where_its_body_has_no_end)
 {
     standins::EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
--- a/Tests/Net/endlessresponsetest.cpp
+++ b/Tests/Net/endlessresponsetest.cpp
@@ -63,4 +63,37 @@
     BOOST_TEST(server.sentBytes() < 16 * limit);
 }
 
+BOOST_AUTO_TEST_CASE(call_with_an_invalid_or_no_final_response_fails_and_closes)
+{
+    checkAnswersEnd({
+        {"status 000", "HTTP/1.1 000 Note\r\nContent-Length: 2\r\n\r\n{}", "x"},
+        {"status 600", "HTTP/1.1 600 Note\r\nContent-Length: 2\r\n\r\n{}", "x"},
+        {"header name", "HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 2\r\n\r\n{}", "x"},
+        {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(call_is_answered_by_its_final_response_after_interim_ones)
+{
+    auto &loop = *new EventLoop;
+    Server server(loop, "127.0.0.1:17305", [](const auto &from, SeenRequest &&request) {
+        from->stream_->write("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+        from->loop_.timers().once(20ms, [from, target = request.head_.target_] {
+            from->stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+            from->answer(200, "", target);
+        });
+    });
+    HttpCaller caller(loop, {"127.0.0.1", 17305});
+    std::vector<std::string> answers;
+    for (const char *target : {"/a", "/b"}) {
+        caller.call("GET", target, "", 2s, [&](const std::optional<HttpResponse> &response) {
+            answers.push_back(response ? std::to_string(response->status_) + response->body_
+                                       : "none");
+        });
+    }
+    BOOST_TEST(turnUntil(loop, 5s, [&] { return answers.size() == 2; }));
+    const std::vector<std::string> expected = {"200/a", "200/b"};
+    BOOST_TEST(answers == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/endlessresponsetest.cpp
+++ b/Tests/Platform/endlessresponsetest.cpp
@@ -104,6 +104,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(call_is_answered_by_its_final_response_after_interim_ones)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    for (const std::string &prefix : {interim + interim + final, std::string()}) {
+        EndlessServer server(prefix, prefix.empty() ? interim : "x");
+        BoundedRing<HttpReply> replies(1);
+        HttpClient client;
+        client.start();
+        client.call(callOf(server), [&](HttpReply reply) { replies.tryPush(std::move(reply)); });
+        const std::optional<HttpReply> reply = replies.pop(5s);
+        BOOST_REQUIRE(reply.has_value());
+        BOOST_TEST((reply->end_ == (prefix.empty() ? HttpEnd::NoReply : HttpEnd::Replied)));
+        BOOST_TEST(reply->status_ == (prefix.empty() ? 0 : 200));
+        BOOST_TEST(reply->body_ == (prefix.empty() ? "" : "{}"));
+        client.stop();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stream_that_its_reader_closes_is_not_read_on)
 {
     EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
