--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -122,6 +122,13 @@
     }
     const bool isComplete = !isBodyTooLong_ && reader_.state() == HttpReadState::Complete
         && statusKindOf(response_.status_) == StatusKind::Final;
+    if (!isComplete && !isBodyTooLong_) {
+        const std::string_view reason = reader_.state() == HttpReadState::Malformed
+            ? nameOf(httpFaultNames, reader_.fault())
+            : "too many interim responses";
+        eventLog().note("response.malformed", "server", peer_.text(), "call",
+                        calls_.front().target_, "reason", reason);
+    }
     if (!isComplete || !keepAlive_)
         closeStream();
     finish(isComplete ? std::optional(std::move(response_)) : std::nullopt);
--- a/Source/Net/httpreader.cpp
+++ b/Source/Net/httpreader.cpp
@@ -195,11 +195,11 @@
     return settings;
 }
 
+/// Returns whether bytes that follow those fed before end with a line end.
 bool HttpReader::endsLine(std::string_view bytes) const
 {
     if (!bytes.ends_with('\n'))
         return false;
-    // The parser has taken the byte before for a carriage return.
     return bytes.size() > 1 ? bytes[bytes.size() - 2] == '\r' : lastByte_ == '\r';
 }
 
--- a/Source/Net/httpreader.h
+++ b/Source/Net/httpreader.h
@@ -2,7 +2,7 @@
 
 /// Incremental parsing of HTTP/1.1 messages and formatting of their headers. Does no I/O.
 
-#include "Net/headscan.h"
+#include "Net/httpsyntax.h"
 
 #include <cstdint>
 #include <functional>
@@ -101,7 +101,7 @@
     http_parser parser_{};
     HttpHead head_;
     HeadScan scan_;
-    /// The last byte of the bytes fed before.
+    /// The last byte that was fed before.
     char lastByte_ = 0;
     std::size_t headBytes_ = 0;
     HttpReadState state_ = HttpReadState::Open;
--- a/Source/Net/headscan.cpp
+++ b/Source/Net/httpsyntax.cpp
@@ -1,4 +1,4 @@
-#include "Net/headscan.h"
+#include "Net/httpsyntax.h"
 
 #include <algorithm>
 
--- a/Source/Net/headscan.h
+++ b/Source/Net/httpsyntax.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Checks the bytes of a message's head for what http_parser accepts although it is not HTTP/1
-/// (RFC 9112): Debian builds that library without its strict checks.
+/// Rules of HTTP/1 (RFC 9110, RFC 9112) that the parsers of the libraries don't check: Debian
+/// builds http_parser without its strict checks, and Beast accepts any status of three digits.
 
 #include <eelgrasscove/nametable.h>
 
@@ -66,7 +66,8 @@
     bool isAfterReturn_ = false;
 };
 
-/// Scans the next bytes of a message; those after its head are ignored.
+/// Scans the next bytes of a message for an invalid status line, folded line or line end; bytes
+/// after its head are ignored.
 HttpFault scanHead(HeadScan &scan, HttpKind kind, std::string_view bytes);
 
 /// Classes of status codes (RFC 9110, section 15).
--- a/Source/Platform/httpclient.cpp
+++ b/Source/Platform/httpclient.cpp
@@ -1,6 +1,6 @@
 #include "Platform/httpclient.h"
 
-#include "Net/headscan.h"
+#include "Net/httpsyntax.h"
 
 #include <array>
 #include <atomic>
--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -1,6 +1,6 @@
 #include "Target/engineclient.h"
 
-#include "Net/headscan.h"
+#include "Net/httpsyntax.h"
 #include "Target/enginecodec.h"
 #include "Target/responsetokencounter.h"
 #include "Vm/boundedring.h"
