--- a/Tests/Net/httpreadertest.cpp
+++ b/Tests/Net/httpreadertest.cpp
@@ -2,6 +2,7 @@
 #include "Net/httpreader.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/core.h>
 
 #include <memory>
 
@@ -80,10 +81,9 @@
           "Content-Length : 2"s, "Content Length: 2"s, " Content-Length: 2"s,
           "\tTransfer-Encoding: chunked"s, "Transfer-Encoding : chunked"s}) {
         for (const std::string before : {"", "Host: a\r\n", "Host:\r\n"}) {
-            checkMalformed(HttpKind::Response,
-                           "HTTP/1.1 200 OK\r\n" + before + line + "\r\nX-Other: b\r\n\r\n");
-            checkMalformed(HttpKind::Request,
-                           "GET / HTTP/1.1\r\n" + before + line + "\r\nX-Other: b\r\n\r\n");
+            const std::string headers = fmt::format("{}{}\r\nX-Other: b\r\n\r\n", before, line);
+            checkMalformed(HttpKind::Response, "HTTP/1.1 200 OK\r\n" + headers);
+            checkMalformed(HttpKind::Request, "GET / HTTP/1.1\r\n" + headers);
         }
     }
 }
@@ -93,7 +93,7 @@
     const std::string chunks =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
     for (const std::string line : {"X Note: a", "X-Note : a", "X\x01: a"})
-        checkMalformed(HttpKind::Response, chunks + "X-Other: b\r\n" + line + "\r\n\r\n");
+        checkMalformed(HttpKind::Response, fmt::format("{}X-Other: b\r\n{}\r\n\r\n", chunks, line));
     checkComplete(HttpKind::Response, chunks + "X-Note: a\r\nX-Other: b\r\n\r\n");
 }
 
--- a/Tests/Platform/endlessresponsetest.cpp
+++ b/Tests/Platform/endlessresponsetest.cpp
@@ -107,8 +107,9 @@
 BOOST_AUTO_TEST_CASE(call_is_answered_by_its_final_response_after_interim_ones)
 {
     const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
-    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
-    for (const std::string &prefix : {interim + interim + final, std::string()}) {
+    const std::string responses =
+        interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    for (const std::string &prefix : {responses, std::string()}) {
         EndlessServer server(prefix, prefix.empty() ? interim : "x");
         BoundedRing<HttpReply> replies(1);
         HttpClient client;
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -423,8 +423,9 @@
 {
     for (auto &handler : path.handlers_) {
         handler = [=](const auto &from, SeenRequest &&request) {
-            from->stream_->write(lines + ServingPath::requestIdHeader(request) + signatureHeader
-                                 + "\r\n" + body);
+            from->stream_->write(fmt::format("{}{}{}\r\n{}", lines,
+                                             ServingPath::requestIdHeader(request), signatureHeader,
+                                             body));
             if (endsWithConnection)
                 from->breakOff();
         };
