--- a/Source/Net/httpreader.h
+++ b/Source/Net/httpreader.h
@@ -59,7 +59,7 @@
     Open,
     /// One message is complete; the bytes after it were not consumed.
     Complete,
-    /// Not HTTP/1, or a head above the size limit; fault() tells which.
+    /// Not HTTP/1, or a head above the size limit; see fault().
     Malformed,
 };
 
