--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -534,7 +534,7 @@
     if (rules_ && rules.version_ <= rules_->rules().version_)
         return;
     eventLog().note("rules.adopted", "version", rules.version_, "routes", rules.routes_.size(),
-                    "accounts", rules.accounts_.size());
+                    "accounts", rules.accounts_.size(), "needs_keys", rules.needsKeys_);
     recordRuleFaults(rules);
     setGauge("eelgrasscove_rules_version", "", static_cast<double>(rules.version_));
     accountByHash_.clear();
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -212,7 +212,7 @@
 {
     if (refuseIfRulesAreOld(request, now))
         return false;
-    if (request.route_.open_ || rules_->rules().accounts_.empty())
+    if (request.route_.open_ || !rules_->rules().needsKeys_)
         return true;
     const std::string_view authorization = request.head_.header(wire::authorizationHeader);
     if (authorization.starts_with(wire::bearerPrefix))
--- a/Tests/PlatformWire/ruleswiretest.cpp
+++ b/Tests/PlatformWire/ruleswiretest.cpp
@@ -107,6 +107,39 @@
     }
 }
 
+// Guards against a list of accounts without accounts being taken for a list that is missing.
+BOOST_AUTO_TEST_CASE(accounts_that_are_listed_or_cannot_be_read_need_keys)
+{
+    struct Case
+    {
+        const char *member_;
+        bool needsKeys_;
+        std::size_t keys_;
+        std::size_t faults_;
+    };
+    const std::vector<Case> cases = {
+        {"", false, 0, 0},
+        {R"(,"tenants":[])", true, 0, 0},
+        {R"(,"tenants":null)", true, 0, 1},
+        {R"(,"tenants":{"name":"t","api_keys":["k"]})", true, 0, 1},
+        {R"(,"tenants":[{"name":"t"}])", true, 0, 0},
+        {R"(,"tenants":[{"name":"t","api_keys":["k"]}])", true, 1, 0},
+        {R"(,"tenants":[{"name":"t","api_keys":["k","",7]}])", true, 1, 2},
+        {R"(,"tenants":[{"api_keys":["k"]},{"name":7,"api_keys":["k"]},"t"])", true, 0, 3},
+    };
+    for (const Case &each : cases) {
+        const auto decoded = wire::decodeRules(fmt::format(R"({{"version":1{}}})", each.member_));
+        BOOST_REQUIRE(ok(decoded));
+        const ServingRules &rules = valueOf(decoded);
+        std::size_t keys = 0;
+        for (const ServingAccount &account : rules.accounts_)
+            keys += account.keys_.size();
+        BOOST_TEST(rules.needsKeys_ == each.needsKeys_, each.member_);
+        BOOST_TEST(keys == each.keys_, each.member_);
+        BOOST_TEST(rules.faultCount_ == each.faults_, each.member_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_keys_of_evacuations_name_a_data_centre)
 {
     BOOST_TEST((wire::evacuatedDataCentre("op/evacuate/leiden") == "leiden"));
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -124,6 +124,15 @@
                    fmt::format(fmt::runtime(rulesFormat), version, keys, limit, limit));
     }
 
+    /// Publishes the same rules with another value for the list of accounts.
+    void publishAccounts(int version, const std::string &accounts)
+    {
+        std::string rules = fmt::format(fmt::runtime(rulesFormat), version, "", 0, 0);
+        const std::string name = "\"tenants\":";
+        rules.resize(rules.find(name) + name.size());
+        store_.put("op/config", rules + accounts + "}");
+    }
+
     /// Waits until the entry serves requests, then clears the requests recorded at the targets.
     void waitUntilServing()
     {
@@ -617,6 +626,66 @@
     BOOST_TEST(path.sendAndAwaitHead("GET", "/open/a", "")->status() == 200);
 }
 
+// Guards against rules whose last account was removed being taken for rules without accounts, under
+// which requests with any key run.
+BOOST_AUTO_TEST_CASE(no_key_is_accepted_once_the_last_account_is_removed)
+{
+    ServingPath path(140);
+    path.waitUntilServing();
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+    int version = 1;
+    for (const char *accounts : {"[]", "null", R"([{"name":"","api_keys":["k1"]}])",
+                                 R"([{"name":"shed","api_keys":[""]}])"}) {
+        path.publishAccounts(++version, accounts);
+        turnFor(path.loop_, 200ms);
+        for (const char *headers :
+             {"Authorization: Bearer k1\r\n", "Authorization: Bearer k9\r\n", ""})
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", headers)->status() == 401, accounts);
+        BOOST_TEST(path.sendAndAwaitHead("GET", "/open/a", "")->status() == 200);
+    }
+    // Rules whose age can't be told don't accept a request without a key either.
+    path.store_.fault_ = StoreFault::Silent;
+    path.store_.cutWatches();
+    turnFor(path.loop_, 1600ms);
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", "")->status() == 503);
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/open/a", "")->status() == 200);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_waits_is_refused_once_the_last_account_is_removed)
+{
+    ServingPath path(141);
+    path.waitUntilServing();
+    std::vector<std::shared_ptr<ServerConnection>> held;
+    for (auto &handler : path.handlers_)
+        handler = [&held](const auto &from, SeenRequest &&) { held.push_back(from); };
+    std::vector<std::shared_ptr<Client>> clients;
+    // Each target serves six at a time.
+    while (clients.size() < 20)
+        clients.push_back(path.sendRequest("POST", "/book/a"));
+    turnFor(path.loop_, 100ms);
+    const std::size_t received = path.receivedRequests();
+    BOOST_REQUIRE(received < clients.size());
+    path.publishAccounts(2, "[]");
+    turnFor(path.loop_, 100ms);
+    for (const auto &connection : held)
+        connection->answer(200, signatureHeader, "done");
+    turnFor(path.loop_, 500ms);
+    BOOST_TEST(path.receivedRequests() == received);
+}
+
+BOOST_AUTO_TEST_CASE(rules_without_a_list_of_accounts_need_no_key)
+{
+    ServingPath path(142);
+    path.waitUntilServing();
+    std::string rules = fmt::format(fmt::runtime(rulesFormat), 2, "", 0, 0);
+    rules.resize(rules.rfind(",\n\"tenants\":"));
+    path.store_.put("op/config", rules + "}");
+    turnFor(path.loop_, 200ms);
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", "")->status() == 200);
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", "Authorization: Bearer k9\r\n")->status()
+               == 200);
+}
+
 BOOST_AUTO_TEST_CASE(non_idempotent_request_is_not_repeated_after_a_broken_connection)
 {
     ServingPath path(3);
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -148,6 +148,9 @@
     std::vector<ServingRoute> routes_;
     std::vector<ServedService> services_;
     std::vector<ServingAccount> accounts_;
+    /// Requests on routes that are not open need the key of an account. Also true for a list of
+    /// accounts that is empty or can't be read, with which no key is known.
+    bool needsKeys_ = false;
     ClientLimits limits_;
     /// Values that could not be read and were replaced by the safe choice, as messages; no more
     /// than a few of them.
