Probe a target whose connection breaks to learn whether it crashed

Callers saw targets of a plain service crash one after the other at a request that came again every few seconds and was never held back.

Cause: a broken connection counts as a crash only with another sign of it within 2 s. For targets without an agent that was a later request which the port refuses, and at a light load none is sent to a target that has just failed.

Change: the entry connects to such a target as soon as a connection breaks. A refused connection is a crash, two accepted ones are none. A planned end, a lost link and the lapse of a list entry are no longer taken for crashes. suspect.dismissed and target.probed log the judgment.

Result: with probes switched off, the new ServingPath tests request_that_crashes_targets_is_held_back_without_other_requests and both_attempts_of_a_request_that_crashes_targets_are_counted fail (third send reaches a target; four arrivals instead of two); they pass with the change.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -672,7 +672,6 @@
         return;
     const std::shared_ptr<EdgeTarget> target = found->second;
     eventLog().note("target.gone", "target", id, "service", target->state_.listed_.service_);
-    target->crashedAt_ = bootNow();
     rememberNotice(rememberedNotices_, instanceOf(target->state_), target->state_.notice_,
                    bootNow());
     std::erase(targetsOfService_[target->state_.listed_.service_], target);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -5,6 +5,7 @@
 
 #include "Edge/adapterdemand.h"
 #include "Edge/adapterversions.h"
+#include "Edge/brokenconnection.h"
 #include "Edge/clientsession.h"
 #include "Edge/crashsuspects.h"
 #include "Edge/evacuation.h"
@@ -16,6 +17,7 @@
 #include "Edge/scarcity.h"
 #include "Edge/suspectstore.h"
 #include "Edge/targetpool.h"
+#include "Edge/targetprobe.h"
 #include "Edge/tokenallowance.h"
 #include "Edge/waitingorder.h"
 #include "Net/datagramsocket.h"
@@ -42,8 +44,10 @@
 
     TargetState state_;
     TargetPool pool_;
-    /// Time of the last apparent crash of the target.
+    /// Time of the last sign that the target's process had ended.
     Time crashedAt_;
+    /// In progress while set.
+    std::unique_ptr<TargetProbe> probe_;
     /// Requests to load replicas of adapters ahead of demand, by adapter, each with the time at
     /// which it expires. Until then it is repeated in every message to the agent.
     std::map<std::string, Time> replicaLoadRequests_;
@@ -426,7 +430,15 @@
     // edgesuspects.cpp: requests and prompt parts that crash targets.
     /// Refuses a request that may crash its target. Returns whether it was refused.
     bool refuseIfHeld(EdgeRequest &request, Time now);
-    void countConfirmedCrashes(Time now);
+    /// Records that the connection of a request broke, until its cause is known.
+    void suspectCrash(const EdgeRequest &request, std::string_view reason, Time now);
+    /// Judges the broken connections, and counts the crashes among their causes.
+    void judgeBrokenConnections(Time now);
+    /// Probes the targets of which more has to be known.
+    void probeSuspectedTargets(Time now);
+    void onProbed(EdgeTarget &target, ProbeResult result);
+    /// Called when the target has refused a connection.
+    void recordRefusal(EdgeTarget &target, Time now);
     void recordSoundRequest(EdgeRequest &request, Time now);
     void logHeldSuspect(SuspectId suspect, std::string_view source) const;
     /// Random time by which the entries' trials of a suspect are spread.
@@ -517,15 +529,14 @@
     TokenAllowance allowance_;
     RetryBudget retryBudget_;
     CrashSuspects crashSuspects_;
-    /// A request whose connection to its target broke, until it is known whether the target
-    /// crashed.
+    /// A request whose connection to its target broke, until the cause is known.
     struct CrashSuspicion
     {
         std::string requestId_;
         RequestSuspects suspects_;
         std::shared_ptr<EdgeTarget> target_;
         CrashId crash_ = 0;
-        Time brokenAt_;
+        BrokenConnection broken_;
     };
     std::vector<CrashSuspicion> crashSuspicions_;
     std::unique_ptr<LeasedKeys> suspectKeys_;
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -654,7 +654,7 @@
             }
         }
     }
-    countConfirmedCrashes(now);
+    judgeBrokenConnections(now);
 }
 
 void Edge::refuseAndCloseConnection(EdgeRequest &request, std::string_view reason)
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -344,19 +344,14 @@
                     (now - request->sentAt_).count() / 1000);
     recordOutcome(target->state_, brokenWeight);
     if (end == ExchangeEnd::NeverSent) {
-        if (reason == "ECONNREFUSED") {
-            target->crashedAt_ = now;
-            markRefusingTarget(*target, now);
-        }
+        if (reason == "ECONNREFUSED")
+            recordRefusal(*target, now);
         onRequestNotRun(request, "connection to the target failed");
         return;
     }
     ++request->runs_;
     request->isTrial_ = false;
-    if (!request->isKnownSound_) {
-        crashSuspicions_.push_back(
-            {request->id_, request->suspects_, target, crashIdOf(target->state_), now});
-    }
+    suspectCrash(*request, reason, now);
     onRequestFailed(request, 502, reason);
 }
 
--- a/Source/Edge/edgesuspects.cpp
+++ b/Source/Edge/edgesuspects.cpp
@@ -3,6 +3,7 @@
 #include "Observe/metrics.h"
 
 #include <algorithm>
+#include <fmt/core.h>
 
 namespace eelgrasscove {
 
@@ -10,11 +11,6 @@
 
 using namespace std::chrono_literals;
 
-/// Time within which a crash of the target is attributed to a request whose connection broke.
-constexpr Duration crashSuspicionTimeout = 2s;
-/// Time by which the agent's report of a crash may come before the broken connection is read.
-constexpr Duration crashReportLead = 500ms;
-
 /// Per entry, the time over which the entries' trials of one suspect are spread.
 constexpr Duration trialSpreadPerEntry = 400ms;
 
@@ -68,24 +64,83 @@
     return std::chrono::duration_cast<Duration>(spread * fraction);
 }
 
-void Edge::countConfirmedCrashes(Time now)
+void Edge::suspectCrash(const EdgeRequest &request, std::string_view reason, Time now)
+{
+    const std::shared_ptr<EdgeTarget> &target = request.target_;
+    const TargetState &state = target->state_;
+    // A target may be removed from the list before a planned end.
+    const auto listed = targets_.find(state.listed_.id_);
+    const bool isListed =
+        listed != targets_.end() && listed->second == target && !state.missingSince_;
+    if (request.isKnownSound_ || !isListed || hasAnnouncedEnd(state) || !mayBeCrash(reason))
+        return;
+    crashSuspicions_.push_back(
+        {request.id_, request.suspects_, target, crashIdOf(state), {now, now}});
+    probeSuspectedTargets(now);
+}
+
+void Edge::judgeBrokenConnections(Time now)
 {
     std::erase_if(crashSuspicions_, [&](const CrashSuspicion &suspicion) {
-        if (suspicion.target_->crashedAt_ + crashReportLead >= suspicion.brokenAt_) {
-            const bool wasHeld = findHeldSuspect(crashSuspects_, suspicion.suspects_).has_value();
-            recordCrash(crashSuspects_, suspicion.suspects_, suspicion.crash_, suspicion.brokenAt_,
-                        trialJitter(), now);
-            eventLog().note("suspect.counted", "id", suspicion.requestId_, "hash",
-                            suspicion.suspects_.request_, "parts",
-                            suspicion.suspects_.parts_.size(), "target",
-                            suspicion.target_->state_.listed_.id_);
-            const auto held = findHeldSuspect(crashSuspects_, suspicion.suspects_);
-            if (held && !wasHeld)
-                logHeldSuspect(*held, "crash");
+        const EdgeTarget &target = *suspicion.target_;
+        const BreakCause cause =
+            judgeBreak(suspicion.broken_, target.state_, target.crashedAt_, now);
+        if (cause == BreakCause::Unknown)
+            return false;
+        eventLog().note(cause == BreakCause::Crash ? "suspect.counted" : "suspect.dismissed", "id",
+                        suspicion.requestId_, "hash", suspicion.suspects_.request_, "parts",
+                        suspicion.suspects_.parts_.size(), "target", target.state_.listed_.id_,
+                        "cause", nameOf(breakCauseNames, cause), "broken_ms_ago",
+                        (now - suspicion.broken_.brokenAt_).count() / 1000);
+        if (cause != BreakCause::Crash)
             return true;
-        }
-        return now - suspicion.brokenAt_ > crashSuspicionTimeout;
+        const bool wasHeld = findHeldSuspect(crashSuspects_, suspicion.suspects_).has_value();
+        recordCrash(crashSuspects_, suspicion.suspects_, suspicion.crash_,
+                    suspicion.broken_.brokenAt_, trialJitter(), now);
+        const auto held = findHeldSuspect(crashSuspects_, suspicion.suspects_);
+        if (held && !wasHeld)
+            logHeldSuspect(*held, "crash");
+        return true;
     });
+    probeSuspectedTargets(now);
+}
+
+void Edge::probeSuspectedTargets(Time now)
+{
+    for (const CrashSuspicion &suspicion : crashSuspicions_) {
+        EdgeTarget &target = *suspicion.target_;
+        if (target.probe_ || !isProbeDue(suspicion.broken_, target.state_, now))
+            continue;
+        const auto onDone = [this, weak = std::weak_ptr(suspicion.target_)](ProbeResult result) {
+            if (const auto probed = weak.lock())
+                onProbed(*probed, result);
+        };
+        target.probe_ = std::make_unique<TargetProbe>(loop_, target.state_.endpoint_, onDone);
+    }
+}
+
+void Edge::onProbed(EdgeTarget &target, ProbeResult result)
+{
+    const Time now = bootNow();
+    const Time startedAt = target.probe_->startedAt();
+    target.probe_.reset();
+    const std::string_view name = nameOf(probeResultNames, result);
+    countMetric("eelgrasscove_target_probes_total", fmt::format("result=\"{}\"", name));
+    eventLog().note("target.probed", "target", target.state_.listed_.id_, "result", name, "took_ms",
+                    (now - startedAt).count() / 1000);
+    for (CrashSuspicion &suspicion : crashSuspicions_) {
+        if (suspicion.target_.get() == &target)
+            recordProbe(suspicion.broken_, result, startedAt, now);
+    }
+    if (result == ProbeResult::Refused)
+        recordRefusal(target, now);
+    judgeBrokenConnections(now);
+}
+
+void Edge::recordRefusal(EdgeTarget &target, Time now)
+{
+    target.crashedAt_ = now;
+    markRefusingTarget(target, now);
 }
 
 void Edge::mergeSuspect(const ReportedCrashRecord &reported, std::string_view source)
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -96,6 +96,11 @@
         > (target.hasAgentReport_ ? agentSilenceLimit : silenceLimit);
 }
 
+bool isAgentSilent(const TargetState &target, Time now)
+{
+    return !target.hasAgentReport_ || now - target.agentReportedAt_ > agentSilenceLimit;
+}
+
 void recordSilence(TargetState &target, Time now)
 {
     if (isSilent(target, now))
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -147,6 +147,10 @@
 /// the target works.
 bool isSilent(const TargetState &target, Time now);
 
+/// Whether the target has no agent, or its agent hasn't reported for longer than is possible while
+/// the target works.
+bool isAgentSilent(const TargetState &target, Time now);
+
 /// Records that a request ended without a response; avoids the target for a while if it is silent.
 void recordSilence(TargetState &target, Time now);
 
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -1963,6 +1963,141 @@
     BOOST_TEST(turnUntil(path.loop_, 2s, [&] { return sound->status() == 200; }));
 }
 
+namespace {
+
+const std::string crashingBody = "crash";
+const std::string bearerHeader = "Authorization: Bearer k1\r\n";
+
+void endTarget(ServingPath &path, int target)
+{
+    path.targets_[target]->listener_->close();
+    for (const auto &connection : path.targets_[target]->connections_)
+        connection->stream_->close(true);
+}
+
+/// Makes the targets end at each request with the crashing body, and start again after downTime
+/// under another id. Returns the number of these requests that reached them.
+std::shared_ptr<int> crashTargets(ServingPath &path, Duration downTime)
+{
+    auto arrivals = std::make_shared<int>(0);
+    for (int target = 0; target < 2; ++target) {
+        const auto normalHandler = path.handlers_[target];
+        path.handlers_[target] = [&path, target, downTime, arrivals,
+                                  normalHandler](const auto &from, SeenRequest &&request) {
+            if (request.body_ != crashingBody) {
+                normalHandler(from, std::move(request));
+                return;
+            }
+            ++*arrivals;
+            path.loop_.timers().once(1ms, [&path, target] { endTarget(path, target); });
+            path.loop_.timers().once(downTime, [&path, target, number = *arrivals] {
+                path.targets_[target]->listen();
+                path.registerTarget(target, fmt::format("i-{}-{}", target, number), "ready",
+                                    number + 1);
+            });
+        };
+    }
+    return arrivals;
+}
+
+} // namespace
+
+// Guards against crashes of targets without an agent being counted only if another request is
+// refused by the target soon after.
+BOOST_AUTO_TEST_CASE(request_that_crashes_targets_is_held_back_without_other_requests)
+{
+    int number = 143;
+    for (const Duration downTime : {100ms, 700ms, 4000ms}) {
+        ServingPath path(number++);
+        path.waitUntilServing();
+        const auto arrivals = crashTargets(path, downTime);
+        for (int sent = 0; sent < 2; ++sent) {
+            BOOST_TEST(
+                path.sendAndAwaitHead("POST", "/book/a", bearerHeader, crashingBody)->status()
+                == 502);
+            turnFor(path.loop_, 1s);
+        }
+        turnFor(path.loop_, downTime);
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a", bearerHeader, crashingBody)->status()
+                   == 503);
+        BOOST_TEST(*arrivals == 2, downTime.count());
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 200);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(both_attempts_of_a_request_that_crashes_targets_are_counted)
+{
+    ServingPath path(146);
+    path.waitUntilServing();
+    const auto arrivals = crashTargets(path, 700ms);
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/look/a", bearerHeader, crashingBody)->status()
+               == 502);
+    turnFor(path.loop_, 1s);
+    BOOST_TEST(path.sendAndAwaitHead("POST", "/look/a", bearerHeader, crashingBody)->status()
+               == 503);
+    BOOST_TEST(*arrivals == 2);
+}
+
+BOOST_AUTO_TEST_CASE(request_whose_connections_are_reset_by_a_target_that_lives_is_not_held_back)
+{
+    ServingPath path(147);
+    path.waitUntilServing();
+    int arrivals = 0;
+    for (auto &handler : path.handlers_) {
+        handler = [&arrivals](const auto &from, SeenRequest &&) {
+            ++arrivals;
+            from->stream_->close(true);
+        };
+    }
+    for (int sent = 1; sent <= 6; ++sent) {
+        BOOST_TEST(path.sendAndAwaitHead("POST", "/book/a")->status() == 502);
+        BOOST_TEST(arrivals == sent);
+        turnFor(path.loop_, 200ms);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(request_in_progress_at_planned_ends_of_targets_is_not_held_back)
+{
+    enum class Notice {
+        Draining,
+        Removed,
+    };
+    int number = 148;
+    for (const Notice notice : {Notice::Draining, Notice::Removed}) {
+        ServingPath path(number++);
+        path.waitUntilServing();
+        // Only then does a target that is missing in the list count as removed.
+        turnFor(path.loop_, 3s);
+        int arrivals = 0;
+        for (int end = 0; end < 3; ++end) {
+            int taker = -1;
+            for (int target = 0; target < 2; ++target) {
+                path.handlers_[target] = [&, target](const auto &, SeenRequest &&) {
+                    taker = target;
+                    ++arrivals;
+                };
+            }
+            const auto client = path.sendRequest("POST", "/book/a");
+            BOOST_REQUIRE(turnUntil(path.loop_, 500ms, [&] { return taker >= 0; }));
+            const std::string id = std::string(
+                path.targets_[taker]->seen_.back().head_.header("X-Eelgrasscove-Expect-Instance"));
+            if (notice == Notice::Draining)
+                path.registerTarget(taker, id, "draining", end + 1);
+            else
+                path.store_.remove("servers/" + id);
+            turnFor(path.loop_, 100ms);
+            endTarget(path, taker);
+            path.store_.remove("servers/" + id);
+            BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return client->status() == 502; }));
+            turnFor(path.loop_, 200ms);
+            path.targets_[taker]->listen();
+            path.registerTarget(taker, fmt::format("i-{}-{}", taker, end), "ready", end + 2);
+            turnFor(path.loop_, 100ms);
+        }
+        BOOST_TEST(arrivals == 3);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(
     entry_whose_watch_is_silent_does_not_use_a_replaced_version_that_its_peers_know)
 {
