Report the error that a write took from its socket

Callers got a part of a response as a complete one: a target responded to a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: only the error of the socket distinguishes the reset from an orderly end, which completes such a response. The kernel reports it once, and the upload's write took it. TcpStream dropped the status of writes, so that the next read saw an end of file without an error.

Change: TcpStream keeps the first error of a write and reports it in place of an orderly end, after all data that the peer sent. Connections whose write failed are not kept.

--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -174,7 +174,8 @@
 
 void TargetConnection::onResponseComplete()
 {
-    const bool isReusable = keepAlive_ && stream_ && stream_->unsentBytes() == 0;
+    const bool isReusable =
+        keepAlive_ && stream_ && stream_->unsentBytes() == 0 && !stream_->hasWriteFailed();
     const ExchangeCallbacks callbacks = std::move(callbacks_);
     callbacks_ = {};
     isInUse_ = false;
--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -136,7 +136,7 @@
         eventLog().note("response.malformed", "server", peer_.text(), "call",
                         calls_.front().target_, "reason", reason);
     }
-    if (!isComplete || !keepAlive_)
+    if (!isComplete || !keepAlive_ || stream_->hasWriteFailed())
         closeStream();
     finish(isComplete ? std::optional(std::move(response_)) : std::nullopt);
 }
--- a/Source/Net/tcpstream.cpp
+++ b/Source/Net/tcpstream.cpp
@@ -1,14 +1,14 @@
 #include "Net/tcpstream.h"
 
+#include "Net/sendqueue.h"
+
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -36,6 +36,7 @@
 struct WriteRequest
 {
     uv_write_t request_{};
+    TcpStream *stream_ = nullptr;
     std::string bytes_;
 };
 
@@ -176,15 +177,21 @@
                 if (!stream->isLingering_ && stream->callbacks_.onData_)
                     stream->callbacks_.onData_({buffer->base, static_cast<std::size_t>(count)});
             } else if (count < 0) {
-                stream->fail(count == UV_EOF ? pendingSocketError(stream->handle_)
-                                             : static_cast<int>(count));
+                stream->fail(count == UV_EOF ? stream->endOfFileError() : static_cast<int>(count));
             }
         });
 }
 
+/// Returns the error behind an end of file, or 0 for an orderly end.
+int TcpStream::endOfFileError() const
+{
+    return writeError_ != 0 ? writeError_ : pendingSocketError(handle_);
+}
+
 void TcpStream::fail(int error)
 {
     const std::shared_ptr<TcpStream> self = shared_from_this();
+    wasAllDelivered_ = deliveredBytes() == writtenBytes_;
     const auto onEnded = std::move(callbacks_.onEnded_);
     const bool shouldReport = !isLingering_;
     close();
@@ -225,20 +232,33 @@
         const int sentBytes = uv_try_write(stream, &unsent, 1);
         if (sentBytes > 0)
             bytes.remove_prefix(static_cast<std::size_t>(sentBytes));
-        if (bytes.empty())
+        else if (sentBytes != UV_EAGAIN)
+            recordWriteError(sentBytes);
+        if (bytes.empty() || writeError_ != 0)
             return;
     }
     auto *pendingWrite = new WriteRequest;
     pendingWrite->bytes_ = bytes;
+    pendingWrite->stream_ = this;
     pendingWrite->request_.data = pendingWrite;
     uv_buf_t remaining = uv_buf_init(pendingWrite->bytes_.data(),
                                      static_cast<unsigned>(pendingWrite->bytes_.size()));
-    // A failed write is reported by the next read as the end of the connection.
     const int startResult =
-        uv_write(&pendingWrite->request_, stream, &remaining, 1,
-                 [](uv_write_t *done, int) { delete static_cast<WriteRequest *>(done->data); });
-    if (startResult != 0)
+        uv_write(&pendingWrite->request_, stream, &remaining, 1, [](uv_write_t *done, int status) {
+            auto *write = static_cast<WriteRequest *>(done->data);
+            write->stream_->recordWriteError(status);
+            delete write;
+        });
+    if (startResult != 0) {
+        recordWriteError(startResult);
         delete pendingWrite;
+    }
+}
+
+void TcpStream::recordWriteError(int error)
+{
+    if (writeError_ == 0 && error < 0 && error != UV_ECANCELED)
+        writeError_ = error;
 }
 
 std::size_t TcpStream::unsentBytes() const
@@ -271,10 +291,8 @@
 
 std::uint64_t TcpStream::deliveredBytes() const
 {
-    int inSocket = 0;
-    if (isClosed_ || ioctl(descriptor(), SIOCOUTQ, &inSocket) != 0)
-        inSocket = 0;
-    const std::uint64_t pending = unsentBytes() + static_cast<std::uint64_t>(inSocket);
+    const std::uint64_t pending =
+        unsentBytes() + (isClosed_ ? 0 : unacknowledgedBytes(descriptor()));
     return writtenBytes_ - std::min(pending, writtenBytes_);
 }
 
--- a/Source/Net/tcpstream.h
+++ b/Source/Net/tcpstream.h
@@ -64,7 +64,8 @@
     /// Sets the callbacks of an accepted connection and starts to read.
     void start(TcpCallbacks callbacks);
 
-    /// Sends as much as the socket accepts at once and queues the rest.
+    /// Sends as much as the socket accepts at once and queues the rest. An error is reported as the
+    /// end of the connection, after all data that the peer sent before has been read.
     void write(std::string_view bytes);
 
     /// Returns the number of queued bytes that the socket hasn't accepted yet.
@@ -77,6 +78,13 @@
     /// socket's send queue can't be read, these are the bytes that the socket has accepted.
     std::uint64_t deliveredBytes() const;
 
+    /// Whether a write has failed, which ends the connection.
+    bool hasWriteFailed() const { return writeError_ != 0; }
+
+    /// Returns whether the peer had acknowledged all that was written when the connection ended.
+    /// Valid from onEnded_ on.
+    bool wasAllDelivered() const { return wasAllDelivered_; }
+
     /// Closes the connection after the socket has accepted all written data, and then the peer has
     /// closed or a second has passed; also if the peer takes no byte for stallTimeout. onWritten is
     /// called when the data is accepted or given up.
@@ -98,6 +106,8 @@
     explicit TcpStream(EventLoop &loop);
 
     void startReading();
+    int endOfFileError() const;
+    void recordWriteError(int error);
     void fail(int error);
     void finishClose();
     void checkLinger();
@@ -110,6 +120,9 @@
     std::shared_ptr<TcpStream> self_;
     std::function<void()> onWritten_;
     std::uint64_t writtenBytes_ = 0;
+    /// First error of a write, or 0. The write takes the error from the socket, whose end then
+    /// reads like an orderly one.
+    int writeError_ = 0;
     TimerId lingerTimer_ = 0;
     /// While lingering: the bytes delivered at the last progress, and its time.
     std::uint64_t lingerDeliveredBytes_ = 0;
@@ -117,6 +130,7 @@
     bool isClosed_ = false;
     bool isLingering_ = false;
     bool isAllWritten_ = false;
+    bool wasAllDelivered_ = false;
 };
 
 /// A listening socket that passes accepted connections to a callback.
--- a/Tests/Net/tcpstreamtest.cpp
+++ b/Tests/Net/tcpstreamtest.cpp
@@ -1,3 +1,4 @@
+#include "../Shared/cuttingserver.h"
 #include "../Shared/servingstandins.h"
 
 #include <boost/test/unit_test.hpp>
@@ -23,6 +24,56 @@
     BOOST_TEST(client.error_ != 0);
 }
 
+// Guards against a failed write that takes the error of a reset from the socket, whose end then
+// reads like an orderly one.
+BOOST_AUTO_TEST_CASE(reset_that_a_write_meets_first_is_reported_as_error)
+{
+    // The second amount exceeds what the socket accepts, so that the rest is queued.
+    for (const std::size_t bytes : {std::size_t(1), std::size_t(64) * 1024 * 1024}) {
+        auto &loop = *new EventLoop;
+        CuttingServer server([](const std::string &) { return CuttingServer::Answer{"part"}; });
+        Client client(loop, server.address());
+        bool isConnected = false;
+        loop.timers().every(1ms, [&] { isConnected = client.stream_->descriptor() >= 0; });
+        client.send("GET / HTTP/1.1\r\n");
+        BOOST_REQUIRE(
+            turnUntil(loop, 2s, [&] { return isConnected && server.connections() == 1; }));
+        const bool isQueued = bytes > 1;
+        if (isQueued)
+            client.stream_->write("\r\n" + std::string(bytes, 'u'));
+        else
+            client.stream_->write("\r\n");
+        // Until the reset has arrived nothing is read.
+        for (int wait = 0; wait < 200 && !client.stream_->hasPeerClosed(); ++wait)
+            std::this_thread::sleep_for(10ms);
+        BOOST_REQUIRE(client.stream_->hasPeerClosed());
+        BOOST_TEST((client.stream_->unsentBytes() > 0) == isQueued);
+        client.stream_->write("u");
+        BOOST_TEST(turnUntil(loop, 2s, [&] { return client.ended_; }));
+        BOOST_TEST(client.received_ == "part");
+        BOOST_TEST(client.error_ != 0);
+        BOOST_TEST(client.stream_->hasWriteFailed());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(end_of_the_peer_tells_whether_it_had_received_all)
+{
+    for (const ConnectionEnd end : {ConnectionEnd::Closed, ConnectionEnd::ClosedAfterRequest}) {
+        auto &loop = *new EventLoop;
+        CuttingServer server([end](const std::string &) {
+            return CuttingServer::Answer{"all", end};
+        });
+        Client client(loop, server.address());
+        constexpr std::size_t bytes = 16UL * 1024 * 1024;
+        client.send(fmt::format("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n{}", bytes,
+                                std::string(bytes, 'u')));
+        BOOST_TEST(turnUntil(loop, 2s, [&] { return client.ended_; }));
+        BOOST_TEST(client.error_ == 0);
+        BOOST_TEST(client.received_ == "all");
+        BOOST_TEST(client.stream_->wasAllDelivered() == (end == ConnectionEnd::ClosedAfterRequest));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(close_after_write_is_reported_as_orderly_end)
 {
     auto &loop = *new EventLoop;
