Complete no response by an end before the request was received

Callers could get a part of a response as complete if its target's process ended during the upload with nothing left to read: its connection ends in order, and is reset only when more of the upload arrives. The end of the connection is all that completes a response without a length.

Change: such a response is complete only if the peer had acknowledged the whole request, in the entry and in the target process's client of its engine.

--- a/Source/Edge/targetpool.cpp
+++ b/Source/Edge/targetpool.cpp
@@ -200,6 +200,12 @@
         finish(ExchangeEnd::NeverSent, uv_err_name(error));
         return;
     }
+    if (error == 0 && !stream_->wasAllDelivered()) {
+        // A process that ends with nothing left to read ends its connections in order, also in the
+        // middle of a response whose end only the connection marks.
+        finish(ExchangeEnd::Broken, "closed before the request was received");
+        return;
+    }
     if (error == 0 && reader_.isHeadRead()) {
         keepAlive_ = false;
         reader_.finish();
--- a/Source/Target/engineclient.cpp
+++ b/Source/Target/engineclient.cpp
@@ -1,6 +1,7 @@
 #include "Target/engineclient.h"
 
 #include "Net/httpsyntax.h"
+#include "Net/sendqueue.h"
 #include "Target/enginecodec.h"
 #include "Target/responsetokencounter.h"
 #include "Vm/boundedring.h"
@@ -216,7 +217,9 @@
         if (!hasHead)
             co_return reply;
         co_await http::async_read(stream, buffer, *parser, redirectTo(error));
-        if (error)
+        const bool isCut =
+            parser->get().need_eof() && unacknowledgedBytes(stream.socket().native_handle()) > 0;
+        if (error || isCut)
             co_return reply;
         reply.status_ = parser->get().result_int();
         reply.body_ = std::move(parser->get().body());
@@ -454,6 +457,9 @@
             run->pendingEvents_.emplace_back(
                 RunResponseBytes{attempt, std::string(read), generatedTokens(counter)});
         }
+        if (parser->get().need_eof()
+            && unacknowledgedBytes(run->stream_->socket().native_handle()) > 0)
+            co_return false;
         run->isReusable_ = parser->keep_alive() && buffer.size() == 0 && !run->isCancelled_;
         co_return true;
     }
--- a/Tests/EngineClient/engineclienttest.cpp
+++ b/Tests/EngineClient/engineclienttest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE EngineClient
 #include "Target/engineclient.h"
 
+#include "../Shared/cuttingserver.h"
 #include "../Shared/endlessserver.h"
 #include "Vm/boundedring.h"
 #include "localtarget.h"
@@ -80,7 +81,7 @@
     }
 
     void start(const std::string &attempt, const std::string &method = "POST",
-               bool idempotent = true)
+               bool idempotent = true, std::size_t bodyBytes = 0)
     {
         StartRun run;
         run.attempt_ = {attempt};
@@ -88,6 +89,7 @@
         run.path_ = "/records";
         run.idempotent_ = idempotent;
         run.body_ = method == "POST" ? "chair" : "";
+        run.body_.append(bodyBytes, 'u');
         BOOST_REQUIRE(client_.submit(run));
     }
 
@@ -431,3 +433,26 @@
     BOOST_REQUIRE(unreachable.has_value());
     BOOST_TEST(unreachable->readNumber_ == 7);
 }
+
+// Guards against a part of a response without a length being forwarded as complete when the target
+// ends while the request is still being sent.
+BOOST_AUTO_TEST_CASE(
+    response_without_length_that_ends_before_the_request_is_received_is_not_complete)
+{
+    using standins::ConnectionEnd;
+    constexpr std::size_t smallBytes = 500UL * 1024;
+    constexpr std::size_t largeBytes = 48UL * 1024 * 1024;
+    for (const ConnectionEnd end :
+         {ConnectionEnd::Reset, ConnectionEnd::Closed, ConnectionEnd::ClosedAfterRequest}) {
+        standins::CuttingServer server([end](const std::string &) {
+            return standins::CuttingServer::Answer{"HTTP/1.1 200 OK\r\n\r\npart", end};
+        });
+        for (const std::size_t bytes : {smallBytes, largeBytes}) {
+            Client client(server.port());
+            client.start("a", "POST", false, bytes);
+            BOOST_TEST(client.awaitResult("a")
+                       == (end == ConnectionEnd::ClosedAfterRequest ? RunResult::Complete
+                                                                    : RunResult::FailedSent));
+        }
+    }
+}
