Do not report a call that was sent in part as not sent

The daemon's HTTP client reported a call whose write failed as NotSent whatever had been written, and repeated it on another connection, though the server may have acted on it. A response that the server had sent meanwhile was never read.

Change: only a call of which no byte was written is NotSent. After a write that failed the client reads what the server has sent. A response that only the end of the connection completes is not accepted then, nor while the server has not acknowledged the whole request, and the connection is not kept.

--- a/Source/Platform/httpclient.cpp
+++ b/Source/Platform/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "Platform/httpclient.h"
 
 #include "Net/httpsyntax.h"
+#include "Net/sendqueue.h"
 
 #include <array>
 #include <atomic>
@@ -114,6 +115,8 @@
         bool reused_ = false;
         http::request<http::string_body> request_;
         std::optional<http::request_serializer<http::string_body>> serializer_;
+        /// Set where a part of the request was sent before the connection failed.
+        error_code writeError_;
         beast::flat_buffer buffer_{mostUnparsedBytes};
         std::optional<http::response_parser<http::string_body>> parser_;
         int interimResponses_ = 0;
@@ -206,16 +209,20 @@
     void write(const ExchangePtr &exchange)
     {
         exchange->serializer_.emplace(exchange->request_);
+        exchange->writeError_ = {};
         exchange->stream_->expires_at(exchange->deadline_);
         http::async_write(*exchange->stream_, *exchange->serializer_,
-                          [this, exchange](const error_code &error, std::size_t) {
-                              if (!error) {
+                          [this, exchange](const error_code &error, std::size_t written) {
+                              // A timeout can overtake the news that all bytes went out.
+                              if (error == beast::error::timeout) {
+                                  lose(exchange, error, HttpEnd::NoReply);
+                              } else if (error && written == 0) {
+                                  lose(exchange, error, HttpEnd::NotSent);
+                              } else {
+                                  // The server may have responded before it ended the connection.
+                                  exchange->writeError_ = error;
                                   read(exchange);
-                                  return;
                               }
-                              // A timeout can overtake the news that all bytes went out.
-                              const bool timedOut = error == beast::error::timeout;
-                              lose(exchange, error, timedOut ? HttpEnd::NoReply : HttpEnd::NotSent);
                           });
     }
 
@@ -226,6 +233,16 @@
         readResponse(exchange);
     }
 
+    /// Whether the response ended with its connection before the server had the whole request. A
+    /// write that failed took the error of a reset from the socket, whose end then reads like an
+    /// orderly one.
+    static bool isCut(Exchange &exchange)
+    {
+        return exchange.parser_->get().need_eof()
+            && (exchange.writeError_
+                || unacknowledgedBytes(exchange.stream_->socket().native_handle()) > 0);
+    }
+
     /// Reads the next response, an interim one or the final one.
     void readResponse(const ExchangePtr &exchange)
     {
@@ -233,8 +250,9 @@
         exchange->parser_->body_limit(mostReplyBytes);
         http::async_read(*exchange->stream_, exchange->buffer_, *exchange->parser_,
                          [this, exchange](const error_code &error, std::size_t) {
-                             if (error) {
-                                 lose(exchange, error, HttpEnd::NoReply);
+                             const error_code &writeError = exchange->writeError_;
+                             if (error || isCut(*exchange)) {
+                                 lose(exchange, writeError ? writeError : error, HttpEnd::NoReply);
                                  return;
                              }
                              auto &response = exchange->parser_->get();
@@ -252,7 +270,8 @@
                              reply.end_ = HttpEnd::Replied;
                              reply.status_ = response.result_int();
                              reply.body_ = std::move(response.body());
-                             finish(exchange, std::move(reply), response.keep_alive());
+                             finish(exchange, std::move(reply),
+                                    response.keep_alive() && !writeError);
                          });
     }
 
@@ -267,7 +286,9 @@
             connect(exchange);
             return;
         }
-        finish(exchange, {end, 0, "", error.message()}, false);
+        const std::string reason =
+            error ? error.message() : "closed before the request was received";
+        finish(exchange, {end, 0, "", reason}, false);
     }
 
     void finish(const ExchangePtr &exchange, HttpReply reply, bool keep)
--- a/Source/Platform/httpclient.h
+++ b/Source/Platform/httpclient.h
@@ -17,9 +17,9 @@
 /// How a call ended.
 enum class HttpEnd {
     Replied,
-    /// The request wasn't sent whole, so nobody can have acted on it.
+    /// No byte of the request was sent, so nobody can have acted on it.
     NotSent,
-    /// Sent, but no whole answer came.
+    /// All or a part was sent, but no whole answer came.
     NoReply,
 };
 
