Count no cut response as whole in the tests' clients

The stand-ins' client went on reading after its write had failed, and took the end of the connection for the end of a response without a length. The soak's client did the same with a connection that had not ended within its time. Both would hide a cut response that a program under test passes on.

Change: the stand-ins' client reports such a response as truncated; the soak's client completes one only by an orderly end.

Neither client has a test of its own for this.

--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -381,7 +381,8 @@
                 HttpKind::Response, 64 * 1024,
                 {[](HttpHead &&) {}, [&](std::string_view bytes) { asked.body_ += bytes; }, [] {}});
             reader.feed(client->received_);
-            if (client->error_ == 0)
+            // Only an orderly end completes an answer without a length.
+            if (client->ended_ && client->error_ == 0)
                 reader.finish();
             asked.complete_ = reader.state() == HttpReadState::Complete;
         });
--- a/Tests/StandIns/http.cpp
+++ b/Tests/StandIns/http.cpp
@@ -536,9 +536,12 @@
         if (body.size() > seen_ && onPart_)
             onPart_(std::string_view(body).substr(seen_));
         seen_ = body.size();
-        if (parser_.is_done()) {
+        // A failed write takes the error of a reset from the socket. The end of the connection then
+        // no longer marks the end of the answer.
+        const bool isCut = writeFailed_ && parser_.is_header_done() && parser_.get().need_eof();
+        if (parser_.is_done() && !isCut) {
             end(CallEnd::Whole);
-        } else if (error) {
+        } else if (error || isCut) {
             end(parser_.is_header_done() ? CallEnd::Truncated : CallEnd::NoAnswer);
         } else {
             read();
