Refuse numbers that the field of a message cannot hold

Cause: the JSON library converts any number to the type that is asked for, without a check of the range.

Change: integerFromJson returns an integer only if its type holds it. The codec uses it for every number of every message and names the field in the error. Integers written as floating-point numbers are still read. The state of an engine was read the same way and uses it too.

--- a/Source/Link/messagecodec.cpp
+++ b/Source/Link/messagecodec.cpp
@@ -1,9 +1,17 @@
 #include "Link/messagecodec.h"
 
+#include "Link/jsoninteger.h"
+
 #include <algorithm>
 #include <array>
+#include <concepts>
 #include <cstddef>
+#include <cstdint>
+#include <fmt/format.h>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
 #include <tuple>
 #include <type_traits>
 #include <utility>
@@ -409,7 +417,7 @@
 }
 
 template <class T>
-void decode(const Json &json, T &value);
+void decode(const Json &json, const char *name, T &value);
 
 template <class T>
 void decodeFields(const Json &object, T &value)
@@ -417,28 +425,44 @@
     const auto take = [&](const auto &field) {
         const auto found = object.find(field.name_);
         if (found != object.end())
-            decode(*found, value.*field.member_);
+            decode(*found, field.name_, value.*field.member_);
     };
     std::apply([&](const auto &...field) { (take(field), ...); }, fieldsOf<T>);
 }
 
+template <std::integral T>
+T decodeInteger(const Json &json, const char *name)
+{
+    const std::optional<T> number = integerFromJson<T>(json);
+    if (!number) {
+        throw std::out_of_range(fmt::format("\"{}\" is not an integer from {} to {}", name,
+                                            std::numeric_limits<T>::min(),
+                                            std::numeric_limits<T>::max()));
+    }
+    return *number;
+}
+
+/// Throws std::out_of_range, which names the field, for a number that the member cannot hold, and
+/// exceptions of the JSON library for other wrong types.
 template <class T>
-void decode(const Json &json, T &value)
+void decode(const Json &json, const char *name, T &value)
 {
     if constexpr (isName<T>) {
         json.get_to(value.text_);
     } else if constexpr (isNumber<T>) {
-        json.get_to(value.value_);
+        value.value_ = decodeInteger<decltype(value.value_)>(json, name);
     } else if constexpr (isVector<T>) {
         for (const Json &element : json)
-            decode(element, value.emplace_back());
+            decode(element, name, value.emplace_back());
     } else if constexpr (std::is_enum_v<T>) {
         // A value that only a newer process knows leaves the default, which is the careful one.
-        const auto received = static_cast<T>(json.get<std::uint32_t>());
+        const auto received = static_cast<T>(decodeInteger<std::uint32_t>(json, name));
         if (isKnown(received))
             value = received;
     } else if constexpr (hasFields<T>) {
         decodeFields(json, value);
+    } else if constexpr (std::integral<T> && !std::same_as<T, bool>) {
+        value = decodeInteger<T>(json, name);
     } else {
         json.get_to(value);
     }
@@ -452,7 +476,7 @@
     } else {
         if (name != messageNames[Index])
             return decodeMessage<Index + 1>(name, body, message);
-        decode(body, message.template emplace<Index>());
+        decode(body, messageNames[Index], message.template emplace<Index>());
         return true;
     }
 }
@@ -470,19 +494,21 @@
     return bytes;
 }
 
-// The JSON library reports wrong types by exceptions; they end here.
+// Wrong types are reported by exceptions while decoding; they end here.
 Result<Envelope, CodecError> decodeEnvelope(std::string_view bytes)
 {
     try {
         const Json json = Json::from_msgpack(bytes, true, true);
         Envelope envelope;
-        decode(json, envelope);
+        decodeFields(json, envelope);
         const std::string kind = json.at("kind").get<std::string>();
         if (!decodeMessage(kind, json.at("body"), envelope.message_))
             return CodecError{"unknown kind of message '" + kind + "'"};
         return envelope;
     } catch (const Json::exception &error) {
         return CodecError{error.what()};
+    } catch (const std::out_of_range &error) {
+        return CodecError{error.what()};
     }
 }
 
--- a/Source/Target/enginecodec.cpp
+++ b/Source/Target/enginecodec.cpp
@@ -1,5 +1,7 @@
 #include "Target/enginecodec.h"
 
+#include "Link/jsoninteger.h"
+
 #include <nlohmann/json.hpp>
 
 namespace eelgrasscove {
@@ -13,13 +15,28 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-EngineState engineStateFromJson(const Json &json)
+/// Whether the member took the number; one that is left out keeps the member as it is.
+template <class T>
+bool takeInteger(const Json &object, const char *name, T &member)
+{
+    const auto found = object.find(name);
+    if (found == object.end())
+        return true;
+    const std::optional<T> number = integerFromJson<T>(*found);
+    member = number.value_or(member);
+    return number.has_value();
+}
+
+std::optional<EngineState> engineStateFromJson(const Json &json)
 {
     EngineState state;
-    state.incarnation_.value_ = json.at("incarnation").get<std::uint64_t>();
-    state.fencingNumber_.value_ = json.value("fencing_number", std::uint64_t(0));
-    state.adapterSlots_ = json.value("adapter_slots", std::uint32_t(0));
-    state.batchSlots_ = json.value("batch_slots", std::uint32_t(0));
+    const bool hasNumbers = json.contains("incarnation")
+        && takeInteger(json, "incarnation", state.incarnation_.value_)
+        && takeInteger(json, "fencing_number", state.fencingNumber_.value_)
+        && takeInteger(json, "adapter_slots", state.adapterSlots_)
+        && takeInteger(json, "batch_slots", state.batchSlots_);
+    if (!hasNumbers)
+        return std::nullopt;
     for (const Json &adapter : json.at("adapters"))
         state.adapters_.push_back(adapterFromModelName(adapter.get<std::string>()));
     for (const Json &run : json.at("running")) {
--- a/Tests/Target/responsetokencountertest.cpp
+++ b/Tests/Target/responsetokencountertest.cpp
@@ -3,6 +3,8 @@
 #include "Target/startnumber.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
 
 using namespace eelgrasscove;
 
@@ -63,6 +65,24 @@
     BOOST_TEST(!parseEngineState("").has_value());
 }
 
+// Guards against numbers of an engine that are converted without a check of their range.
+BOOST_AUTO_TEST_CASE(engine_state_with_a_number_out_of_range_is_rejected)
+{
+    const auto stateWith = [](const std::string &field, const std::string &number) {
+        nlohmann::json state = nlohmann::json::parse(
+            R"({"incarnation":4,"fencing_number":9,"adapter_slots":8,"batch_slots":4,"adapters":[],"running":[]})");
+        state[field] = nlohmann::json::parse(number);
+        return parseEngineState(state.dump());
+    };
+    for (const char *field : {"incarnation", "fencing_number", "adapter_slots", "batch_slots"}) {
+        for (const char *number : {"1e38", "-1", "0.5", "null"})
+            BOOST_TEST(!stateWith(field, number).has_value(), field << " = " << number);
+        BOOST_TEST(stateWith(field, "7.0").has_value());
+    }
+    BOOST_TEST(!stateWith("batch_slots", "4294967296").has_value());
+    BOOST_TEST(stateWith("batch_slots", "4294967295")->batchSlots_ == 4294967295U);
+}
+
 BOOST_AUTO_TEST_CASE(start_number_exceeds_all_known_numbers)
 {
     BOOST_TEST(chooseStartNumber({.wallClockMs_ = 10}) == 10U);
