Ignore SIGPIPE in the tests on the event loop

The Net tests ended by SIGPIPE where the signal has its default action: reset_that_a_write_meets_first_is_reported_as_error writes to a connection that was reset. It had passed before only as the signal was ignored in the shell that started it.

Cause: libuv writes without MSG_NOSIGNAL. The programs ignore the signal (EventLoop::onSignals), tests without a program did not.

Change: the stand-ins on the event loop, which all these tests include, ignore it as the programs do.

--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <csignal>
 #include <deque>
 #include <functional>
 #include <list>
@@ -31,6 +32,10 @@
 using namespace eelgrasscove;
 using namespace std::chrono_literals;
 
+/// libuv's writes raise the signal after a reset; the programs ignore it too
+/// (EventLoop::onSignals).
+inline const auto replacedPipeHandler = std::signal(SIGPIPE, SIG_IGN);
+
 inline void require(bool condition, const char *what)
 {
     if (!condition)
