Refuse a stored response whose status is out of range

The status of a stored response was read into 32 bits without a check, so that was replayed to the caller as 200. It takes a record that no process of this version writes.

Result: the new test of Contract fails in two checks before, and passes.

--- a/Source/Contract/claimrecord.cpp
+++ b/Source/Contract/claimrecord.cpp
@@ -3,6 +3,7 @@
 #include "Contract/keydigest.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace eelgrasscove {
 
@@ -18,9 +19,10 @@
 bool readAnswer(const Json &json, StoredResponse &answer)
 {
     const bool isComplete = json.is_object() && json.contains("status")
-        && json["status"].is_number_unsigned() && hasString(json, "content_type")
-        && json.contains("body") && json["body"].is_binary() && json.contains("body_kept")
-        && json["body_kept"].is_boolean();
+        && json["status"].is_number_unsigned()
+        && std::in_range<std::uint32_t>(json["status"].get<std::uint64_t>())
+        && hasString(json, "content_type") && json.contains("body") && json["body"].is_binary()
+        && json.contains("body_kept") && json["body_kept"].is_boolean();
     if (!isComplete)
         return false;
     answer.status_ = json["status"].get<std::uint32_t>();
--- a/Tests/Contract/claimstest.cpp
+++ b/Tests/Contract/claimstest.cpp
@@ -3,7 +3,9 @@
 #include "../Platform/fakekeyvalue.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <set>
 
 using namespace eelgrasscove;
@@ -305,6 +307,19 @@
         BOOST_TEST(!ok(decodeClaimRecord(bytes)));
 }
 
+// Guards against a status that wraps around to a sound one.
+BOOST_AUTO_TEST_CASE(record_with_a_status_out_of_range_is_rejected)
+{
+    const ClaimRecord record{{"r"}, {"f"}, ClaimState::Answered, {201, "text/plain", "x", true}};
+    nlohmann::json json = nlohmann::json::from_msgpack(encodeClaimRecord(record));
+    for (const std::uint64_t status : {4294967496ULL, 18446744073709551615ULL}) {
+        json["answer"]["status"] = status;
+        std::string bytes;
+        nlohmann::json::to_msgpack(json, bytes);
+        BOOST_TEST(!ok(decodeClaimRecord(bytes)), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(second_call_with_the_same_key_replays_the_first_answer)
 {
     FakeKeyValue store;
