--- a/Tests/Shared/cuttingserver.h
+++ b/Tests/Shared/cuttingserver.h
@@ -4,18 +4,18 @@
 /// connection. Runs on a thread of its own with a blocking socket, so that its reset can overtake
 /// the client's writes.
 
-#include <arpa/inet.h>
+#include "loopbacklistener.h"
+
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <netinet/in.h>
-#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace standins {
 
@@ -44,17 +44,6 @@
 
     explicit CuttingServer(Answerer answerer) : answerer_(std::move(answerer))
     {
-        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto *generic = reinterpret_cast<sockaddr *>(&address);
-        setTimeout(listener_, 20'000);
-        if (bind(listener_, generic, sizeof address) != 0 || listen(listener_, 16) != 0
-            || getsockname(listener_, generic, &size) != 0)
-            throw std::runtime_error("the cutting server can't listen");
-        port_ = ntohs(address.sin_port);
         thread_ = std::thread([this] { serve(); });
     }
 
@@ -62,34 +51,25 @@
     {
         isStopping_ = true;
         thread_.join();
-        close(listener_);
     }
 
     CuttingServer(const CuttingServer &) = delete;
     CuttingServer &operator=(const CuttingServer &) = delete;
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-    std::uint16_t port() const { return port_; }
+    std::string address() const { return listener_.address(); }
+    std::uint16_t port() const { return listener_.port(); }
     std::size_t answers() const { return answers_; }
     std::size_t connections() const { return connections_; }
 
 private:
-    static void setTimeout(int descriptor, int micros)
-    {
-        timeval timeout{};
-        timeout.tv_sec = micros / 1'000'000;
-        timeout.tv_usec = micros % 1'000'000;
-        setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-    }
-
     void serve()
     {
         while (!isStopping_) {
-            const int connection = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            const int connection = listener_.accept();
             if (connection < 0)
                 continue;
             ++connections_;
-            setTimeout(connection, 1'000'000);
+            setSocketTimeout(connection, SO_RCVTIMEO, std::chrono::seconds(1));
             answer(connection);
             close(connection);
         }
@@ -136,8 +116,7 @@
     }
 
     Answerer answerer_;
-    int listener_ = -1;
-    std::uint16_t port_ = 0;
+    LoopbackListener listener_{std::chrono::milliseconds(20)};
     std::atomic<bool> isStopping_ = false;
     std::atomic<std::size_t> answers_ = 0;
     std::atomic<std::size_t> connections_ = 0;
--- a/Tests/Shared/endlessserver.h
+++ b/Tests/Shared/endlessserver.h
@@ -3,15 +3,15 @@
 /// An HTTP server in trouble: answers each request with bytes that have no end until its caller
 /// closes the connection. Runs on threads of its own, so that it serves clients of any kind.
 
-#include <arpa/inet.h>
+#include "loopbacklistener.h"
+
 #include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <cstdint>
-#include <netinet/in.h>
-#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -31,17 +31,6 @@
         constexpr std::size_t blockBytes = 64ULL * 1024;
         while (block_.size() < blockBytes)
             block_ += filler;
-        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto *generic = reinterpret_cast<sockaddr *>(&address);
-        setTimeouts(listener_);
-        if (bind(listener_, generic, sizeof address) != 0 || listen(listener_, 16) != 0
-            || getsockname(listener_, generic, &size) != 0)
-            throw std::runtime_error("the endless server can't listen");
-        port_ = ntohs(address.sin_port);
         acceptor_ = std::thread([this] { accept(); });
     }
 
@@ -51,14 +40,13 @@
         acceptor_.join();
         for (std::thread &connection : connections_)
             connection.join();
-        close(listener_);
     }
 
     EndlessServer(const EndlessServer &) = delete;
     EndlessServer &operator=(const EndlessServer &) = delete;
 
-    std::uint16_t port() const { return port_; }
-    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    std::uint16_t port() const { return listener_.port(); }
+    std::string address() const { return listener_.address(); }
 
     /// Answers that were begun, and those of them whose connection the caller has closed.
     std::size_t answers() const { return answers_; }
@@ -67,24 +55,20 @@
     std::uint64_t sentBytes() const { return sentBytes_; }
 
 private:
-    static void setTimeouts(int descriptor)
-    {
-        timeval timeout{};
-        timeout.tv_usec = 50'000;
-        setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-        setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
-    }
+    /// Time after which blocking calls return, to see whether the server is stopping.
+    static constexpr std::chrono::milliseconds pollTime{50};
 
     static bool isTimeout() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
     void accept()
     {
         while (!isStopping_) {
-            const int connection = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            const int connection = listener_.accept();
             if (connection < 0)
                 continue;
             connections_.emplace_back([this, connection] {
-                setTimeouts(connection);
+                setSocketTimeout(connection, SO_RCVTIMEO, pollTime);
+                setSocketTimeout(connection, SO_SNDTIMEO, pollTime);
                 if (readRequest(connection) && answer(connection))
                     ++closed_;
                 close(connection);
@@ -139,8 +123,7 @@
 
     std::string prefix_;
     std::string block_;
-    int listener_ = -1;
-    std::uint16_t port_ = 0;
+    LoopbackListener listener_{pollTime};
     std::atomic<bool> isStopping_ = false;
     std::atomic<std::size_t> answers_ = 0;
     std::atomic<std::size_t> closed_ = 0;
