Keep a stream until its end is reported

A process that closed a stream of the store (HttpClient::closeStream) used freed memory: endStream() removes the stream from the map by which its argument was referenced, and then closes it. Nothing of it was seen outside a build with sanitizers.

Change: closeStream() holds the stream itself. The other callers of endStream() hold it in their handlers.

An ordinary build does not show it.

--- a/Source/Platform/httpclient.cpp
+++ b/Source/Platform/httpclient.cpp
@@ -458,8 +458,11 @@
 {
     asio::post(impl_->io_, [impl = impl_.get(), stream] {
         const auto found = impl->streams_.find(stream);
-        if (found != impl->streams_.end())
-            impl->endStream(stream, found->second, asio::error::operation_aborted);
+        if (found == impl->streams_.end())
+            return;
+        // endStream() removes the pointer of the map while it still uses the stream.
+        const Impl::StreamPtr ended = found->second;
+        impl->endStream(stream, ended, asio::error::operation_aborted);
     });
 }
 
