Log what decided on a request's key

Two causes of a request that runs with a withdrawn key look the same in the logs: rules.adopted says needs_keys false, and not whether the list of accounts is missing, null or empty, and no line says whether a request ran with a known key, without one, or on an open route.

Change: the decoded rules keep the form of the list of accounts (AccountList), from which needsKeys() follows. rules.adopted logs it with that of the version before. Requests are decided on as before.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -534,7 +534,11 @@
     if (rules_ && rules.version_ <= rules_->rules().version_)
         return;
     eventLog().note("rules.adopted", "version", rules.version_, "routes", rules.routes_.size(),
-                    "accounts", rules.accounts_.size(), "needs_keys", rules.needsKeys_);
+                    "accounts", rules.accounts_.size(), "account_list",
+                    nameOf(accountListNames, rules.accountList_), "needs_keys", needsKeys(rules),
+                    "previous_version", rules_ ? rules_->rules().version_ : 0,
+                    "previous_account_list",
+                    rules_ ? nameOf(accountListNames, rules_->rules().accountList_) : "");
     recordRuleFaults(rules);
     setGauge("eelgrasscove_rules_version", "", static_cast<double>(rules.version_));
     accountByHash_.clear();
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -11,6 +11,7 @@
 #include "Edge/evacuation.h"
 #include "Edge/fairshare.h"
 #include "Edge/homes.h"
+#include "Edge/keycheck.h"
 #include "Edge/placement.h"
 #include "Edge/retrybudget.h"
 #include "Edge/ruleindex.h"
@@ -112,6 +113,8 @@
     ServingRoute route_;
     std::string account_;
     std::string key_;
+    /// Result of the last check of the key.
+    KeyVerdict keyVerdict_ = KeyVerdict::Unchecked;
     int priority_ = 0;
     std::string service_;
     std::string model_;
--- a/Source/Edge/edgeevacuation.cpp
+++ b/Source/Edge/edgeevacuation.cpp
@@ -40,7 +40,7 @@
 
 bool Edge::refuseIfRulesAreOld(EdgeRequest &request, Time now)
 {
-    const bool needsKey = !request.route_.open_ && rules_->rules().needsKeys_;
+    const bool needsKey = dependsOnKeys(rules_->rules(), request.route_);
     if ((!needsKey && !settings_.bounds_.evacuation_) || areRulesFresh(now))
         return false;
     const bool isKeyTooOld =
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -212,16 +212,19 @@
 {
     if (refuseIfRulesAreOld(request, now))
         return false;
-    if (request.route_.open_ || !rules_->rules().needsKeys_)
-        return true;
     const std::string_view authorization = request.head_.header(wire::authorizationHeader);
-    if (authorization.starts_with(wire::bearerPrefix))
-        request.key_ = authorization.substr(wire::bearerPrefix.size());
-    const ServingAccount *account = rules_->findAccountByKey(request.key_);
-    if (account == nullptr) {
+    const bool hasKey = authorization.starts_with(wire::bearerPrefix);
+    const std::string_view key = hasKey ? authorization.substr(wire::bearerPrefix.size()) : "";
+    request.keyVerdict_ = judgeKey(*rules_, request.route_, key);
+    if (request.keyVerdict_ == KeyVerdict::OpenRoute
+        || request.keyVerdict_ == KeyVerdict::NotNeeded)
+        return true;
+    if (request.keyVerdict_ != KeyVerdict::Known) {
         refuse(request, 401, "unknown API key", {});
         return false;
     }
+    request.key_ = key;
+    const ServingAccount *account = rules_->findAccountByKey(request.key_);
     request.account_ = account->name_;
     if (account->priority_)
         request.priority_ = *account->priority_;
@@ -717,17 +720,19 @@
         request.target_ ? std::string_view(request.target_->state_.listed_.id_) : "";
     const Duration first =
         request.firstEventForwarded_ ? request.firstEventAt_ - request.arrivedAt_ : total;
-    eventLog().note("request.ended", "id", request.id_, "route", request.route_.name_, "account",
-                    request.account_, "adapter", request.adapter_, "adapter_version",
-                    request.adapterVersion_, "newest_version", newestVersionOf(request.adapter_),
-                    "status", status, "outcome", outcome, "target", target, "sends", request.sends_,
-                    "runs", request.runs_, "first_ms", first.count() / 1000, "pause_ms",
-                    request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "held",
-                    request.wasHeldForUrgent_, "prompt_tokens", request.promptTokens_,
-                    "tokens_ahead", request.tokensAhead_, "predicted_ms",
-                    request.predictedFirstEvent_.count() / 1000, "rules", request.rulesVersion_,
-                    "rules_age_ms", (now - rulesConfirmedAt()).count() / 1000);
+    eventLog().note(
+        "request.ended", "id", request.id_, "route", request.route_.name_, "account",
+        request.account_, "key_check", nameOf(keyVerdictNames, request.keyVerdict_), "adapter",
+        request.adapter_, "adapter_version", request.adapterVersion_, "newest_version",
+        newestVersionOf(request.adapter_), "status", status, "outcome", outcome, "target", target,
+        "sends", request.sends_, "runs", request.runs_, "first_ms", first.count() / 1000,
+        "pause_ms", request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "held",
+        request.wasHeldForUrgent_, "prompt_tokens", request.promptTokens_, "tokens_ahead",
+        request.tokensAhead_, "predicted_ms", request.predictedFirstEvent_.count() / 1000, "rules",
+        request.rulesVersion_, "rules_age_ms", (now - rulesConfirmedAt()).count() / 1000);
     countMetric("eelgrasscove_requests_total", fmt::format("status=\"{}\"", status));
+    countMetric("eelgrasscove_requests_by_key_check_total",
+                fmt::format("result=\"{}\"", nameOf(keyVerdictNames, request.keyVerdict_)));
     observeDuration("eelgrasscove_request_seconds", "", total);
     if (request.firstEventForwarded_)
         observeDuration("eelgrasscove_first_event_seconds", "", first);
--- a/Tests/PlatformWire/ruleswiretest.cpp
+++ b/Tests/PlatformWire/ruleswiretest.cpp
@@ -113,19 +113,21 @@
     struct Case
     {
         const char *member_;
+        AccountList list_;
         bool needsKeys_;
         std::size_t keys_;
         std::size_t faults_;
     };
     const std::vector<Case> cases = {
-        {"", false, 0, 0},
-        {R"(,"tenants":[])", true, 0, 0},
-        {R"(,"tenants":null)", true, 0, 1},
-        {R"(,"tenants":{"name":"t","api_keys":["k"]})", true, 0, 1},
-        {R"(,"tenants":[{"name":"t"}])", true, 0, 0},
-        {R"(,"tenants":[{"name":"t","api_keys":["k"]}])", true, 1, 0},
-        {R"(,"tenants":[{"name":"t","api_keys":["k","",7]}])", true, 1, 2},
-        {R"(,"tenants":[{"api_keys":["k"]},{"name":7,"api_keys":["k"]},"t"])", true, 0, 3},
+        {"", AccountList::Missing, false, 0, 0},
+        {R"(,"tenants":[])", AccountList::Empty, true, 0, 0},
+        {R"(,"tenants":null)", AccountList::Null, true, 0, 1},
+        {R"(,"tenants":{"name":"t","api_keys":["k"]})", AccountList::WrongType, true, 0, 1},
+        {R"(,"tenants":[{"name":"t"}])", AccountList::Present, true, 0, 0},
+        {R"(,"tenants":[{"name":"t","api_keys":["k"]}])", AccountList::Present, true, 1, 0},
+        {R"(,"tenants":[{"name":"t","api_keys":["k","",7]}])", AccountList::Present, true, 1, 2},
+        {R"(,"tenants":[{"api_keys":["k"]},{"name":7,"api_keys":["k"]},"t"])", AccountList::Present,
+         true, 0, 3},
     };
     for (const Case &each : cases) {
         const auto decoded = wire::decodeRules(fmt::format(R"({{"version":1{}}})", each.member_));
@@ -134,7 +136,8 @@
         std::size_t keys = 0;
         for (const ServingAccount &account : rules.accounts_)
             keys += account.keys_.size();
-        BOOST_TEST(rules.needsKeys_ == each.needsKeys_, each.member_);
+        BOOST_TEST((rules.accountList_ == each.list_), each.member_);
+        BOOST_TEST(needsKeys(rules) == each.needsKeys_, each.member_);
         BOOST_TEST(keys == each.keys_, each.member_);
         BOOST_TEST(rules.faultCount_ == each.faults_, each.member_);
     }
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -141,6 +141,25 @@
     Duration idleTime_ = std::chrono::seconds(15);
 };
 
+/// What one version of the rules has as its list of accounts.
+enum class AccountList {
+    /// The rules have no such member.
+    Missing,
+    Null,
+    /// A value that is not a list.
+    WrongType,
+    Empty,
+    Present,
+};
+
+constexpr NameTable<AccountList, 5> accountListNames = {{
+    {AccountList::Missing, "missing"},
+    {AccountList::Null, "null"},
+    {AccountList::WrongType, "wrong_type"},
+    {AccountList::Empty, "empty"},
+    {AccountList::Present, "present"},
+}};
+
 /// One version of the operators' rules, in full.
 struct ServingRules
 {
@@ -148,9 +167,9 @@
     std::vector<ServingRoute> routes_;
     std::vector<ServedService> services_;
     std::vector<ServingAccount> accounts_;
-    /// Requests on routes that are not open need the key of an account. Also true for a list of
-    /// accounts that is empty or can't be read, with which no key is known.
-    bool needsKeys_ = false;
+    /// Form in which the accounts were listed. A list that is empty or can't be read has no
+    /// accounts, with which no key is known.
+    AccountList accountList_ = AccountList::Missing;
     ClientLimits limits_;
     /// Values that could not be read and were replaced by the safe choice, as messages; no more
     /// than a few of them.
@@ -159,6 +178,12 @@
     std::size_t faultCount_ = 0;
 };
 
+/// Whether requests on routes that are not open need the key of an account.
+inline bool needsKeys(const ServingRules &rules)
+{
+    return rules.accountList_ != AccountList::Missing;
+}
+
 enum class ColdForm {
     Absent,
     /// A remaining time from 0 to maxColdTime.
