--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -1,5 +1,6 @@
 #include "Agent/agent.h"
 
+#include "Observe/buildidentity.h"
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
 #include "Peer/datagrammetrics.h"
@@ -160,7 +161,8 @@
             return TextAnswer{200, metricsText()};
         });
     }
-    eventLog().note("process.started", "role", "agent", "engine", settings_.engine_);
+    eventLog().note("process.started", "role", "agent", "build", buildIdentity(), "engine",
+                    settings_.engine_);
     acquireFencingNumber();
     schedulePoll();
     loop_.timers().every(logFlushPeriod, [] { eventLog().flush(); });
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -1,5 +1,6 @@
 #include "Edge/edge.h"
 
+#include "Observe/buildidentity.h"
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
 #include "Vm/servingprogram.h"
@@ -131,8 +132,8 @@
     startFeeds();
     startTimers();
     loop_.startPauseDetection([this](Duration delay) { recordLoopDelay(delay); });
-    eventLog().note("process.started", "role", "edge", "data_centre", settings_.dataCentre_,
-                    "callers", settings_.callersListen_);
+    eventLog().note("process.started", "role", "edge", "build", buildIdentity(), "data_centre",
+                    settings_.dataCentre_, "callers", settings_.callersListen_);
     return true;
 }
 
--- a/Source/Vm/servingprogram.cpp
+++ b/Source/Vm/servingprogram.cpp
@@ -1,6 +1,8 @@
 #include "Vm/servingprogram.h"
 
+#include "Observe/buildidentity.h"
 #include "Observe/eventlog.h"
+#include "Observe/metrics.h"
 #include "Vm/exitcode.h"
 
 #include <docopt/docopt.h>
@@ -19,7 +21,7 @@
 Options:
   --check-settings  Check the settings in FILE, say what is wrong, and exit.
   --help            Show this text.
-  --version         Show the version.
+  --version         Show the version and the identity of the build.
 
 Exit codes: 0 stopped as asked; 2 wrong command line or settings; 3 an address
 can't be had.
@@ -37,7 +39,7 @@
         fmt::print("{}", text);
         return ExitStopped;
     } catch (const docopt::DocoptExitVersion &) {
-        fmt::print("{} 0.1.0\n", name);
+        fmt::print("{} {}\n", name, versionText());
         return ExitStopped;
     } catch (const docopt::DocoptArgumentError &) {
         fmt::print(stderr, "{}", text);
@@ -52,6 +54,7 @@
     if (options["--check-settings"].asBool())
         return ExitStopped;
     eventLog().open(valueOf(settings).vm_);
+    setGauge("eelgrasscove_build_info", metricLabel("build", buildIdentity()), 1);
     EventLoop loop;
     const std::shared_ptr<void> parts = start(loop, valueOf(settings), file);
     if (parts)
