Refuse keys that no account has, also without a list of accounts

Callers saw that keys were accepted again, withdrawn ones and one that no rules ever had, once the last account had been removed together with the list. It did not end, also after a restart.

Cause: rules without a list of accounts need no key, and an entry took that to mean that a key need not be checked. A writer that leaves out empty members publishes such rules. rules.adopted shows it with "account_list":"missing".

Change: a request that carries a key runs only if an account has the key. This needs no state, so that it holds on every entry and after a restart. The scheme Bearer is recognized in any case. rules_without_a_list_of_accounts_need_no_key expected 200 for an unknown key, which is the fault; it keeps the check without a key, and an unknown key has to get 401 in the new test.

Result: with the condition as it was, the new ServingPath tests no_key_is_accepted_once_the_list_of_accounts_is_removed (9 checks) and request_is_not_sent_again_once_its_account_is_removed, the second case of request_that_waits_is_refused_once_the_last_account_is_removed and the new test of EdgeDecisions fail; they pass with the change. ServingPath passes with 115 cases, PlatformWire with 45.

--- a/Source/Edge/edgeevacuation.cpp
+++ b/Source/Edge/edgeevacuation.cpp
@@ -1,6 +1,7 @@
 #include "Edge/edge.h"
 #include "Observe/eventlog.h"
 #include "Observe/metrics.h"
+#include "platform/requestwire.h"
 #include "platform/ruleswire.h"
 
 #include <algorithm>
@@ -40,7 +41,8 @@
 
 bool Edge::refuseIfRulesAreOld(EdgeRequest &request, Time now)
 {
-    const bool needsKey = dependsOnKeys(rules_->rules(), request.route_);
+    const bool needsKey =
+        dependsOnKeys(rules_->rules(), request.route_, wire::decodeKey(request.head_));
     if ((!needsKey && !settings_.bounds_.evacuation_) || areRulesFresh(now))
         return false;
     const bool isKeyTooOld =
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -212,9 +212,7 @@
 {
     if (refuseIfRulesAreOld(request, now))
         return false;
-    const std::string_view authorization = request.head_.header(wire::authorizationHeader);
-    const bool hasKey = authorization.starts_with(wire::bearerPrefix);
-    const std::string_view key = hasKey ? authorization.substr(wire::bearerPrefix.size()) : "";
+    const std::string_view key = wire::decodeKey(request.head_);
     request.keyVerdict_ = judgeKey(*rules_, request.route_, key);
     if (request.keyVerdict_ == KeyVerdict::OpenRoute
         || request.keyVerdict_ == KeyVerdict::NotNeeded)
--- a/Source/Edge/keycheck.h
+++ b/Source/Edge/keycheck.h
@@ -15,7 +15,7 @@
     Unchecked,
     /// The route is open to requests without a key.
     OpenRoute,
-    /// The rules have no list of accounts.
+    /// The request carries no key, and the rules have no list of accounts.
     NotNeeded,
     Known,
     /// Refused: the request carries no key.
@@ -35,7 +35,7 @@
 
 /// Whether the verdict on a request follows from the keys of the rules, so that rules of unknown
 /// age can't give it.
-bool dependsOnKeys(const ServingRules &rules, const ServingRoute &route);
+bool dependsOnKeys(const ServingRules &rules, const ServingRoute &route, std::string_view key);
 
 /// An empty key is that of a request without one.
 KeyVerdict judgeKey(const RuleIndex &rules, const ServingRoute &route, std::string_view key);
--- a/Tests/PlatformWire/requestwiretest.cpp
+++ b/Tests/PlatformWire/requestwiretest.cpp
@@ -72,3 +72,24 @@
         BOOST_TEST(wire::headFault(headWith(headers)).has_value(),
                    headers.back().name_ << ": " << headers.back().value_);
 }
+
+BOOST_AUTO_TEST_CASE(key_is_the_credentials_of_the_bearer_scheme)
+{
+    const std::vector<std::pair<const char *, std::string_view>> rows = {
+        {"Bearer k1", "k1"},
+        {"bearer k1", "k1"},
+        {"BEARER  k1 ", "k1"},
+        {"Bearer", ""},
+        {"Bearer ", ""},
+        {"Bearerk1", ""},
+        {"Basic azE6", ""},
+        {"k1", ""},
+        {"", ""},
+        {"Bearer k1 k2", "k1 k2"},
+    };
+    for (const auto &[value, key] : rows) {
+        const HttpHead head = headWith({{"authorization", value}});
+        BOOST_TEST(wire::decodeKey(head) == key, value);
+    }
+    BOOST_TEST(wire::decodeKey(headWith({})).empty());
+}
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -133,6 +133,14 @@
         store_.put("op/config", rules + accounts + "}");
     }
 
+    /// Publishes the same rules without a list of accounts.
+    void publishWithoutAccounts(int version)
+    {
+        std::string rules = fmt::format(fmt::runtime(rulesFormat), version, "", 0, 0);
+        rules.resize(rules.rfind(",\n\"tenants\":"));
+        store_.put("op/config", rules + "}");
+    }
+
     /// Waits until the entry serves requests, then clears the requests recorded at the targets.
     void waitUntilServing()
     {
@@ -653,37 +661,112 @@
 
 BOOST_AUTO_TEST_CASE(request_that_waits_is_refused_once_the_last_account_is_removed)
 {
-    ServingPath path(141);
-    path.waitUntilServing();
-    std::vector<std::shared_ptr<ServerConnection>> held;
-    for (auto &handler : path.handlers_)
-        handler = [&held](const auto &from, SeenRequest &&) { held.push_back(from); };
-    std::vector<std::shared_ptr<Client>> clients;
-    // Each target serves six at a time.
-    while (clients.size() < 20)
-        clients.push_back(path.sendRequest("POST", "/book/a"));
-    turnFor(path.loop_, 100ms);
-    const std::size_t received = path.receivedRequests();
-    BOOST_REQUIRE(received < clients.size());
-    path.publishAccounts(2, "[]");
-    turnFor(path.loop_, 100ms);
-    for (const auto &connection : held)
-        connection->answer(200, signatureHeader, "done");
-    turnFor(path.loop_, 500ms);
-    BOOST_TEST(path.receivedRequests() == received);
+    for (const bool isListRemoved : {false, true}) {
+        BOOST_TEST_CONTEXT((isListRemoved ? "without a list" : "with an empty list"))
+        {
+            ServingPath path(isListRemoved ? 151 : 141);
+            path.waitUntilServing();
+            std::vector<std::shared_ptr<ServerConnection>> held;
+            for (auto &handler : path.handlers_)
+                handler = [&held](const auto &from, SeenRequest &&) { held.push_back(from); };
+            std::vector<std::shared_ptr<Client>> clients;
+            // Each target serves six at a time.
+            while (clients.size() < 20)
+                clients.push_back(path.sendRequest("POST", "/book/a"));
+            turnFor(path.loop_, 100ms);
+            const std::size_t received = path.receivedRequests();
+            BOOST_REQUIRE(received < clients.size());
+            if (isListRemoved)
+                path.publishWithoutAccounts(2);
+            else
+                path.publishAccounts(2, "[]");
+            turnFor(path.loop_, 100ms);
+            for (const auto &connection : held)
+                connection->answer(200, signatureHeader, "done");
+            turnFor(path.loop_, 500ms);
+            BOOST_TEST(path.receivedRequests() == received);
+        }
+    }
 }
 
 BOOST_AUTO_TEST_CASE(rules_without_a_list_of_accounts_need_no_key)
 {
     ServingPath path(142);
     path.waitUntilServing();
-    std::string rules = fmt::format(fmt::runtime(rulesFormat), 2, "", 0, 0);
-    rules.resize(rules.rfind(",\n\"tenants\":"));
-    path.store_.put("op/config", rules + "}");
+    path.publishWithoutAccounts(2);
     turnFor(path.loop_, 200ms);
+    for (const char *headers : {"", "Authorization: Basic azE6\r\n", "Authorization: Bearer\r\n"})
+        BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", headers)->status() == 200, headers);
+}
+
+// Guards against all keys being accepted once the last account is removed together with its list.
+BOOST_AUTO_TEST_CASE(no_key_is_accepted_once_the_list_of_accounts_is_removed)
+{
+    ServingPath path(150);
+    path.waitUntilServing();
+    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+    path.publishWithoutAccounts(2);
+    turnFor(path.loop_, 200ms);
+    const auto expectRefused = [&](unsigned status) {
+        for (const char *headers : {"Authorization: Bearer k1\r\n", "authorization: bearer  k1\r\n",
+                                    "Authorization: Bearer k9\r\n"}) {
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", headers)->status() == status,
+                       headers);
+        }
+        BOOST_TEST(path.sendAndAwaitHead("GET", "/open/a")->status() == 200);
+    };
+    expectRefused(401);
+    // An entry that starts after the change has not seen the list.
+    path.startEntry(7);
+    path.callersOffset_ = 7;
+    path.waitUntilServing();
+    expectRefused(401);
+    // Rules whose age can't be told may lack a key that was added since.
+    path.store_.fault_ = StoreFault::Silent;
+    path.store_.cutWatches();
+    turnFor(path.loop_, 1600ms);
+    expectRefused(503);
     BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", "")->status() == 200);
-    BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", "Authorization: Bearer k9\r\n")->status()
-               == 200);
+}
+
+// Guards against a request that began with a key being sent once more after its withdrawal.
+BOOST_AUTO_TEST_CASE(request_is_not_sent_again_once_its_account_is_removed)
+{
+    int number = 152;
+    for (const bool isListRemoved : {false, true}) {
+        for (const char *target : {"/look/a", "/tell/a"}) {
+            BOOST_TEST_CONTEXT(target
+                               << (isListRemoved ? " without a list" : " with an empty list"))
+            {
+                ServingPath path(number++);
+                path.waitUntilServing();
+                std::vector<std::shared_ptr<ServerConnection>> held;
+                for (auto &handler : path.handlers_) {
+                    handler = [&held](const auto &from, SeenRequest &&request) {
+                        if (request.head_.target_ == "/tell/a") {
+                            from->stream_->write("HTTP/1.1 200 OK\r\n"
+                                                 + ServingPath::requestIdHeader(request)
+                                                 + signatureHeader + "\r\nid: 1\n\n");
+                        }
+                        held.push_back(from);
+                    };
+                }
+                const auto client = path.sendRequest("POST", target);
+                BOOST_REQUIRE(turnUntil(path.loop_, 1s, [&] { return held.size() == 1; }));
+                if (isListRemoved)
+                    path.publishWithoutAccounts(2);
+                else
+                    path.publishAccounts(2, "[]");
+                turnFor(path.loop_, 200ms);
+                held.front()->stream_->close(true);
+                BOOST_TEST(turnUntil(path.loop_, 1s,
+                                     [&] { return client->ended_ || client->status() == 401; }));
+                turnFor(path.loop_, 200ms);
+                BOOST_TEST(held.size() == 1);
+                BOOST_TEST(client->received_.find("\r\n0\r\n\r\n") == std::string::npos);
+            }
+        }
+    }
 }
 
 BOOST_AUTO_TEST_CASE(non_idempotent_request_is_not_repeated_after_a_broken_connection)
