Let keys expire while newer rules can't be decoded

The platform's store takes valid rules only, so it takes another writer, or a newer format.

Change: RulesAge keeps the time at which the unreadable value may have been written first. Requests that need a key get 503 once the bound on withdrawn keys is over; open routes go on, and the bound on evacuations is unaffected. rules.ignored logs the kept version and the time for which keys are still valid; the gauge eelgrasscove_rules_unreadable is 1.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -365,10 +365,15 @@
     eventLog().note("settings.reloaded", "file", settingsFile_);
 }
 
-Time Edge::rulesConfirmedAt() const
+Time Edge::operatorChangesConfirmedAt() const
 {
     const Time own = operatorFeed_->confirmedAt().value_or(Time{});
-    return std::max(own, rulesConfirmedByPeerAt_.value_or(Time{}));
+    return std::max(own, rulesAge_.confirmedByPeerAt_.value_or(Time{}));
+}
+
+Time Edge::rulesConfirmedAt() const
+{
+    return confirmedAt(rulesAge_, operatorFeed_->confirmedAt());
 }
 
 void Edge::checkRulesConfirmation(Time now)
@@ -380,7 +385,7 @@
     const bool isBehind = missesChangesSince_ && now - *missesChangesSince_ >= maxLagBehindPeers;
     const double ageFraction =
         leadsStoreQueries(now) ? leaderConfirmAgeFraction : confirmAgeFraction;
-    const bool isOld = now - rulesConfirmedAt() > rulesAgeBound() * ageFraction;
+    const bool isOld = now - operatorChangesConfirmedAt() > rulesAgeBound() * ageFraction;
     if ((!isOld && !isBehind) || now - confirmRequestedAt_ < minConfirmInterval)
         return;
     confirmRequestedAt_ = now;
@@ -524,16 +529,35 @@
                     "named_within_ms", (bootNow() - namedAt).count() / 1000);
 }
 
+void Edge::onUnreadableRules(std::string_view reason)
+{
+    // The watch may have paused for its coalescing period before it delivered the change.
+    recordUnreadableRules(rulesAge_, operatorFeed_->earliestChangeAt() - rulesCoalescingPeriod);
+    setGauge("eelgrasscove_rules_unreadable", "", 1);
+    const Duration age = bootNow() - rulesConfirmedAt();
+    eventLog().note("rules.ignored", "reason", reason, "kept_version",
+                    rules_ ? rules_->rules().version_ : 0, "keys_valid_ms",
+                    std::max(settings_.bounds_.revoke_ - age, Duration::zero()).count() / 1000);
+}
+
 void Edge::applyRules(const std::string &text)
 {
     Result<ServingRules, wire::DecodeError> decoded = wire::decodeRules(text);
     if (!ok(decoded)) {
-        eventLog().note("rules.ignored", "reason", errorOf(decoded).message_);
+        onUnreadableRules(errorOf(decoded).message_);
         return;
     }
+    recordReadableRules(rulesAge_);
+    setGauge("eelgrasscove_rules_unreadable", "", 0);
     ServingRules &rules = valueOf(decoded);
-    if (rules_ && rules.version_ <= rules_->rules().version_)
+    if (rules_ && rules.version_ <= rules_->rules().version_) {
+        if (rulesHash_ != nameHash(text)) {
+            eventLog().note("rules.ignored", "reason", "the version is not newer", "version",
+                            rules.version_, "kept_version", rules_->rules().version_);
+        }
         return;
+    }
+    rulesHash_ = nameHash(text);
     eventLog().note("rules.adopted", "version", rules.version_, "routes", rules.routes_.size(),
                     "accounts", rules.accounts_.size(), "account_list",
                     nameOf(accountListNames, rules.accountList_), "needs_keys", needsKeys(rules),
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -15,6 +15,7 @@
 #include "Edge/placement.h"
 #include "Edge/retrybudget.h"
 #include "Edge/ruleindex.h"
+#include "Edge/rulesage.h"
 #include "Edge/scarcity.h"
 #include "Edge/suspectstore.h"
 #include "Edge/targetpool.h"
@@ -198,6 +199,7 @@
     void endRemainingRequests();
     void applyOperatorItem(const wire::StoreItem &item);
     void applyRules(const std::string &text);
+    void onUnreadableRules(std::string_view reason);
     void applyTargetItem(const wire::StoreItem &item);
     void applyTargetList(const std::vector<wire::StoreItem> &items);
     /// Removes a target that is no longer listed, or marks it as missing if it may be listed again.
@@ -213,6 +215,9 @@
     std::set<std::string> peerNames() const;
     void removeMissingTargets(Time now);
     bool isReady(Time now) const;
+    /// Time by which all changes of the operator's keys that can be read are known here.
+    Time operatorChangesConfirmedAt() const;
+    /// Time at which the rules were last known to be the newest.
     Time rulesConfirmedAt() const;
     /// Queries the store if the last confirmation is old or peers know changes that this entry
     /// doesn't know.
@@ -461,6 +466,8 @@
     Endpoint peersAddress_;
     /// Hash of the name of the data centre.
     NameHash dataCentre_ = 0;
+    /// Hash of the text that rules_ were decoded from.
+    NameHash rulesHash_ = 0;
     TcpListener callerListener_;
     DatagramSocket peersSocket_;
     TextServer readinessServer_;
@@ -510,8 +517,7 @@
     std::map<NameHash, std::string> vmByHash_;
     std::map<NameHash, std::string> accountByHash_;
     std::uint64_t statesSent_ = 0;
-    /// Latest time at which, according to a peer, this entry knew all of the operator's changes.
-    std::optional<Time> rulesConfirmedByPeerAt_;
+    RulesAge rulesAge_;
     /// Highest revision of a change of the operator's keys that a peer knows.
     std::uint64_t peersOperatorRevision_ = 0;
     /// Time since which a peer knows a change of the operator's keys that this entry doesn't know.
--- a/Source/Edge/edgeevacuation.cpp
+++ b/Source/Edge/edgeevacuation.cpp
@@ -43,14 +43,17 @@
 {
     const bool needsKey =
         dependsOnKeys(rules_->rules(), request.route_, wire::decodeKey(request.head_));
-    if ((!needsKey && !settings_.bounds_.evacuation_) || areRulesFresh(now))
-        return false;
     const bool isKeyTooOld =
-        now - rulesConfirmedAt() >= settings_.bounds_.revoke_ - sendCheckMargin;
+        needsKey && now - rulesConfirmedAt() >= settings_.bounds_.revoke_ - sendCheckMargin;
+    // Evacuations can be read also where the rules can't.
+    const bool isEvacuationTooOld = settings_.bounds_.evacuation_
+        && now - operatorChangesConfirmedAt() >= rulesAgeBound() - sendCheckMargin;
+    if (!isKeyTooOld && !isEvacuationTooOld)
+        return false;
     refuseAndCloseConnection(
         request,
-        needsKey && isKeyTooOld ? "rules not confirmed within the bound for withdrawn keys"
-                                : "operators' keys not confirmed within the bound for evacuations");
+        isKeyTooOld ? "rules not confirmed within the bound for withdrawn keys"
+                    : "operators' keys not confirmed within the bound for evacuations");
     return true;
 }
 
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -225,8 +225,10 @@
     state.timestampMicros_ = now.time_since_epoch().count();
     state.startedAtMicros_ = startedAt_.time_since_epoch().count();
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
-    if (rules_ && operatorFeed_->confirmedAt())
-        state.rulesAgeMicros_ = (now - *operatorFeed_->confirmedAt()).count();
+    if (rules_ && operatorFeed_->confirmedAt()) {
+        const Time confirmed = confirmedByStoreAt(rulesAge_, operatorFeed_->confirmedAt());
+        state.rulesAgeMicros_ = (now - confirmed).count();
+    }
     state.operatorRevision_ = operatorFeed_->lastChangeRevision();
     state.targetsRevision_ = targetsChangeRevision_;
     state.targetsListRevision_ = targetFeed_->listRevision();
@@ -307,8 +309,8 @@
         if (rules_ && state.rulesVersion_ == rules_->rules().version_ && knowsPeersChanges
             && state.rulesAgeMicros_ >= 0) {
             const Time confirmed = peerSentAfter - Duration(state.rulesAgeMicros_);
-            rulesConfirmedByPeerAt_ =
-                std::max(rulesConfirmedByPeerAt_.value_or(confirmed), confirmed);
+            rulesAge_.confirmedByPeerAt_ =
+                std::max(rulesAge_.confirmedByPeerAt_.value_or(confirmed), confirmed);
         }
     }
     if (state.topAdapterRates_)
--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -729,6 +729,42 @@
     BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a", "")->status() == 200);
 }
 
+// Guards against keys staying valid without an end once the newest rules can't be decoded.
+BOOST_AUTO_TEST_CASE(keys_expire_while_newer_rules_cannot_be_decoded)
+{
+    ServingPath path(156);
+    path.waitUntilServing();
+    const auto isReady = [&] {
+        Client client(path.loop_, path.address(5));
+        client.send("GET /eelgrasscove/readiness HTTP/1.1\r\nHost: edge\r\n\r\n");
+        turnUntil(path.loop_, 1s, [&] { return client.status() != 0; });
+        return client.status() == 200;
+    };
+    int version = 1;
+    for (const char *rules : {"{", "[]", R"({"version":"9"})", R"({"version":9.5})", ""}) {
+        BOOST_TEST_CONTEXT(rules)
+        {
+            path.store_.put("op/config", rules);
+            turnFor(path.loop_, 200ms);
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+            BOOST_TEST(isReady());
+            turnFor(path.loop_, 1500ms);
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 503);
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/open/a")->status() == 200);
+            BOOST_TEST(!isReady());
+            // A list after a loss of the store's history doesn't make the rules newer.
+            path.store_.forgetHistory();
+            path.store_.cutWatches();
+            turnFor(path.loop_, 400ms);
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 503);
+            path.publishRules(++version, "\"k1\"", 0);
+            turnFor(path.loop_, 400ms);
+            BOOST_TEST(path.sendAndAwaitHead("GET", "/look/a")->status() == 200);
+            BOOST_TEST(isReady());
+        }
+    }
+}
+
 // Guards against a request that began with a key being sent once more after its withdrawal.
 BOOST_AUTO_TEST_CASE(request_is_not_sent_again_once_its_account_is_removed)
 {
