Remove all accounts and write unreadable rules in the soak

The soak withdrew one key of three, so that no run had rules without an account, and its store held readable rules at all times.

Change: each run ends with 5 s of rules without accounts, in one of four forms (no list, an empty one, null, accounts without keys), while an entry is killed and started again. Requests before the withdrawal count for the recovery as before; a new row of SoakCheck shows it.

--- a/Tests/Soak/record.h
+++ b/Tests/Soak/record.h
@@ -121,8 +121,10 @@
         }
         addBrokenByRuns(record, id, broken);
         const bool answered = asked.endedAt_ != Time{};
-        if (asked.sentAt_ > record.calmAt_ + record.recovery_
-            && !record.withdrawnAt_.contains(asked.key_) && answered) {
+        const auto withdrawn = record.withdrawnAt_.find(asked.key_);
+        const bool keepsKey = withdrawn == record.withdrawnAt_.end()
+            || asked.sentAt_ + record.timeout_ < withdrawn->second;
+        if (asked.sentAt_ > record.calmAt_ + record.recovery_ && keepsKey && answered) {
             ++calm;
             calmServed += asked.status_ == 200 ? 1 : 0;
             if (asked.endedAt_ - asked.sentAt_ > record.timeout_ + 500ms)
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -7,6 +7,7 @@
 
 #include <docopt/docopt.h>
 
+#include <array>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -33,6 +34,11 @@
 )";
 
 constexpr Duration calmTime = 9s;
+/// Time without accounts at the end; longer than the bound on withdrawn keys.
+constexpr Duration timeWithoutAccounts = 5s;
+/// Period at which the rules may become unreadable, once in so many periods on average.
+constexpr Duration unreadableRulesPeriod = 4s;
+constexpr int periodsPerUnreadableRules = 3;
 constexpr int targetCount = 4;
 constexpr int clientsPerEdge = 4;
 
@@ -43,8 +49,17 @@
  "timeout_ms":3000,"target_latency_ms":300,"service":"ledger","max_attempts":1}},
 {{"name":"ask","host":"desk.example","path_prefix":"/ask/","kind":"streaming","timeout_ms":3000,
  "target_latency_ms":500,"service":"ledger","max_attempts":1,"target_gap_ms":300}}],
-"services":[{{"name":"ledger","max_connections":96}}],
-"tenants":[{{"name":"shed","api_keys":[{}]}},{{"name":"barn","api_keys":["k2"]}}]}})";
+"services":[{{"name":"ledger","max_connections":96}}]{}}})";
+
+constexpr const char *accountsText =
+    R"(,"tenants":[{{"name":"shed","api_keys":[{}]}},{{"name":"barn","api_keys":["k2"]}}])";
+
+/// Ways to list no account, as different writers do.
+constexpr std::array noAccountsTexts = {"", R"(,"tenants":[])", R"(,"tenants":null)",
+                                        R"(,"tenants":[{"name":"shed"},{"name":"barn"}])"};
+
+/// Values in which no version of the rules can be read.
+constexpr std::array unreadableTexts = {"", "{", R"({"version":"9"})", "[]"};
 
 enum class LinkFault {
     None,
@@ -208,7 +223,7 @@
 public:
     Soak(EventLoop &loop, const std::string &program, const std::string &folder, unsigned seed,
          int edges)
-        : loop_(loop), random_(seed), store_(loop, "127.0.2.250:18451"),
+        : loop_(loop), random_(seed), rulesRandom_(seed), store_(loop, "127.0.2.250:18451"),
           storeLink_(loop, "127.0.2.250:18450", "127.0.2.250:18451")
     {
         record_.accountOfKey_ = {{"k1", "shed"}, {"k2", "barn"}, {"k3", "shed"}};
@@ -235,6 +250,7 @@
     {
         turnFor(loop_, 1500ms);
         loop_.timers().every(40ms, [this] { ask(); });
+        loop_.timers().every(unreadableRulesPeriod, [this] { writeUnreadableRules(); });
         const Time end = bootNow() + withFaults;
         while (bootNow() < end) {
             fault();
@@ -243,6 +259,8 @@
         calm();
         record_.calmAt_ = bootNow();
         turnFor(loop_, calmTime);
+        removeAccounts();
+        turnFor(loop_, timeWithoutAccounts);
         asking_ = false;
         turnFor(loop_, 4s);
         endProcesses();
@@ -293,9 +311,41 @@
 
     void putRules()
     {
-        store_.put("op/config",
-                   fmt::format(fmt::runtime(rulesText), ++version_,
-                               keyWithdrawn_ ? R"("k1")" : R"("k1","k3")"));
+        putRules(
+            fmt::format(fmt::runtime(accountsText), keyWithdrawn_ ? R"("k1")" : R"("k1","k3")"));
+    }
+
+    void putRules(const std::string &accounts)
+    {
+        store_.put("op/config", fmt::format(fmt::runtime(rulesText), ++version_, accounts));
+    }
+
+    /// Writes rules that can't be decoded, and sound ones some time later.
+    void writeUnreadableRules()
+    {
+        const auto below = [this](int most) {
+            return std::uniform_int_distribution<int>(0, most - 1)(rulesRandom_);
+        };
+        if (!troubled_ || below(periodsPerUnreadableRules) > 0)
+            return;
+        store_.put("op/config", unreadableTexts.at(static_cast<std::size_t>(below(4))));
+        loop_.timers().once(Duration((200 + below(3500)) * 1000), [this] {
+            if (troubled_)
+                putRules();
+        });
+    }
+
+    /// Takes all keys away, and restarts an entry that has to learn it from the store.
+    void removeAccounts()
+    {
+        const int form = below(static_cast<int>(noAccountsTexts.size()));
+        putRules(noAccountsTexts.at(static_cast<std::size_t>(form)));
+        for (const char *key : {"k1", "k2", "k3"})
+            record_.withdrawnAt_.try_emplace(key, bootNow());
+        EdgeProcess &edge =
+            *edges_[static_cast<std::size_t>(below(static_cast<int>(edges_.size())))];
+        edge.signal(SIGKILL);
+        restartLater(edge);
     }
 
     /// A target's answer: often sound, at times lost, broken off, refused or late.
@@ -485,6 +535,7 @@
         store_.fault_ = StoreFault::None;
         store_.delay_ = Duration::zero();
         troubled_ = false;
+        putRules();
         for (const auto &link : links_)
             link->fault_ = LinkFault::None;
         for (const auto &edge : edges_)
@@ -493,6 +544,8 @@
 
     EventLoop &loop_;
     std::minstd_rand random_;
+    /// Of its own, so that each seed keeps its series of the other faults.
+    std::minstd_rand rulesRandom_;
     Record record_;
     Store store_;
     Proxy storeLink_;
--- a/Tests/SoakCheck/soakchecktest.cpp
+++ b/Tests/SoakCheck/soakchecktest.cpp
@@ -63,4 +63,10 @@
         for (auto &[id, asked] : record.asked_)
             asked.status_ = 502;
     });
+    // A withdrawal afterwards excuses nothing.
+    breaksWhen("recovery", [](Record &record) {
+        record.withdrawnAt_["k1"] = begun + 20s;
+        for (auto &[id, asked] : record.asked_)
+            asked.status_ = 502;
+    });
 }
