--- a/Tests/ServingPath/edgetest.cpp
+++ b/Tests/ServingPath/edgetest.cpp
@@ -721,7 +721,7 @@
     path.callersOffset_ = 7;
     path.waitUntilServing();
     expectRefused(401);
-    // Rules whose age can't be told may lack a key that was added since.
+    // Rules that are not confirmed may lack a key that was added since.
     path.store_.fault_ = StoreFault::Silent;
     path.store_.cutWatches();
     turnFor(path.loop_, 1600ms);
