Move the ports of cutanswer past those of the scenarios

They begin at 22500 now, past the scenarios' 21000 to 21999.

All tests were not run again after this change.

--- a/Tests/ServingPath/cutanswertest.cpp
+++ b/Tests/ServingPath/cutanswertest.cpp
@@ -26,7 +26,7 @@
 struct CutPath
 {
     CutPath(int number, const CuttingServer &server)
-        : loop_(*new EventLoop), basePort_(19500 + number * 10), store_(*new Store(loop_, at(0)))
+        : loop_(*new EventLoop), basePort_(22500 + number * 10), store_(*new Store(loop_, at(0)))
     {
         store_.put("op/config", rules);
         store_.put("servers/i-0",
