--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -33,7 +33,7 @@
   --logs FOLDER    Where the processes' logs go [default: /tmp/eelgrasscove-soak].
 )";
 
-constexpr Duration calmTime = 9s;
+constexpr Duration calmTime = 12s;
 /// Time without accounts at the end; longer than the bound on withdrawn keys.
 constexpr Duration timeWithoutAccounts = 5s;
 /// Period at which the rules may become unreadable, once in so many periods on average.
