Log the era that the store states in its responses

Cause: a store that was restored from an older copy and one that lost its history give the same log lines (store.lost, store.history_lost), and a watch that goes on after a restoration gives none at all.

Nothing decides on the era yet.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -126,7 +126,7 @@
 Agent::Agent(EventLoop &loop, ServingSettings settings)
     : loop_(loop), settings_(std::move(settings)), store_(endpointOf(settings_.store_)),
       vm_(nameHash(settings_.vm_)), dataCentre_(nameHash(settings_.dataCentre_)),
-      storeClient_(loop, store_),
+      storeClient_(loop, store_, storeEra_),
       engineClient_(loop, endpointOf(settings_.engine_), maxEngineBodyBytes),
       orderClient_(loop, endpointOf(settings_.engine_), maxEngineBodyBytes),
       stateNumber_(unixMicros())
@@ -174,8 +174,7 @@
     wire::StoreCall call =
         wire::writeCall(std::string(fencingKeyPrefix) + settings_.vm_, settings_.engine_, 0);
     storeClient_.call(
-        std::move(call.method_), std::move(call.target_), std::move(call.body_), storeTimeout,
-        [this](const std::optional<HttpResponse> &response) {
+        std::move(call), storeTimeout, [this](const std::optional<HttpResponse> &response) {
             const auto revision = response && response->status_ == 200
                 ? wire::decodeRevision(response->body_)
                 : std::nullopt;
@@ -185,7 +184,7 @@
                 return;
             }
             fencingNumber_ = *revision;
-            eventLog().note("fence.taken", "fence", fencingNumber_);
+            eventLog().note("fence.taken", "fence", fencingNumber_, "era", storeEra_.number());
             readLimits();
         });
 }
@@ -193,28 +192,26 @@
 void Agent::readLimits()
 {
     wire::StoreCall call = wire::readCall(wire::rulesKey);
-    storeClient_.call(std::move(call.method_), std::move(call.target_), "", storeTimeout,
-                      [this](const std::optional<HttpResponse> &response) {
-                          if (response && response->status_ == 200) {
-                              const auto item = wire::decodeItem(response->body_);
-                              const auto rules = item
-                                  ? wire::decodeRules(item->value_)
-                                  : wire::DecodeError{"the store returned no item"};
-                              if (ok(rules)) {
-                                  for (const ServedService &service : valueOf(rules).services_) {
-                                      if (service.name_ == settings_.engineService_)
-                                          limits_ = service.engine_;
-                                  }
-                              }
-                          }
-                          if (limits_) {
-                              eventLog().note("limits.read", "adapter_slots",
-                                              limits_->adapterSlots_, "weights_mb",
-                                              limits_->weightsMb_);
-                              return;
-                          }
-                          loop_.timers().once(storeRetryPause, [this] { readLimits(); });
-                      });
+    storeClient_.call(
+        std::move(call), storeTimeout, [this](const std::optional<HttpResponse> &response) {
+            if (response && response->status_ == 200) {
+                const auto item = wire::decodeItem(response->body_);
+                const auto rules = item ? wire::decodeRules(item->value_)
+                                        : wire::DecodeError{"the store returned no item"};
+                if (ok(rules)) {
+                    for (const ServedService &service : valueOf(rules).services_) {
+                        if (service.name_ == settings_.engineService_)
+                            limits_ = service.engine_;
+                    }
+                }
+            }
+            if (limits_) {
+                eventLog().note("limits.read", "adapter_slots", limits_->adapterSlots_,
+                                "weights_mb", limits_->weightsMb_);
+                return;
+            }
+            loop_.timers().once(storeRetryPause, [this] { readLimits(); });
+        });
 }
 
 void Agent::schedulePoll()
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -13,6 +13,7 @@
 #include "Net/httpcaller.h"
 #include "Observe/textserver.h"
 #include "Peer/peermessages.h"
+#include "Store/storeclient.h"
 #include "Vm/servingsettings.h"
 
 namespace eelgrasscove {
@@ -74,7 +75,8 @@
     NameHash dataCentre_ = 0;
     DatagramSocket socket_;
     TextServer metrics_;
-    HttpCaller storeClient_;
+    StoreEra storeEra_;
+    StoreClient storeClient_;
     HttpCaller engineClient_;
     HttpCaller orderClient_;
     std::optional<EngineLimits> limits_;
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -187,7 +187,7 @@
     const auto coalescingPeriod =
         std::chrono::duration_cast<Duration>(settings_.bounds_.drain_ * targetsCoalescingFraction);
     operatorFeed_ = std::make_unique<StoreFeed>(
-        loop_, store,
+        loop_, store, storeEra_,
         StoreFeedSettings{std::string(wire::operatorPrefix), rulesWatchTimeout(),
                           rulesCoalescingPeriod},
         StoreFeedCallbacks{[this](const auto &items) {
@@ -197,13 +197,13 @@
                            },
                            [this](const auto &item) { applyOperatorItem(item); }, [](bool) {}});
     targetFeed_ = std::make_unique<StoreFeed>(
-        loop_, store,
+        loop_, store, storeEra_,
         StoreFeedSettings{std::string(wire::targetPrefix), targetsWatchTimeout, coalescingPeriod},
         StoreFeedCallbacks{[this](const auto &items) { applyTargetList(items); },
                            [this](const auto &item) { applyTargetItem(item); }, [](bool) {},
                            [this] { return mayPostponeTargetWatch(); }});
     peerFeed_ = std::make_unique<StoreFeed>(
-        loop_, store,
+        loop_, store, storeEra_,
         StoreFeedSettings{std::string(entryPrefix), peersWatchTimeout, peersCoalescingPeriod},
         StoreFeedCallbacks{[this](const auto &items) { applyPeerList(items); },
                            [this](const auto &item) {
@@ -212,7 +212,7 @@
                            },
                            [](bool) {}});
     registration_ = std::make_unique<Registration>(
-        loop_, store, std::string(entryPrefix) + settings_.vm_, settings_.peersListen_);
+        loop_, store, storeEra_, std::string(entryPrefix) + settings_.vm_, settings_.peersListen_);
     listSuspects(store);
     operatorFeed_->start();
     targetFeed_->start();
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -472,6 +472,7 @@
     DatagramSocket peersSocket_;
     TextServer readinessServer_;
     TextServer metricsServer_;
+    StoreEra storeEra_;
     std::unique_ptr<StoreFeed> operatorFeed_;
     std::unique_ptr<StoreFeed> targetFeed_;
     std::unique_ptr<StoreFeed> peerFeed_;
--- a/Source/Edge/edgesuspects.cpp
+++ b/Source/Edge/edgesuspects.cpp
@@ -158,8 +158,8 @@
 
 void Edge::listSuspects(const Endpoint &store)
 {
-    suspectKeys_ =
-        std::make_unique<LeasedKeys>(loop_, store, std::string(suspectPrefix), suspectLifetime);
+    suspectKeys_ = std::make_unique<LeasedKeys>(loop_, store, storeEra_, std::string(suspectPrefix),
+                                                suspectLifetime);
     suspectKeys_->list([this](const auto &items) {
         const Time now = bootNow();
         for (const wire::StoreItem &item : items) {
--- a/Source/Net/httpcaller.cpp
+++ b/Source/Net/httpcaller.cpp
@@ -19,6 +19,7 @@
               {[this](HttpHead &&head) {
                    response_.status_ = head.status_;
                    keepAlive_ = head.keepAlive_;
+                   response_.head_ = std::move(head);
                },
                [this](std::string_view bytes) { appendBody(bytes); }, [] {}})
 { }
--- a/Source/Net/httpcaller.h
+++ b/Source/Net/httpcaller.h
@@ -15,6 +15,7 @@
 {
     unsigned status_ = 0;
     std::string body_;
+    HttpHead head_;
 };
 
 class HttpCaller
--- a/Source/Store/keylist.cpp
+++ b/Source/Store/keylist.cpp
@@ -47,7 +47,7 @@
                     items.revision_);
 }
 
-KeyList::KeyList(HttpCaller &client, std::string keyPrefix, Callbacks callbacks)
+KeyList::KeyList(StoreClient &client, std::string keyPrefix, Callbacks callbacks)
     : client_(client), keyPrefix_(std::move(keyPrefix)), callbacks_(std::move(callbacks))
 { }
 
@@ -63,7 +63,7 @@
         list_.requestedAt_ = bootNow();
     wire::StoreCall call = wire::rangeCall(keyPrefix_, list_.cursor_, false);
     countMetric("eelgrasscove_store_calls_total", "call=\"range\"");
-    client_.call(std::move(call.method_), std::move(call.target_), "", listTimeout,
+    client_.call(std::move(call), listTimeout,
                  [this](const std::optional<HttpResponse> &response) { handleResponse(response); });
 }
 
--- a/Source/Store/keylist.h
+++ b/Source/Store/keylist.h
@@ -2,8 +2,7 @@
 
 /// Lists all keys under a prefix of the platform's store, page by page.
 
-#include "Net/httpcaller.h"
-#include "platform/storewire.h"
+#include "Store/storeclient.h"
 
 #include <set>
 #include <string>
@@ -41,7 +40,7 @@
 /// Logs that items of a response were left out.
 void noteIgnoredItems(std::string_view keyPrefix, const wire::StoreItems &items);
 
-/// Requests the pages of a list over a caller that it shares with other calls.
+/// Requests the pages of a list over a client that it shares with other calls.
 class KeyList
 {
 public:
@@ -53,7 +52,7 @@
         std::function<void(std::string_view reason)> onFailed_;
     };
 
-    KeyList(HttpCaller &client, std::string keyPrefix, Callbacks callbacks);
+    KeyList(StoreClient &client, std::string keyPrefix, Callbacks callbacks);
 
     /// Begins a list. Not to be called while a page is requested.
     void start();
@@ -64,7 +63,7 @@
     void requestPage();
     void handleResponse(const std::optional<HttpResponse> &response);
 
-    HttpCaller &client_;
+    StoreClient &client_;
     std::string keyPrefix_;
     Callbacks callbacks_;
     ListedKeys list_;
--- a/Source/Store/leasedkeys.cpp
+++ b/Source/Store/leasedkeys.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-LeasedKeys::LeasedKeys(EventLoop &loop, const Endpoint &store, const std::string &prefix,
-                       Duration lifetime)
-    : loop_(loop), client_(loop, store), lifetime_(lifetime),
+LeasedKeys::LeasedKeys(EventLoop &loop, const Endpoint &store, StoreEra &era,
+                       const std::string &prefix, Duration lifetime)
+    : loop_(loop), client_(loop, store, era), lifetime_(lifetime),
       list_(client_, prefix,
             {[this](const ListedKeys &list) { onListed_(list.items_); },
              [this, prefix](std::string_view reason) {
@@ -37,7 +37,7 @@
         wire::leaseCall(std::chrono::duration_cast<std::chrono::milliseconds>(lifetime_).count());
     countMetric("eelgrasscove_store_calls_total", "call=\"lease\"");
     client_.call(
-        std::move(lease.method_), std::move(lease.target_), std::move(lease.body_), callTimeout,
+        std::move(lease), callTimeout,
         [this, key, value, onDone = std::move(onDone)](std::optional<HttpResponse> response) {
             const auto id = response && response->status_ == 200
                 ? wire::decodeLease(response->body_)
@@ -48,8 +48,8 @@
             }
             wire::StoreCall call = wire::writeCall(key, value, *id);
             countMetric("eelgrasscove_store_calls_total", "call=\"txn\"");
-            client_.call(std::move(call.method_), std::move(call.target_), std::move(call.body_),
-                         callTimeout, [onDone](std::optional<HttpResponse> written) {
+            client_.call(std::move(call), callTimeout,
+                         [onDone](std::optional<HttpResponse> written) {
                              onDone(written && written->status_ == 200);
                          });
         });
@@ -59,8 +59,8 @@
 {
     wire::StoreCall call = wire::removeCall(key);
     countMetric("eelgrasscove_store_calls_total", "call=\"txn\"");
-    client_.call(std::move(call.method_), std::move(call.target_), std::move(call.body_),
-                 callTimeout, [onDone = std::move(onDone)](std::optional<HttpResponse> response) {
+    client_.call(std::move(call), callTimeout,
+                 [onDone = std::move(onDone)](std::optional<HttpResponse> response) {
                      onDone(response && response->status_ == 200);
                  });
 }
--- a/Source/Store/leasedkeys.h
+++ b/Source/Store/leasedkeys.h
@@ -16,7 +16,7 @@
     /// Receives whether the store has confirmed the call.
     using DoneHandler = std::function<void(bool)>;
 
-    LeasedKeys(EventLoop &loop, const Endpoint &store, const std::string &prefix,
+    LeasedKeys(EventLoop &loop, const Endpoint &store, StoreEra &era, const std::string &prefix,
                Duration lifetime);
 
     /// Lists the keys once; repeats calls that fail until all pages have been received.
@@ -31,7 +31,7 @@
 
 private:
     EventLoop &loop_;
-    HttpCaller client_;
+    StoreClient client_;
     Duration lifetime_;
     KeyList list_;
     std::function<void(const std::vector<wire::StoreItem> &)> onListed_;
--- a/Source/Store/registration.cpp
+++ b/Source/Store/registration.cpp
@@ -19,9 +19,9 @@
 
 } // namespace
 
-Registration::Registration(EventLoop &loop, const Endpoint &store, std::string key,
+Registration::Registration(EventLoop &loop, const Endpoint &store, StoreEra &era, std::string key,
                            std::string value)
-    : loop_(loop), client_(loop, store), key_(std::move(key)), value_(std::move(value))
+    : loop_(loop), client_(loop, store, era), key_(std::move(key)), value_(std::move(value))
 { }
 
 void Registration::start()
@@ -33,50 +33,46 @@
 {
     wire::StoreCall call = wire::leaseCall(leaseTtlMillis);
     countMetric("eelgrasscove_store_calls_total", "call=\"lease\"");
-    client_.call(std::move(call.method_), std::move(call.target_), std::move(call.body_),
-                 callTimeout, [this](std::optional<HttpResponse> response) {
-                     const auto lease = response && response->status_ == 200
-                         ? wire::decodeLease(response->body_)
-                         : std::nullopt;
-                     if (!lease) {
-                         eventLog().note("registration.failed", "step", "lease", "status",
-                                         response ? response->status_ : 0);
-                         scheduleNext(retryPause);
-                         return;
-                     }
-                     lease_ = *lease;
-                     isWritten_ = false;
-                     write();
-                 });
+    client_.call(std::move(call), callTimeout, [this](std::optional<HttpResponse> response) {
+        const auto lease = response && response->status_ == 200 ? wire::decodeLease(response->body_)
+                                                                : std::nullopt;
+        if (!lease) {
+            eventLog().note("registration.failed", "step", "lease", "status",
+                            response ? response->status_ : 0);
+            scheduleNext(retryPause);
+            return;
+        }
+        lease_ = *lease;
+        isWritten_ = false;
+        write();
+    });
 }
 
 void Registration::write()
 {
     wire::StoreCall call = wire::writeCall(key_, value_, lease_);
     countMetric("eelgrasscove_store_calls_total", "call=\"txn\"");
-    client_.call(std::move(call.method_), std::move(call.target_), std::move(call.body_),
-                 callTimeout, [this](std::optional<HttpResponse> response) {
-                     isWritten_ = response && response->status_ == 200;
-                     if (response && response->status_ == 404)
-                         lease_ = 0;
-                     eventLog().note(isWritten_ ? "registration.written" : "registration.failed",
-                                     "step", "write", "status", response ? response->status_ : 0);
-                     scheduleNext(isWritten_ ? renewPeriod : retryPause);
-                 });
+    client_.call(std::move(call), callTimeout, [this](std::optional<HttpResponse> response) {
+        isWritten_ = response && response->status_ == 200;
+        if (response && response->status_ == 404)
+            lease_ = 0;
+        eventLog().note(isWritten_ ? "registration.written" : "registration.failed", "step",
+                        "write", "status", response ? response->status_ : 0);
+        scheduleNext(isWritten_ ? renewPeriod : retryPause);
+    });
 }
 
 void Registration::renew()
 {
     wire::StoreCall call = wire::renewCall(lease_);
     countMetric("eelgrasscove_store_calls_total", "call=\"renew\"");
-    client_.call(std::move(call.method_), std::move(call.target_), "", callTimeout,
-                 [this](std::optional<HttpResponse> response) {
-                     if (response && response->status_ == 404) {
-                         eventLog().note("registration.lapsed", "lease", lease_);
-                         lease_ = 0;
-                     }
-                     scheduleNext(response && response->status_ == 200 ? renewPeriod : retryPause);
-                 });
+    client_.call(std::move(call), callTimeout, [this](std::optional<HttpResponse> response) {
+        if (response && response->status_ == 404) {
+            eventLog().note("registration.lapsed", "lease", lease_);
+            lease_ = 0;
+        }
+        scheduleNext(response && response->status_ == 200 ? renewPeriod : retryPause);
+    });
 }
 
 void Registration::scheduleNext(Duration pause)
@@ -104,7 +100,7 @@
     }
     wire::StoreCall call = wire::endLeaseCall(lease_);
     client_.call(
-        std::move(call.method_), std::move(call.target_), "", callTimeout,
+        std::move(call), callTimeout,
         [onEnded = std::move(onEnded)](const std::optional<HttpResponse> &) { onEnded(); });
 }
 
--- a/Source/Store/registration.h
+++ b/Source/Store/registration.h
@@ -3,14 +3,15 @@
 /// Registers a process in the store: writes one key under a lease and renews the lease while the
 /// process runs.
 
-#include "Net/httpcaller.h"
+#include "Store/storeclient.h"
 
 namespace eelgrasscove {
 
 class Registration
 {
 public:
-    Registration(EventLoop &loop, const Endpoint &store, std::string key, std::string value);
+    Registration(EventLoop &loop, const Endpoint &store, StoreEra &era, std::string key,
+                 std::string value);
 
     void start();
 
@@ -25,7 +26,7 @@
     void scheduleNext(Duration pause);
 
     EventLoop &loop_;
-    HttpCaller client_;
+    StoreClient client_;
     std::string key_;
     std::string value_;
     std::uint64_t lease_ = 0;
--- /dev/null
+++ b/Source/Store/storeclient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+/// Calls the platform's store over a connection of its own and observes the era of each response.
+
+#include "Net/httpcaller.h"
+#include "Store/storeera.h"
+#include "platform/storewire.h"
+
+namespace eelgrasscove {
+
+class StoreClient
+{
+public:
+    StoreClient(EventLoop &loop, const Endpoint &store, StoreEra &era)
+        : client_(loop, store), era_(era)
+    { }
+
+    /// Sends the call after those before it. The handler receives an empty value if no response
+    /// arrived.
+    void call(wire::StoreCall call, Duration timeout, HttpCaller::ResponseHandler onResponse);
+
+    /// Drops all calls without calling their handlers; the next call uses a new connection. Not to
+    /// be called from a handler.
+    void dropCalls() { client_.dropCalls(); }
+
+    /// Returns the number of calls that are sent or queued.
+    std::size_t pending() const { return client_.pending(); }
+    StoreEra &era() const { return era_; }
+
+private:
+    HttpCaller client_;
+    StoreEra &era_;
+};
+
+} // namespace eelgrasscove
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-StoreFeed::StoreFeed(EventLoop &loop, const Endpoint &store, StoreFeedSettings settings,
-                     StoreFeedCallbacks callbacks)
-    : loop_(loop), client_(loop, store), confirmClient_(loop, store),
+StoreFeed::StoreFeed(EventLoop &loop, const Endpoint &store, StoreEra &era,
+                     StoreFeedSettings settings, StoreFeedCallbacks callbacks)
+    : loop_(loop), client_(loop, store, era), confirmClient_(loop, store, era),
       settings_(std::move(settings)), callbacks_(std::move(callbacks)),
       list_(client_, settings_.keyPrefix_,
             {[this](const ListedKeys &list) { applyList(list); },
@@ -54,7 +54,7 @@
     recordSuccess();
     confirm(list.requestedAt_);
     eventLog().note("store.listed", "prefix", settings_.keyPrefix_, "keys", list.items_.size(),
-                    "revision", revision_);
+                    "revision", revision_, "era", client_.era().number());
     callbacks_.onListed_(list.items_);
     watch();
 }
@@ -69,8 +69,7 @@
     isWatchWaiting_ = true;
     countMetric("eelgrasscove_store_calls_total", "call=\"watch\"");
     client_.call(
-        std::move(call.method_), std::move(call.target_), "",
-        settings_.maxWatchWait_ + watchTimeoutMargin,
+        std::move(call), settings_.maxWatchWait_ + watchTimeoutMargin,
         [this](std::optional<HttpResponse> response) { handleWatchResponse(std::move(response)); });
 }
 
@@ -85,7 +84,7 @@
     // The connection of the last confirmation may have become silent together with the watch's.
     confirmClient_.dropCalls();
     confirmClient_.call(
-        std::move(call.method_), std::move(call.target_), "", confirmTimeout,
+        std::move(call), confirmTimeout,
         [this, sentAt, revision = revision_](const std::optional<HttpResponse> &response) {
             handleConfirmResponse(response, sentAt, revision);
         });
@@ -153,8 +152,8 @@
         return;
     }
     if (response->status_ == 410) {
-        eventLog().note("store.history_lost", "prefix", settings_.keyPrefix_, "revision",
-                        revision_);
+        eventLog().note("store.history_lost", "prefix", settings_.keyPrefix_, "revision", revision_,
+                        "era", client_.era().number());
         start();
         return;
     }
@@ -200,7 +199,8 @@
         return;
     isReachable_ = true;
     reachableSince_ = bootNow();
-    eventLog().note("store.regained", "prefix", settings_.keyPrefix_);
+    eventLog().note("store.regained", "prefix", settings_.keyPrefix_, "revision", revision_, "era",
+                    client_.era().number());
     callbacks_.onReachableChanged_(true);
 }
 
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -34,7 +34,7 @@
 class StoreFeed
 {
 public:
-    StoreFeed(EventLoop &loop, const Endpoint &store, StoreFeedSettings settings,
+    StoreFeed(EventLoop &loop, const Endpoint &store, StoreEra &era, StoreFeedSettings settings,
               StoreFeedCallbacks callbacks);
 
     void start();
@@ -87,8 +87,8 @@
     void retryLater(std::function<void()> retry, std::string_view reason);
 
     EventLoop &loop_;
-    HttpCaller client_;
-    HttpCaller confirmClient_;
+    StoreClient client_;
+    StoreClient confirmClient_;
     StoreFeedSettings settings_;
     StoreFeedCallbacks callbacks_;
     KeyList list_;
--- a/Tests/Store/storefeedtest.cpp
+++ b/Tests/Store/storefeedtest.cpp
@@ -19,7 +19,7 @@
     {
         Endpoint endpoint;
         parseEndpoint(address, endpoint);
-        feed_ = new StoreFeed(loop_, endpoint, {"op/", wait, 0ms},
+        feed_ = new StoreFeed(loop_, endpoint, era_, {"op/", wait, 0ms},
                               {[this](const auto &items) {
                                    reportedItems_.clear();
                                    for (const auto &item : items)
@@ -44,6 +44,7 @@
     }
 
     EventLoop &loop_;
+    StoreEra &era_ = *new StoreEra;
     Store &store_;
     StoreFeed *feed_ = nullptr;
     std::map<std::string, std::string> reportedItems_;
@@ -219,7 +220,8 @@
     Endpoint endpoint;
     parseEndpoint("127.0.0.1:17320", endpoint);
     store.fault_ = StoreFault::Busy;
-    auto &registration = *new Registration(loop, endpoint, "eelgrasscove/entry/a", "10.0.0.1:7600");
+    auto &registration =
+        *new Registration(loop, endpoint, *new StoreEra, "eelgrasscove/entry/a", "10.0.0.1:7600");
     registration.start();
     turnFor(loop, 300ms);
     store.fault_ = StoreFault::None;
@@ -238,7 +240,7 @@
     store.put("held/a", "one");
     store.put("other/b", "two");
     store.fault_ = StoreFault::Busy;
-    auto &keys = *new LeasedKeys(loop, endpoint, "held/", 60s);
+    auto &keys = *new LeasedKeys(loop, endpoint, *new StoreEra, "held/", 60s);
     std::vector<std::string> listed;
     keys.list([&](const auto &items) {
         for (const wire::StoreItem &item : items)
--- a/Tests/Store/storelisttest.cpp
+++ b/Tests/Store/storelisttest.cpp
@@ -47,11 +47,11 @@
         };
         if (reader_ == Reader::Feed) {
             const auto change = [this](const wire::StoreItem &item) { changed_.insert(item.key_); };
-            auto *feed =
-                new StoreFeed(loop_, endpoint, {prefix, 300ms, 0ms}, {record, change, [](bool) {}});
+            auto *feed = new StoreFeed(loop_, endpoint, era_, {prefix, 300ms, 0ms},
+                                       {record, change, [](bool) {}});
             feed->start();
         } else {
-            (new LeasedKeys(loop_, endpoint, prefix, 60s))->list(record);
+            (new LeasedKeys(loop_, endpoint, era_, prefix, 60s))->list(record);
         }
     }
 
@@ -67,6 +67,7 @@
     }
 
     EventLoop &loop_;
+    StoreEra &era_ = *new StoreEra;
     std::string address_;
     Store &store_;
     Reader reader_;
