Void revisions, leases and confirmations when the store is restored

Cause: the store came back from a copy some seconds old and gave revisions out again. An entry that asked for changes after its last revision when the store had passed that revision got a valid answer and never saw what lies between the copy and that revision. Class: a position in one history taken for a position in another.

At a new era all feeds list at once, confirm nothing for 2.2 s, and list again; leases and keys are written anew; revisions of peers count in one era only; rules are confirmed again once the store holds the newest version that this entry or a peer knows; entries of removed targets are held; fencing numbers carry the era. Late responses of an earlier era are dropped.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -183,7 +183,7 @@
                 loop_.timers().once(storeRetryPause, [this] { acquireFencingNumber(); });
                 return;
             }
-            fencingNumber_ = *revision;
+            fencingNumber_ = fencingNumberOf(storeEra_.number(), *revision);
             eventLog().note("fence.taken", "fence", fencingNumber_, "era", storeEra_.number());
             readLimits();
         });
@@ -472,6 +472,13 @@
         entry->knownResidencyNumber_ = residencyNumber_;
 }
 
+std::uint64_t fencingNumberOf(std::uint64_t storeEra, std::uint64_t revision)
+{
+    constexpr unsigned revisionBits = 40;
+    constexpr std::uint64_t maxEra = (1U << 13U) - 1;
+    return (std::min(storeEra, maxEra) << revisionBits) + revision;
+}
+
 int runAgent(int argc, char **argv)
 {
     return runServingProgram(
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -103,6 +103,11 @@
     bool isStopping_ = false;
 };
 
+/// Returns the fencing number of a revision: it rises with the revision, and with the era, in which
+/// a restored store gives revisions out again. Eras above 2^13 - 1 count as that one, so that the
+/// number stays exact in readers that hold numbers as double.
+std::uint64_t fencingNumberOf(std::uint64_t storeEra, std::uint64_t revision);
+
 /// Runs the agent process and returns its exit code.
 int runAgent(int argc, char **argv);
 
--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -68,6 +68,9 @@
 /// before the store is queried. It is longer than the coalescing period of the rules, and shorter
 /// by more than a response of the store than the bound on the adoption of new rules.
 constexpr Duration maxLagBehindPeers = 500ms;
+/// Time for which an entry that has started waits for the rules versions of its peers; five
+/// intervals of their messages.
+constexpr Duration maxPeerComparisonWait = 1s;
 /// Time for which messages of an entry that is not in the list may arrive before the list of
 /// entries is queried. It is longer than the delivery of a new entry by the watch.
 constexpr Duration maxUnlistedPeerTime = 1s;
@@ -186,6 +189,8 @@
     parseEndpoint(settings_.store_, store);
     const auto coalescingPeriod =
         std::chrono::duration_cast<Duration>(settings_.bounds_.drain_ * targetsCoalescingFraction);
+    // Before the feeds, which read everything anew.
+    storeEra_.onChanged([this] { onStoreRestored(); });
     operatorFeed_ = std::make_unique<StoreFeed>(
         loop_, store, storeEra_,
         StoreFeedSettings{std::string(wire::operatorPrefix), rulesWatchTimeout(),
@@ -253,6 +258,8 @@
         removeExpiredNotices(rememberedNotices_, now);
         removeExpiredUses(accountUses_, now);
         removeMissingTargets(now);
+        for (const wire::StoreItem &item : takeExpiredEntries(restoredEntries_, now))
+            applyTargetItem(item);
         removeDepartedPeers(now);
         countColdTargets(now);
         updateRelativePaces();
@@ -376,6 +383,49 @@
     return confirmedAt(rulesAge_, operatorFeed_->confirmedAt());
 }
 
+void Edge::onStoreRestored()
+{
+    const Time now = bootNow();
+    recordRestoredStore(rulesAge_, rulesConfirmedAt());
+    recordRestoration(restoredEntries_, now);
+    recordRestoredSuspects(storedSuspects_);
+    forgetRevisions(evacuations_);
+    peersOperatorRevision_ = 0;
+    peersStoreEra_ = 0;
+    missesChangesSince_.reset();
+    targetsChangeRevision_ = 0;
+    targetList_.revision_ = 0;
+    targetList_.peersChangeRevision_ = 0;
+    targetWatchBehindSince_.reset();
+    for (const auto &[id, target] : targets_)
+        target->state_.cold_.listRevision_ = 0;
+    eventLog().note("rules.unconfirmed", "reason", "the store was restored from an older copy",
+                    "version", rules_ ? rules_->rules().version_ : 0, "confirmed_ms_ago",
+                    (now - rulesConfirmedAt()).count() / 1000);
+}
+
+bool Edge::hasStoreLostRulesOf(const EntryState &peer) const
+{
+    if (!rules_ || rulesAge_.unreadableSince_ || peer.rulesVersion_ <= rules_->rules().version_)
+        return false;
+    // In one era, the rules of an entry that knows all changes of another are not older.
+    return peer.storeEra_ < storeEra_.number()
+        || (peer.storeEra_ == storeEra_.number()
+            && peer.operatorRevision_ <= operatorFeed_->revision());
+}
+
+bool Edge::areRulesComparedWithPeers(Time now) const
+{
+    if (storeEra_.number() == 0)
+        return true;
+    if (!firstRulesAt_)
+        return false;
+    const bool isEachPeerHeard = peerFeed_->confirmedAt()
+        && std::all_of(peers_.begin(), peers_.end(),
+                       [this](const auto &peer) { return peerContacts_.contains(peer.first); });
+    return isEachPeerHeard || now - *firstRulesAt_ > maxPeerComparisonWait;
+}
+
 void Edge::checkRulesConfirmation(Time now)
 {
     if (peersOperatorRevision_ <= operatorFeed_->revision())
@@ -386,7 +436,8 @@
     const double ageFraction =
         leadsStoreQueries(now) ? leaderConfirmAgeFraction : confirmAgeFraction;
     const bool isOld = now - operatorChangesConfirmedAt() > rulesAgeBound() * ageFraction;
-    if ((!isOld && !isBehind) || now - confirmRequestedAt_ < minConfirmInterval)
+    const bool isOfEarlierEra = peersStoreEra_ > storeEra_.number();
+    if ((!isOld && !isBehind && !isOfEarlierEra) || now - confirmRequestedAt_ < minConfirmInterval)
         return;
     confirmRequestedAt_ = now;
     operatorFeed_->confirmNow();
@@ -550,6 +601,8 @@
     recordReadableRules(rulesAge_);
     setGauge("eelgrasscove_rules_unreadable", "", 0);
     ServingRules &rules = valueOf(decoded);
+    if (rules.version_ >= std::max(rules_ ? rules_->rules().version_ : 0, peersRulesVersion_))
+        recordRulesWrittenAgain(rulesAge_);
     if (rules_ && rules.version_ <= rules_->rules().version_) {
         if (rulesHash_ != nameHash(text)) {
             eventLog().note("rules.ignored", "reason", "the version is not newer", "version",
@@ -570,6 +623,7 @@
     for (const ServingAccount &account : rules.accounts_)
         accountByHash_[nameHash(account.name_)] = account.name_;
     rules_ = std::make_shared<const RuleIndex>(std::move(rules));
+    firstRulesAt_ = firstRulesAt_.value_or(bootNow());
     for (const auto &[id, target] : targets_)
         markReplacedTargets(target->state_);
     applyColdRules();
@@ -581,6 +635,7 @@
         targetsChangeRevision_ = std::max(targetsChangeRevision_, item.revision_);
     const std::string id = item.key_.substr(wire::targetPrefix.size());
     if (item.isDeleted_) {
+        releaseEntry(restoredEntries_, id);
         applyTargetRemoval(id, bootNow());
         return;
     }
@@ -592,6 +647,14 @@
         return;
     }
     const ListedTarget &listed = valueOf(decoded);
+    if (!targets_.contains(id)
+        && holdIfRemovedBefore(restoredEntries_, {id, listed.startedAt_}, item,
+                               targetFeed_->listRevision(), bootNow())) {
+        eventLog().note("target.held", "target", id, "revision", item.revision_, "reason",
+                        "it was removed before the store was restored from an older copy");
+        return;
+    }
+    releaseEntry(restoredEntries_, id);
     std::shared_ptr<EdgeTarget> &target = targets_[id];
     if (target
         && (target->state_.endpoint_ != endpoint
@@ -652,6 +715,7 @@
 void Edge::applyTargetList(const std::vector<wire::StoreItem> &items)
 {
     std::set<std::string> present;
+    restoredEntries_.held_.clear();
     for (const wire::StoreItem &item : items) {
         present.insert(item.key_.substr(wire::targetPrefix.size()));
         applyTargetItem(item);
@@ -703,6 +767,7 @@
     eventLog().note("target.gone", "target", id, "service", target->state_.listed_.service_);
     rememberNotice(rememberedNotices_, instanceOf(target->state_), target->state_.notice_,
                    bootNow());
+    recordRemovedTarget(restoredEntries_, instanceOf(target->state_), bootNow());
     std::erase(targetsOfService_[target->state_.listed_.service_], target);
     targets_.erase(found);
     updateRelativePaces(target->state_.listed_.service_);
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -13,6 +13,7 @@
 #include "Edge/homes.h"
 #include "Edge/keycheck.h"
 #include "Edge/placement.h"
+#include "Edge/restoredentries.h"
 #include "Edge/retrybudget.h"
 #include "Edge/ruleindex.h"
 #include "Edge/rulesage.h"
@@ -197,6 +198,14 @@
     bool sendsRequests(Time now) const;
     /// Answers all requests that have not ended when the process stops.
     void endRemainingRequests();
+    /// Voids the revisions of the store that are known from before its restoration.
+    void onStoreRestored();
+    /// Whether the rules that this entry read at its start are known not to be older than those of
+    /// its peers, or the time for which that is waited for has passed. A store that states an era
+    /// may have been restored just before.
+    bool areRulesComparedWithPeers(Time now) const;
+    /// Whether the store has lost rules that a peer knows.
+    bool hasStoreLostRulesOf(const EntryState &peer) const;
     void applyOperatorItem(const wire::StoreItem &item);
     void applyRules(const std::string &text);
     void onUnreadableRules(std::string_view reason);
@@ -428,7 +437,13 @@
                                              DatagramRoute route);
     /// Places queued requests at the targets whose resident adapters have changed.
     void placeAtChangedTargets();
+    struct PeerContact;
     void applyEntryState(EntryState &&state);
+    /// Records what a peer knows of the store.
+    void recordPeersKnowledge(const EntryState &state, const std::string &vm);
+    /// Takes from a peer's echoes of this entry's messages up to when the peer confirms what is
+    /// known here.
+    void applyEchoes(const EntryState &state, PeerContact &contact);
     void sendLoadRequests(EdgeTarget &target, Time now);
     void requestLoad(EdgeTarget &target, const std::string &adapter, Time now);
     void sendEntryStates(Time now);
@@ -486,6 +501,7 @@
     std::map<std::string, std::shared_ptr<EdgeTarget>> targets_;
     std::map<std::string, std::vector<std::shared_ptr<EdgeTarget>>> targetsOfService_;
     RememberedNotices rememberedNotices_;
+    RestoredEntries restoredEntries_;
     Evacuations evacuations_;
     /// Another entry, as listed in the store.
     struct Peer
@@ -519,8 +535,14 @@
     std::map<NameHash, std::string> accountByHash_;
     std::uint64_t statesSent_ = 0;
     RulesAge rulesAge_;
-    /// Highest revision of a change of the operator's keys that a peer knows.
+    /// Highest revision of a change of the operator's keys that a peer knows, in the known era of
+    /// the store.
     std::uint64_t peersOperatorRevision_ = 0;
+    /// Highest version of the rules and highest era of the store that a peer knows.
+    std::uint64_t peersRulesVersion_ = 0;
+    std::uint64_t peersStoreEra_ = 0;
+    /// Time at which this entry adopted its first rules.
+    std::optional<Time> firstRulesAt_;
     /// Time since which a peer knows a change of the operator's keys that this entry doesn't know.
     std::optional<Time> missesChangesSince_;
     Time confirmRequestedAt_;
--- a/Source/Edge/edgeevacuation.cpp
+++ b/Source/Edge/edgeevacuation.cpp
@@ -36,7 +36,8 @@
 
 bool Edge::areRulesFresh(Time now) const
 {
-    return rules_ != nullptr && now - rulesConfirmedAt() < rulesAgeBound() - sendCheckMargin;
+    return rules_ != nullptr && now - rulesConfirmedAt() < rulesAgeBound() - sendCheckMargin
+        && areRulesComparedWithPeers(now);
 }
 
 bool Edge::refuseIfRulesAreOld(EdgeRequest &request, Time now)
@@ -45,6 +46,10 @@
         dependsOnKeys(rules_->rules(), request.route_, wire::decodeKey(request.head_));
     const bool isKeyTooOld =
         needsKey && now - rulesConfirmedAt() >= settings_.bounds_.revoke_ - sendCheckMargin;
+    if (needsKey && !isKeyTooOld && !areRulesComparedWithPeers(now)) {
+        refuseAndCloseConnection(request, "rules not yet compared with those of the other entries");
+        return true;
+    }
     // Evacuations can be read also where the rules can't.
     const bool isEvacuationTooOld = settings_.bounds_.evacuation_
         && now - operatorChangesConfirmedAt() >= rulesAgeBound() - sendCheckMargin;
@@ -59,8 +64,11 @@
 
 void Edge::applyEvacuationItems(const std::vector<wire::StoreItem> &items)
 {
-    applyEvacuationChanges(applyEvacuationList(evacuations_, evacuationItems(items),
-                                               operatorFeed_->revision(), bootNow()));
+    std::vector<EvacuationItem> listed = evacuationItems(items);
+    if (operatorFeed_->isSettling())
+        addUnlisted(listed, evacuations_);
+    applyEvacuationChanges(
+        applyEvacuationList(evacuations_, listed, operatorFeed_->revision(), bootNow()));
 }
 
 bool Edge::applyEvacuationItem(const wire::StoreItem &item)
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -224,6 +224,7 @@
     state.dataCentre_ = dataCentre_;
     state.timestampMicros_ = now.time_since_epoch().count();
     state.startedAtMicros_ = startedAt_.time_since_epoch().count();
+    state.storeEra_ = storeEra_.number();
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
     if (rules_ && operatorFeed_->confirmedAt()) {
         const Time confirmed = confirmedByStoreAt(rulesAge_, operatorFeed_->confirmedAt());
@@ -274,24 +275,28 @@
     }
 }
 
-void Edge::applyEntryState(EntryState &&state)
+void Edge::recordPeersKnowledge(const EntryState &state, const std::string &vm)
 {
-    const auto peer = vmByHash_.find(state.vm_);
-    if (peer == vmByHash_.end()) {
-        checkPeerList(state.vm_, bootNow());
+    peersRulesVersion_ = std::max(peersRulesVersion_, state.rulesVersion_);
+    peersStoreEra_ = std::max(peersStoreEra_, state.storeEra_);
+    // Revisions of another era mean other changes.
+    if (state.storeEra_ == storeEra_.number())
+        peersOperatorRevision_ = std::max(peersOperatorRevision_, state.operatorRevision_);
+    if (!hasStoreLostRulesOf(state))
         return;
+    if (!rulesAge_.lostSince_) {
+        eventLog().note("rules.lost", "peer", vm, "peers_version", state.rulesVersion_, "version",
+                        rules_->rules().version_, "era", storeEra_.number(), "peers_era",
+                        state.storeEra_);
     }
-    const std::string &vm = peer->second;
-    const Time now = bootNow();
-    PeerContact &contact = peerContacts_[vm];
-    if (state.timestampMicros_ <= contact.timestampMicros_)
-        return;
-    contact.timestampMicros_ = state.timestampMicros_;
-    contact.dataCentre_ = state.dataCentre_;
-    contact.receivedAt_ = now;
-    applyPeerRows(scarcity_, state.vm_, std::move(state.waitingRows_), now);
-    peersOperatorRevision_ = std::max(peersOperatorRevision_, state.operatorRevision_);
-    const bool knowsPeersChanges = state.operatorRevision_ <= operatorFeed_->revision();
+    recordLostRules(rulesAge_);
+}
+
+void Edge::applyEchoes(const EntryState &state, PeerContact &contact)
+{
+    const bool isOfKnownEra = state.storeEra_ == storeEra_.number();
+    const bool knowsPeersChanges =
+        isOfKnownEra && state.operatorRevision_ <= operatorFeed_->revision();
     for (const PeerEcho &echo : state.echoes_) {
         if (echo.vm_ != nameHash(settings_.vm_))
             continue;
@@ -300,7 +305,7 @@
         // than that, however late it arrives.
         const Time peerSentAfter = Time(Duration(echo.timestampMicros_ + echo.holdTimeMicros_));
         contact.peerReceivedOursAt_ = std::max(contact.peerReceivedOursAt_, peerSentAfter);
-        if (state.targetsAgeMicros_ >= 0) {
+        if (isOfKnownEra && state.targetsAgeMicros_ >= 0) {
             targetList_.revision_ = targetFeed_->revision();
             recordPeerReport(targetList_,
                              {state.targetsRevision_, state.targetsListRevision_,
@@ -313,6 +318,26 @@
                 std::max(rulesAge_.confirmedByPeerAt_.value_or(confirmed), confirmed);
         }
     }
+}
+
+void Edge::applyEntryState(EntryState &&state)
+{
+    const auto peer = vmByHash_.find(state.vm_);
+    if (peer == vmByHash_.end()) {
+        checkPeerList(state.vm_, bootNow());
+        return;
+    }
+    const std::string &vm = peer->second;
+    const Time now = bootNow();
+    PeerContact &contact = peerContacts_[vm];
+    if (state.timestampMicros_ <= contact.timestampMicros_)
+        return;
+    contact.timestampMicros_ = state.timestampMicros_;
+    contact.dataCentre_ = state.dataCentre_;
+    contact.receivedAt_ = now;
+    applyPeerRows(scarcity_, state.vm_, std::move(state.waitingRows_), now);
+    recordPeersKnowledge(state, vm);
+    applyEchoes(state, contact);
     if (state.topAdapterRates_)
         applyPeerRates(demand_, vm, std::move(*state.topAdapterRates_), now);
     const bool isMutual =
--- a/Source/Edge/evacuation.cpp
+++ b/Source/Edge/evacuation.cpp
@@ -1,6 +1,7 @@
 #include "Edge/evacuation.h"
 
 #include <algorithm>
+#include <set>
 
 namespace eelgrasscove {
 
@@ -28,6 +29,23 @@
     return changes;
 }
 
+void forgetRevisions(Evacuations &known)
+{
+    for (auto &[dataCentre, evacuation] : known)
+        evacuation.revision_ = 0;
+}
+
+void addUnlisted(std::vector<EvacuationItem> &listed, const Evacuations &known)
+{
+    std::set<std::string> names;
+    for (const EvacuationItem &item : listed)
+        names.insert(item.dataCentre_);
+    for (const auto &[dataCentre, evacuation] : known) {
+        if (!names.contains(dataCentre))
+            listed.push_back({dataCentre, evacuation.revision_, false});
+    }
+}
+
 std::optional<EvacuationChange> applyEvacuationEvent(Evacuations &known,
                                                      const EvacuationItem &event, Time now)
 {
--- a/Source/Edge/evacuation.h
+++ b/Source/Edge/evacuation.h
@@ -50,6 +50,14 @@
                                                   const std::vector<EvacuationItem> &listed,
                                                   std::uint64_t listRevision, Time now);
 
+/// Records that the store has been restored from an older copy: revisions from before do not order
+/// events after it.
+void forgetRevisions(Evacuations &known);
+
+/// Adds the known evacuations that the list of a restored store lacks. They may have been lost and
+/// be written again.
+void addUnlisted(std::vector<EvacuationItem> &listed, const Evacuations &known);
+
 /// Applies an event of the watch. Events that are older than what is known are ignored, since a
 /// watch repeats changes that the pages of a list already contain.
 std::optional<EvacuationChange> applyEvacuationEvent(Evacuations &known,
--- a/Source/Edge/rulesage.cpp
+++ b/Source/Edge/rulesage.cpp
@@ -15,17 +15,43 @@
     age.unreadableSince_.reset();
 }
 
+void recordRestoredStore(RulesAge &age, Time confirmedAt)
+{
+    age.confirmedBeforeRestore_ = confirmedAt;
+    age.lostSince_ = std::min(age.lostSince_.value_or(confirmedAt), confirmedAt);
+}
+
+void recordLostRules(RulesAge &age)
+{
+    const Time confirmed = age.confirmedBeforeRestore_.value_or(Time{});
+    age.lostSince_ = std::min(age.lostSince_.value_or(confirmed), confirmed);
+}
+
+void recordRulesWrittenAgain(RulesAge &age)
+{
+    age.lostSince_.reset();
+}
+
+namespace {
+
+/// The time up to which confirmations of the rules count.
+Time lastCounted(const RulesAge &age)
+{
+    return std::min(age.unreadableSince_.value_or(Time::max()),
+                    age.lostSince_.value_or(Time::max()));
+}
+
+} // namespace
+
 Time confirmedByStoreAt(const RulesAge &age, std::optional<Time> feedConfirmedAt)
 {
-    const Time confirmed = feedConfirmedAt.value_or(Time{});
-    return std::min(confirmed, age.unreadableSince_.value_or(confirmed));
+    return std::min(feedConfirmedAt.value_or(Time{}), lastCounted(age));
 }
 
 Time confirmedAt(const RulesAge &age, std::optional<Time> feedConfirmedAt)
 {
-    const Time byPeer = age.confirmedByPeerAt_.value_or(Time{});
     return std::max(confirmedByStoreAt(age, feedConfirmedAt),
-                    std::min(byPeer, age.unreadableSince_.value_or(byPeer)));
+                    std::min(age.confirmedByPeerAt_.value_or(Time{}), lastCounted(age)));
 }
 
 } // namespace eelgrasscove
--- a/Source/Edge/suspectstore.cpp
+++ b/Source/Edge/suspectstore.cpp
@@ -134,6 +134,12 @@
     return plan;
 }
 
+void recordRestoredSuspects(StoredSuspects &stored)
+{
+    for (auto &[suspect, copy] : stored)
+        copy.isWritten_ = false;
+}
+
 void recordWriteFailed(StoredSuspects &stored, SuspectId suspect)
 {
     if (const auto copy = stored.find(suspect); copy != stored.end())
--- a/Source/Edge/suspectstore.h
+++ b/Source/Edge/suspectstore.h
@@ -65,6 +65,10 @@
 SuspectWrites planSuspectWrites(const CrashSuspects &suspects, StoredSuspects &stored,
                                 bool isWriter, Time now);
 
+/// Records that the store has been restored from an older copy, so that all records are written
+/// again.
+void recordRestoredSuspects(StoredSuspects &stored);
+
 /// Records that a write has failed, so that it is planned again.
 void recordWriteFailed(StoredSuspects &stored, SuspectId suspect);
 
--- a/Source/Net/httpcaller.h
+++ b/Source/Net/httpcaller.h
@@ -41,7 +41,7 @@
               ResponseHandler onResponse, std::string headers = {});
 
     /// Drops all calls without calling their handlers, and the connection; the next call uses a new
-    /// one. Not to be called from a handler of this caller.
+    /// one. A handler may call it.
     void dropCalls();
 
     /// Returns the number of calls that are sent or queued.
--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// First byte of every datagram; changed whenever the layout of a message changes.
-constexpr char layoutVersion = 7;
+constexpr char layoutVersion = 8;
 
 // Header before the message: layout version, route, message type and checksum of the message.
 constexpr std::size_t routeAt = 1;
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -214,6 +214,8 @@
     /// The sender's boot clock when the message was sent, and at the sender's start.
     std::int64_t timestampMicros_ = 0;
     std::int64_t startedAtMicros_ = 0;
+    /// Era of the store to which the sender's revisions belong; 0 if the store states none.
+    std::uint64_t storeEra_ = 0;
     std::uint64_t rulesVersion_ = 0;
     /// Age of the sender's last confirmation that no newer rules exist; negative if there is none.
     std::int64_t rulesAgeMicros_ = -1;
@@ -238,7 +240,7 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(vm_, dataCentre_, timestampMicros_, startedAtMicros_, rulesVersion_,
+        archive(vm_, dataCentre_, timestampMicros_, startedAtMicros_, storeEra_, rulesVersion_,
                 rulesAgeMicros_, operatorRevision_, targetsRevision_, targetsAgeMicros_,
                 targetsListRevision_, usage_, echoes_, topAdapterRates_, crashRecords_,
                 waitingRows_);
--- a/Source/Store/keylist.cpp
+++ b/Source/Store/keylist.cpp
@@ -53,6 +53,7 @@
 
 void KeyList::start()
 {
+    ++lists_;
     list_ = {};
     requestPage();
 }
@@ -64,7 +65,10 @@
     wire::StoreCall call = wire::rangeCall(keyPrefix_, list_.cursor_, false);
     countMetric("eelgrasscove_store_calls_total", "call=\"range\"");
     client_.call(std::move(call), listTimeout,
-                 [this](const std::optional<HttpResponse> &response) { handleResponse(response); });
+                 [this, list = lists_](const std::optional<HttpResponse> &response) {
+                     if (list == lists_)
+                         handleResponse(response);
+                 });
 }
 
 void KeyList::handleResponse(const std::optional<HttpResponse> &response)
--- a/Source/Store/keylist.h
+++ b/Source/Store/keylist.h
@@ -54,7 +54,7 @@
 
     KeyList(StoreClient &client, std::string keyPrefix, Callbacks callbacks);
 
-    /// Begins a list. Not to be called while a page is requested.
+    /// Begins a list. The response to a page that is requested for an earlier one is ignored.
     void start();
     /// Requests the page that failed again, or the first one if the pages do not make up a list.
     void resume() { requestPage(); }
@@ -67,6 +67,8 @@
     std::string keyPrefix_;
     Callbacks callbacks_;
     ListedKeys list_;
+    /// Number of lists begun so far.
+    std::uint64_t lists_ = 0;
 };
 
 } // namespace eelgrasscove
--- a/Source/Store/leasedkeys.h
+++ b/Source/Store/leasedkeys.h
@@ -19,7 +19,7 @@
     LeasedKeys(EventLoop &loop, const Endpoint &store, StoreEra &era, const std::string &prefix,
                Duration lifetime);
 
-    /// Lists the keys once; repeats calls that fail until all pages have been received.
+    /// Lists the keys once; repeats calls that fail until all pages of one era have been received.
     void list(std::function<void(const std::vector<wire::StoreItem> &)> onListed);
 
     /// Writes the key under a lease of its own, so that it expires a lifetime after the last write.
@@ -31,10 +31,14 @@
 
 private:
     EventLoop &loop_;
+    void onEraChanged();
+
     StoreClient client_;
     Duration lifetime_;
     KeyList list_;
     std::function<void(const std::vector<wire::StoreItem> &)> onListed_;
+    bool isListing_ = false;
+    TimerId retryTimer_ = 0;
 };
 
 } // namespace eelgrasscove
--- a/Source/Store/registration.cpp
+++ b/Source/Store/registration.cpp
@@ -22,10 +22,25 @@
 Registration::Registration(EventLoop &loop, const Endpoint &store, StoreEra &era, std::string key,
                            std::string value)
     : loop_(loop), client_(loop, store, era), key_(std::move(key)), value_(std::move(value))
-{ }
+{
+    era.onChanged([this] { onEraChanged(); });
+}
 
 void Registration::start()
 {
+    isStarted_ = true;
+    acquireLease();
+}
+
+void Registration::onEraChanged()
+{
+    if (!isStarted_ || isEnding_)
+        return;
+    // The restored store may have lost the key, or may give the number of the lease to another.
+    loop_.timers().cancel(nextCallTimer_);
+    client_.dropCalls();
+    lease_ = 0;
+    isWritten_ = false;
     acquireLease();
 }
 
@@ -79,7 +94,7 @@
 {
     if (isEnding_)
         return;
-    loop_.timers().once(pause, [this] {
+    nextCallTimer_ = loop_.timers().once(pause, [this] {
         if (isEnding_)
             return;
         if (lease_ == 0)
--- a/Source/Store/registration.h
+++ b/Source/Store/registration.h
@@ -20,6 +20,7 @@
     void revoke(std::function<void()> onEnded);
 
 private:
+    void onEraChanged();
     void acquireLease();
     void write();
     void renew();
@@ -31,7 +32,9 @@
     std::string value_;
     std::uint64_t lease_ = 0;
     bool isWritten_ = false;
+    bool isStarted_ = false;
     bool isEnding_ = false;
+    TimerId nextCallTimer_ = 0;
 };
 
 } // namespace eelgrasscove
--- a/Source/Store/storeclient.h
+++ b/Source/Store/storeclient.h
@@ -16,12 +16,12 @@
     { }
 
     /// Sends the call after those before it. The handler receives an empty value if no response
-    /// arrived.
+    /// arrived, or one of an earlier era than the process already knows.
     void call(wire::StoreCall call, Duration timeout, HttpCaller::ResponseHandler onResponse);
 
-    /// Drops all calls without calling their handlers; the next call uses a new connection. Not to
-    /// be called from a handler.
-    void dropCalls() { client_.dropCalls(); }
+    /// Drops all calls without calling their handlers, also that whose response shows a change of
+    /// the era; the next call uses a new connection.
+    void dropCalls();
 
     /// Returns the number of calls that are sent or queued.
     std::size_t pending() const { return client_.pending(); }
@@ -30,6 +30,8 @@
 private:
     HttpCaller client_;
     StoreEra &era_;
+    /// Number of times that the calls were dropped.
+    std::uint64_t drops_ = 0;
 };
 
 } // namespace eelgrasscove
--- a/Source/Store/storeera.cpp
+++ b/Source/Store/storeera.cpp
@@ -34,10 +34,15 @@
     }
     if (evidence == StoreEraEvidence::Changed) {
         countMetric("eelgrasscove_store_era_changes_total");
-        eventLog().note("store.era_changed", "from", before, "to", number());
+        eventLog().note("store.era_changed", "from", before, "to", number(), "consequence",
+                        "earlier revisions and leases are void, all keys are read again");
     }
     if (number() != before)
         setGauge("eelgrasscove_store_era", "", static_cast<double>(number()));
+    if (evidence == StoreEraEvidence::Changed) {
+        for (const auto &onChanged : subscribers_)
+            onChanged();
+    }
     return evidence;
 }
 
--- a/Source/Store/storeera.h
+++ b/Source/Store/storeera.h
@@ -53,7 +53,14 @@
 class StoreEra
 {
 public:
-    /// Records the era of a response, and logs and counts a change.
+    /// Subscribes to changes of the era. The handlers are called in the order of their
+    /// subscription, before the response that shows the change is passed on.
+    void onChanged(std::function<void()> onChanged)
+    {
+        subscribers_.push_back(std::move(onChanged));
+    }
+
+    /// Records the era of a response, and reports a change to the subscribers.
     StoreEraEvidence observe(std::optional<std::uint64_t> era, std::uint64_t changesAtSend);
 
     /// Returns the number of changes since the start of the process.
@@ -63,6 +70,7 @@
 
 private:
     StoreEraState state_;
+    std::vector<std::function<void()>> subscribers_;
 };
 
 } // namespace eelgrasscove
--- a/Source/Store/storefeed.cpp
+++ b/Source/Store/storefeed.cpp
@@ -33,14 +33,44 @@
       list_(client_, settings_.keyPrefix_,
             {[this](const ListedKeys &list) { applyList(list); },
              [this](std::string_view reason) { retryLater([this] { list_.resume(); }, reason); }})
-{ }
+{
+    era.onChanged([this] { onEraChanged(); });
+}
 
 void StoreFeed::start()
 {
+    isStarted_ = true;
     isListing_ = true;
     list_.start();
 }
 
+void StoreFeed::restart()
+{
+    loop_.timers().cancel(nextCallTimer_);
+    client_.dropCalls();
+    confirmClient_.dropCalls();
+    isWatchWaiting_ = false;
+    start();
+}
+
+void StoreFeed::onEraChanged()
+{
+    if (!isStarted_)
+        return;
+    revision_ = 0;
+    listRevision_ = 0;
+    lastChangeRevision_ = 0;
+    // The store was out of reach, whether or not a call failed.
+    isReachable_ = false;
+    isSettling_ = true;
+    loop_.timers().cancel(settleTimer_);
+    settleTimer_ = loop_.timers().once(restoredStoreSettleTime, [this] {
+        isSettling_ = false;
+        restart();
+    });
+    restart();
+}
+
 void StoreFeed::applyList(const ListedKeys &list)
 {
     // The watch starts after the revision of the first page and repeats changes that later pages
@@ -164,8 +194,8 @@
         return;
     }
     noteIgnoredItems(settings_.keyPrefix_, *changes);
-    earliestChangeAt_ =
-        isReachable_ ? loop_.pausedSince().value_or(bootNow()) : confirmedAt_.value_or(Time{});
+    earliestChangeAt_ = isReachable_ && !isSettling_ ? loop_.pausedSince().value_or(bootNow())
+                                                     : confirmedAt_.value_or(Time{});
     recordSuccess();
     // An empty response after the whole wait shows that nothing had changed by the end of the wait.
     const Time waitEnd = watchSentAt_ + watchWait_;
@@ -174,7 +204,7 @@
     if (changes->items_.empty() || settings_.batchPause_ == Duration::zero())
         watch();
     else
-        loop_.timers().once(settings_.batchPause_, [this] { watchWhenDue(); });
+        callAfter(settings_.batchPause_, [this] { watchWhenDue(); });
 }
 
 void StoreFeed::watchWhenDue()
@@ -184,12 +214,13 @@
         return;
     }
     countMetric("eelgrasscove_store_watches_postponed_total");
-    loop_.timers().once(postponementCheckPeriod, [this] { watchWhenDue(); });
+    callAfter(postponementCheckPeriod, [this] { watchWhenDue(); });
 }
 
 void StoreFeed::confirm(Time at)
 {
-    confirmedAt_ = std::max(confirmedAt_.value_or(at), at);
+    if (!isSettling_)
+        confirmedAt_ = std::max(confirmedAt_.value_or(at), at);
 }
 
 void StoreFeed::recordSuccess()
@@ -221,7 +252,13 @@
     recordFailure(reason);
     const Duration pause =
         std::min(firstRetryPause * (1 << std::min(consecutiveFailures_ - 1, 3U)), maxRetryPause);
-    loop_.timers().once(pause, std::move(retry));
+    callAfter(pause, std::move(retry));
+}
+
+void StoreFeed::callAfter(Duration pause, std::function<void()> call)
+{
+    loop_.timers().cancel(nextCallTimer_);
+    nextCallTimer_ = loop_.timers().once(pause, std::move(call));
 }
 
 } // namespace eelgrasscove
--- a/Source/Store/storefeed.h
+++ b/Source/Store/storefeed.h
@@ -9,6 +9,10 @@
 
 namespace eelgrasscove {
 
+/// Time from a restoration of the store until the changes that it has lost have been written again.
+/// The operators and the targets do so within about two seconds of the store's return.
+constexpr Duration restoredStoreSettleTime = std::chrono::milliseconds(2200);
+
 struct StoreFeedSettings
 {
     std::string keyPrefix_;
@@ -20,8 +24,10 @@
 
 struct StoreFeedCallbacks
 {
-    /// Receives the current keys, after the start and whenever the store no longer has the
-    /// history since the last known revision.
+    /// Receives the current keys, after the start, whenever the store no longer has the history
+    /// since the last known revision, and twice after a restoration of the store: at once, when
+    /// changes that were known may be missing (isSettling()), and when they have been written
+    /// again.
     std::function<void(const std::vector<wire::StoreItem> &)> onListed_;
     std::function<void(const wire::StoreItem &)> onChanged_;
     /// Receives false when the connection to the store is lost and true when it is restored.
@@ -49,11 +55,12 @@
     void confirmNow();
 
     /// Returns a time before which all changes that the store acknowledged are known here; empty
-    /// before the first list.
+    /// before the first list. It does not advance while the store is settling.
     std::optional<Time> confirmedAt() const { return confirmedAt_; }
     /// Returns the earliest time at which the changes that are being delivered may have been made.
-    /// A watch delivers a change as it is made; changes in a list, or made while the store was out
-    /// of reach, may date back to the last confirmation, or to any time if there was none.
+    /// A watch delivers a change as it is made; changes in a list, made while the store was out of
+    /// reach, or written again while it is settling may date back to the last confirmation, or to
+    /// any time if there was none.
     Time earliestChangeAt() const { return earliestChangeAt_; }
     /// Returns the revision up to which all changes are known here.
     std::uint64_t revision() const { return revision_; }
@@ -62,6 +69,9 @@
     std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
     /// Returns the store revision at the first page of the last list.
     std::uint64_t listRevision() const { return listRevision_; }
+    /// Returns whether the store has been restored and may still lack changes that it had
+    /// acknowledged.
+    bool isSettling() const { return isSettling_; }
     /// Returns whether a watch waits for a response; it gets one at the next change.
     bool isWatchWaiting() const { return isWatchWaiting_; }
     /// Returns the time at which the last list or watch was sent.
@@ -71,6 +81,9 @@
     Time reachableSince() const { return reachableSince_; }
 
 private:
+    /// Starts from a new list, without the responses to the calls in progress.
+    void restart();
+    void onEraChanged();
     void applyList(const ListedKeys &list);
     void watch();
     /// Sends the next watch unless it may be postponed.
@@ -85,6 +98,8 @@
     void recordSuccess();
     void recordFailure(std::string_view reason);
     void retryLater(std::function<void()> retry, std::string_view reason);
+    /// Schedules the next call, in place of one that is scheduled.
+    void callAfter(Duration pause, std::function<void()> call);
 
     EventLoop &loop_;
     StoreClient client_;
@@ -105,6 +120,10 @@
     bool isReachable_ = false;
     bool isWatchWaiting_ = false;
     bool isListing_ = false;
+    bool isStarted_ = false;
+    bool isSettling_ = false;
+    TimerId nextCallTimer_ = 0;
+    TimerId settleTimer_ = 0;
 };
 
 } // namespace eelgrasscove
--- a/Tests/EdgeDecisions/evacuationtest.cpp
+++ b/Tests/EdgeDecisions/evacuationtest.cpp
@@ -114,3 +114,19 @@
             BOOST_REQUIRE_MESSAGE(isEvacuated(known, dataCentre), "seed " << seed);
     }
 }
+
+// Guards against an evacuation that ends because a restored store has lost its key.
+BOOST_AUTO_TEST_CASE(evacuation_outlasts_a_restored_store_that_lacks_it)
+{
+    Evacuations known = {{"east", {Time(1s), 90}}, {"west", {Time(2s), 95}}};
+    forgetRevisions(known);
+    std::vector<EvacuationItem> listed = {{"west", 40, false}};
+    addUnlisted(listed, known);
+    BOOST_TEST(applyEvacuationList(known, listed, 41, Time(5s)).empty());
+    BOOST_TEST(isEvacuated(known, "east"));
+    BOOST_TEST((known.at("east").learnedAt_ == Time(1s)));
+    // Revisions are given out again, so a lower one than before ends it.
+    BOOST_TEST(applyEvacuationEvent(known, {"east", 42, true}, Time(6s)).has_value());
+    BOOST_TEST(!isEvacuated(known, "east"));
+    BOOST_TEST(applyEvacuationEvent(known, {"west", 43, true}, Time(6s)).has_value());
+}
--- a/Tests/EdgeDecisions/suspectstoretest.cpp
+++ b/Tests/EdgeDecisions/suspectstoretest.cpp
@@ -229,4 +229,16 @@
                 static_cast<double>(total) / runs, most);
 }
 
+// Guards against a held suspect that passes after the next start, as a restored store has lost it.
+BOOST_AUTO_TEST_CASE(record_is_written_again_after_the_store_was_restored)
+{
+    StoredSuspects stored;
+    const CrashSuspects suspects = suspectsOf(3, Time(1s));
+    BOOST_TEST(planAt(suspects, stored, Time(1s)).writes_.size() == 1U);
+    BOOST_TEST(planAt(suspects, stored, Time(2s)).writes_.empty());
+    recordRestoredSuspects(stored);
+    BOOST_TEST(planAt(suspects, stored, Time(3s)).writes_.size() == 1U);
+    BOOST_TEST(planAt(suspects, stored, Time(4s)).writes_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Shared/servingstandins.h
+++ b/Tests/Shared/servingstandins.h
@@ -251,6 +251,28 @@
     /// Watches that ask for what came before now get 410.
     void forgetHistory() { forgottenUpTo_ = revision_; }
 
+    struct Copy
+    {
+        std::map<std::string, std::pair<std::string, std::uint64_t>> items_;
+        std::deque<std::pair<std::string, std::uint64_t>> history_;
+        std::set<std::uint64_t> leases_;
+        std::uint64_t revision_ = 0;
+        std::uint64_t lastLease_ = 0;
+    };
+
+    Copy copy() const { return {items_, history_, leases_, revision_, lastLease_}; }
+
+    /// Comes back from the copy, in the next era. Waiting watches go on.
+    void restore(const Copy &copy)
+    {
+        items_ = copy.items_;
+        history_ = copy.history_;
+        leases_ = copy.leases_;
+        revision_ = copy.revision_;
+        lastLease_ = copy.lastLease_;
+        era_ = era_.value_or(0) + 1;
+    }
+
     /// Ends every waiting watch without an answer.
     void cutWatches()
     {
@@ -296,6 +318,8 @@
     CallHandler watchHandler_;
     std::map<std::string, std::pair<std::string, std::uint64_t>> items_;
     std::uint64_t revision_ = 10;
+    /// Stated in each answer if set.
+    std::optional<std::uint64_t> era_;
 
 private:
     struct Waiting
@@ -309,11 +333,13 @@
     void answer(const std::shared_ptr<ServerConnection> &to, unsigned status,
                 const std::string &body)
     {
+        const std::string headers = era_ ? fmt::format("Store-Era: {}\r\n", *era_) : "";
         if (delay_ == Duration::zero()) {
-            to->answer(status, "", body);
+            to->answer(status, headers, body);
             return;
         }
-        loop_.timers().once(delay_, [to, status, body] { to->answer(status, "", body); });
+        loop_.timers().once(delay_,
+                            [to, status, headers, body] { to->answer(status, headers, body); });
     }
 
     void handle(const std::shared_ptr<ServerConnection> &from, SeenRequest &&request)
@@ -341,8 +367,24 @@
             read(from, parameterOf(*query, "key"));
         else if (target.find("kv-txn") != std::string::npos)
             write(from, request.body_);
+        else if (target.find("kv-keep") != std::string::npos)
+            answer(from, isLease(target) ? 200 : 404, R"({"ttl_ms":6000})");
+        else if (target.find("kv-lease-end") != std::string::npos)
+            answer(from, 200, "");
         else
-            answer(from, 200, R"({"lease":77,"ttl_ms":6000})");
+            grantLease(from);
+    }
+
+    void grantLease(const std::shared_ptr<ServerConnection> &from)
+    {
+        leases_.insert(++lastLease_);
+        answer(from, 200, fmt::format(R"({{"lease":{},"ttl_ms":6000}})", lastLease_));
+    }
+
+    /// Whether the path ends with the number of a lease.
+    bool isLease(const std::string &path) const
+    {
+        return leases_.contains(std::stoull(path.substr(path.rfind('/') + 1)));
     }
 
     static std::string parameterOf(const Query &query, const std::string &name)
@@ -387,7 +429,7 @@
         if (watchHandler_ && watchHandler_(from, query))
             return;
         const std::uint64_t after = std::stoull(parameterOf(query, "after"));
-        if (after < forgottenUpTo_) {
+        if (after < forgottenUpTo_ || after > revision_) {
             answer(from, 410, "");
             return;
         }
@@ -401,6 +443,13 @@
     {
         rapidjson::Document document;
         document.Parse(body.data(), body.size());
+        for (const auto &item : document["write"].GetArray()) {
+            const std::uint64_t lease = item["lease"].GetUint64();
+            if (lease != 0 && !leases_.contains(lease)) {
+                answer(from, 404, "");
+                return;
+            }
+        }
         for (const auto &item : document["write"].GetArray())
             put(item["key"].GetString(), *decodeBase64(item["value"].GetString()));
         for (const auto &key : document["remove"].GetArray())
@@ -435,6 +484,8 @@
     std::deque<std::pair<std::string, std::uint64_t>> history_;
     std::list<Waiting> waiting_;
     std::set<const ServerConnection *> silent_;
+    std::set<std::uint64_t> leases_;
+    std::uint64_t lastLease_ = 76;
     std::uint64_t forgottenUpTo_ = 0;
     Server server_;
 };
