Restore the store from older copies in the soak

Change: about every 10 s the store goes away for up to 1.5 s and comes back from a copy of up to 4 s before, with its era one higher, its connections cut or kept. Up to 2 s later the operator and the targets write again what was lost. The draws have a generator of their own, so that each seed keeps its series of the other faults.

--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -39,6 +39,14 @@
 /// Period at which the rules may become unreadable, once in so many periods on average.
 constexpr Duration unreadableRulesPeriod = 4s;
 constexpr int periodsPerUnreadableRules = 3;
+/// Period at which the store may be restored, once in so many periods on average.
+constexpr Duration restorePeriod = 5s;
+constexpr int periodsPerRestore = 2;
+/// Copies that the store may be restored from, one every half second.
+constexpr Duration copyPeriod = 500ms;
+constexpr std::size_t copyCount = 8;
+/// Time within which what a restored store has lost is written again.
+constexpr int writeAgainMillis = 2000;
 constexpr int targetCount = 4;
 constexpr int clientsPerEdge = 4;
 
@@ -223,7 +231,8 @@
 public:
     Soak(EventLoop &loop, const std::string &program, const std::string &folder, unsigned seed,
          int edges)
-        : loop_(loop), random_(seed), rulesRandom_(seed), store_(loop, "127.0.2.250:18451"),
+        : loop_(loop), random_(seed), rulesRandom_(seed), restoreRandom_(seed),
+          store_(loop, "127.0.2.250:18451"),
           storeLink_(loop, "127.0.2.250:18450", "127.0.2.250:18451")
     {
         record_.accountOfKey_ = {{"k1", "shed"}, {"k2", "barn"}, {"k3", "shed"}};
@@ -238,6 +247,7 @@
                                         fmt::format("127.0.2.251:{}", 18460 + target)));
             list(target);
         }
+        store_.era_ = 1;
         putRules();
         putForeignItems();
         for (int edge = 0; edge < edges; ++edge) {
@@ -251,6 +261,12 @@
         turnFor(loop_, 1500ms);
         loop_.timers().every(40ms, [this] { ask(); });
         loop_.timers().every(unreadableRulesPeriod, [this] { writeUnreadableRules(); });
+        loop_.timers().every(copyPeriod, [this] {
+            copies_.push_back(store_.copy());
+            if (copies_.size() > copyCount)
+                copies_.pop_front();
+        });
+        loop_.timers().every(restorePeriod, [this] { restoreStore(); });
         const Time end = bootNow() + withFaults;
         while (bootNow() < end) {
             fault();
@@ -317,7 +333,56 @@
 
     void putRules(const std::string &accounts)
     {
-        store_.put("op/config", fmt::format(fmt::runtime(rulesText), ++version_, accounts));
+        rules_ = fmt::format(fmt::runtime(rulesText), ++version_, accounts);
+        store_.put("op/config", rules_);
+    }
+
+    /// The store goes away for a moment and comes back from a copy some seconds old. The operator
+    /// and the targets write again what it has lost, some time later.
+    void restoreStore()
+    {
+        const auto below = [this](int most) {
+            return std::uniform_int_distribution<int>(0, most - 1)(restoreRandom_);
+        };
+        if (!troubled_ || copies_.empty() || below(periodsPerRestore) > 0)
+            return;
+        store_.fault_ = below(2) == 0 ? StoreFault::Silent : StoreFault::Reset;
+        if (below(2) == 0)
+            store_.cutWatches();
+        const Duration away = Duration(below(1500) * 1000);
+        const auto copy = static_cast<std::size_t>(below(static_cast<int>(copies_.size())));
+        const Duration writtenAfter = Duration(below(writeAgainMillis) * 1000);
+        const int beats = below(60);
+        loop_.timers().once(away, [this, copy, writtenAfter, beats] {
+            if (!troubled_)
+                return;
+            store_.restore(copies_.at(std::min(copy, copies_.size() - 1)));
+            copies_.clear();
+            store_.fault_ = StoreFault::None;
+            // Other keys may take the store past the revisions that the edges know.
+            for (int beat = 0; beat < beats; ++beat)
+                store_.put("other/x", "beat");
+            loop_.timers().once(writtenAfter, [this] { writeAgain(); });
+        });
+    }
+
+    void writeAgain()
+    {
+        store_.put("op/config", rules_);
+        std::set<std::string> listed;
+        for (int target = 0; target < targetCount; ++target) {
+            listed.insert("servers/" + idOf(target));
+            list(target, leaving_.contains(idOf(target)) ? "draining" : "ready");
+            // The leaving may have been acknowledged and lost.
+            const auto left = record_.leftAt_.find(idOf(target));
+            if (left != record_.leftAt_.end())
+                left->second = std::max(left->second, bootNow() + 1s);
+        }
+        const auto items = store_.items_;
+        for (const auto &[key, item] : items) {
+            if (key.starts_with("servers/i-") && !listed.contains(key))
+                store_.remove(key);
+        }
     }
 
     /// Writes rules that can't be decoded, and sound ones some time later.
@@ -521,6 +586,7 @@
             record_.leftAt_[idOf(target)] = bootNow() + 1s;
         list(target, "draining");
         const std::string old = idOf(target);
+        leaving_.insert(old);
         loop_.timers().once(2s, [this, target, old] {
             if (idOf(target) != old)
                 return;
@@ -536,6 +602,7 @@
         store_.delay_ = Duration::zero();
         troubled_ = false;
         putRules();
+        writeAgain();
         for (const auto &link : links_)
             link->fault_ = LinkFault::None;
         for (const auto &edge : edges_)
@@ -546,6 +613,7 @@
     std::minstd_rand random_;
     /// Of its own, so that each seed keeps its series of the other faults.
     std::minstd_rand rulesRandom_;
+    std::minstd_rand restoreRandom_;
     Record record_;
     Store store_;
     Proxy storeLink_;
@@ -553,6 +621,10 @@
     std::vector<std::unique_ptr<Proxy>> links_;
     std::vector<std::unique_ptr<EdgeProcess>> edges_;
     std::map<int, int> starts_;
+    std::set<std::string> leaving_;
+    std::deque<Store::Copy> copies_;
+    /// The operator's newest rules.
+    std::string rules_;
     int version_ = 0;
     int asked_ = 0;
     bool keyWithdrawn_ = false;
