Let streams go on only at the software version that began them

Within one response, the entry resumed at any target; a client's take-up was placed like a new stream.

Cause: nothing kept which version had begun a stream; the entry decoded neither the version in the target list nor Resumes. Class: a fact that a later step depends on lived only as long as its process, and its absence meant "any".

Before the first event is forwarded, the entry reports account, request and version, as hashes, to three agents that follow from the hash of the stream; a take-up asks six agents, within 300 ms. An unknown stream, or one without a target of its version, gets 503 at once and has not run. Resumes that is repeated or listed in Connection gets 400.

The stand-in of the tests lists a version now, as the protocol says; a target without one can't have its streams continued.

--- a/Source/Agent/agent.cpp
+++ b/Source/Agent/agent.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t maxEngineBodyBytes = 1024UL * 1024;
 constexpr Duration storeTimeout = 1500ms;
 constexpr Duration storeRetryPause = 500ms;
+/// Period at which expired origins of streams are removed.
+constexpr Duration originExpiryPeriod = 1s;
 /// An entry that has sent nothing for this long no longer receives the engine's state.
 constexpr Duration entryTimeout = 3s;
 /// Maximum period between two states sent to an entry, so that the entry can distinguish a lost
@@ -166,6 +168,7 @@
     acquireFencingNumber();
     schedulePoll();
     loop_.timers().every(logFlushPeriod, [] { eventLog().flush(); });
+    loop_.timers().every(originExpiryPeriod, [this] { removeExpiredOrigins(origins_, bootNow()); });
     return true;
 }
 
@@ -327,31 +330,55 @@
 void Agent::handleDatagram(std::string_view bytes, const Endpoint &from)
 {
     std::optional<PeerMessage> message = decodePeerMessage(bytes);
-    const auto *loadRequests = message ? std::get_if<EntryLoadRequests>(&*message) : nullptr;
-    if (loadRequests == nullptr) {
+    if (const auto *report = message ? std::get_if<StreamOriginReport>(&*message) : nullptr)
+        handleOriginReport(*report);
+    else if (const auto *query = message ? std::get_if<StreamOriginQuery>(&*message) : nullptr)
+        handleOriginQuery(*query, from);
+    else if (const auto *loads = message ? std::get_if<EntryLoadRequests>(&*message) : nullptr)
+        handleLoadRequests(*loads, from);
+    else
         eventLog().note("datagram.ignored", "from", from.text(), "bytes", bytes.size());
+}
+
+void Agent::handleOriginReport(const StreamOriginReport &report)
+{
+    if (!keepOrigin(origins_, report, bootNow())) {
+        countMetric("eelgrasscove_stream_origins_dropped_total");
         return;
     }
+    setGauge("eelgrasscove_stream_origins", "", static_cast<double>(origins_.origins_.size()));
+}
+
+void Agent::handleOriginQuery(const StreamOriginQuery &query, const Endpoint &from)
+{
+    const NameHash version = originOf(origins_, query.stream_, bootNow());
+    countMetric("eelgrasscove_origin_queries_total",
+                version == 0 ? "result=\"unknown\"" : "result=\"known\"");
+    socket_.send(encodePeerMessage(StreamOriginResponse{query.stream_, version}), from);
+}
+
+void Agent::handleLoadRequests(const EntryLoadRequests &message, const Endpoint &from)
+{
     const Time now = bootNow();
-    const auto [entry, isNew] = entries_.try_emplace(loadRequests->vm_);
+    const auto [entry, isNew] = entries_.try_emplace(message.vm_);
     if (isNew)
-        eventLog().note("entry.heard", "entry", loadRequests->vm_, "address", from.text());
+        eventLog().note("entry.heard", "entry", message.vm_, "address", from.text());
     entry->second.address_ = from;
-    entry->second.dataCentre_ = loadRequests->dataCentre_;
+    entry->second.dataCentre_ = message.dataCentre_;
     entry->second.lastContactAt_ = now;
-    if (!loadRequests->loadRequests_.empty())
+    if (!message.loadRequests_.empty())
         entry->second.loadRequestedAt_ = now;
-    entry->second.knownResidencyNumber_ = loadRequests->knownResidencyNumber_;
+    entry->second.knownResidencyNumber_ = message.knownResidencyNumber_;
     // The report contains no target id. Entries read it from the target list; it is valid for the
     // same start of the engine.
-    if (targetId_.empty() && isEngineUp_ && loadRequests->targetStartedAt_ == report_.startedAt_)
-        targetId_ = loadRequests->target_;
-    lateRatio_ = updatedLateRatio(lateRatio_, loadRequests->streams_, loadRequests->lateStreams_);
-    recordEventIntervals(*loadRequests);
-    for (const NameHash adapter : loadRequests->usedAdapters_)
+    if (targetId_.empty() && isEngineUp_ && message.targetStartedAt_ == report_.startedAt_)
+        targetId_ = message.target_;
+    lateRatio_ = updatedLateRatio(lateRatio_, message.streams_, message.lateStreams_);
+    recordEventIntervals(message);
+    for (const NameHash adapter : message.usedAdapters_)
         recordUse(plan_, adapter, now);
     bool hasNewRequest = false;
-    for (const AdapterLoadRequest &request : loadRequests->loadRequests_) {
+    for (const AdapterLoadRequest &request : message.loadRequests_) {
         hasNewRequest = hasNewRequest || !plan_.requestedAdapters_.contains(request.adapter_);
         addLoadRequest(plan_, request.adapter_, request.version_, request.requests_, now);
     }
--- a/Source/Agent/agent.h
+++ b/Source/Agent/agent.h
@@ -12,7 +12,7 @@
 #include "Net/datagramsocket.h"
 #include "Net/httpcaller.h"
 #include "Observe/textserver.h"
-#include "Peer/peermessages.h"
+#include "Peer/streamorigin.h"
 #include "Store/storeclient.h"
 #include "Vm/servingsettings.h"
 
@@ -58,6 +58,10 @@
     void handleOrderResponse(const wire::EngineOrder &order,
                              const std::optional<HttpResponse> &response);
     void handleDatagram(std::string_view bytes, const Endpoint &from);
+    void handleLoadRequests(const EntryLoadRequests &message, const Endpoint &from);
+    /// Keeps the origin of a stream, which may run at any target.
+    void handleOriginReport(const StreamOriginReport &report);
+    void handleOriginQuery(const StreamOriginQuery &query, const Endpoint &from);
     /// Takes an entry's first events into the fit of the engine's pace.
     void recordEventIntervals(const EntryLoadRequests &message);
     void sendStateToEntries(bool isUrgent, bool hasLoadChanged);
@@ -85,6 +89,7 @@
     wire::EngineReport report_;
     ResidencyPlan plan_;
     std::map<std::string, KnownEntry> entries_;
+    KeptOrigins origins_;
     std::map<NameHash, SentState> sentStates_;
     /// Fraction of the most recent streams, over all entries, that were late.
     double lateRatio_ = 0;
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -27,6 +27,7 @@
 #include "Observe/textserver.h"
 #include "Peer/peermessages.h"
 #include "Peer/storequeries.h"
+#include "Peer/streamorigin.h"
 #include "Store/leasedkeys.h"
 #include "Store/registration.h"
 #include "Store/storefeed.h"
@@ -150,6 +151,14 @@
     bool isInBacklog_ = false;
     /// Adapter version that the target was known to hold at the last send; 0 without an adapter.
     std::uint64_t adapterVersion_ = 0;
+    /// Hash of the software version that the target was known to have at the last send; 0 if none.
+    NameHash sentVersion_ = 0;
+    /// Hash of the software version at which the stream began and at which alone it goes on; 0
+    /// before its first event, or if the version is not known.
+    NameHash streamVersion_ = 0;
+    /// The stream that the request takes up, while it is asked which version began it.
+    StreamHash stream_ = 0;
+    std::optional<OriginLookup> originLookup_;
     int sends_ = 0;
     /// Number of sends that a target may have executed.
     int runs_ = 0;
@@ -450,6 +459,31 @@
     /// Echoes of the latest messages of the peers in the data centre.
     std::vector<PeerEcho> echoesFor(NameHash dataCentre, Time now) const;
 
+    // edgestreams.cpp: the software version at which a stream goes on.
+    /// Hosts of the engines, beside which agents run.
+    std::vector<std::string> agentHosts() const;
+    void sendToAgent(const std::string &host, std::string_view kind, const PeerMessage &message);
+    /// Records which version began the stream, and reports it to the agents that keep its origin.
+    /// Called before the first event is forwarded.
+    void recordStreamBegin(EdgeRequest &request, Time now);
+    /// Whether the events of a send may follow those of the stream so far, by the software version
+    /// of the target.
+    bool continuesAtSameVersion(const EdgeRequest &request) const;
+    /// The targets of the request's service at which it may run, apart from their state.
+    std::vector<TargetState *> targetStatesFor(const EdgeRequest &request);
+    /// Places the request, after the lookup of the version of a stream that it takes up.
+    void placeNewRequest(const EdgeRequestPtr &request, Time now);
+    /// Whether the request takes a stream up, so that the version that began it is to be looked up
+    /// first; prepares the lookup.
+    bool isOriginNeeded(EdgeRequest &request, Time now);
+    void queryOrigin(EdgeRequest &request, Time now);
+    /// Queries again or refuses the request, if its time has come.
+    void checkOriginLookup(const EdgeRequestPtr &request, Time now);
+    void endOriginLookup(EdgeRequest &request, std::string_view result, Time now);
+    void applyOriginResponse(const StreamOriginResponse &response, const Endpoint &from);
+    /// Selects the service of the route to which the version belongs that began the stream.
+    void selectServiceOfStream(EdgeRequest &request);
+
     // edgesuspects.cpp: requests and prompt parts that crash targets.
     /// Refuses a request that may crash its target. Returns whether it was refused.
     bool refuseIfHeld(EdgeRequest &request, Time now);
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -56,6 +56,8 @@
         applyEngineState(std::move(*engine), from, route);
     else if (auto *entry = std::get_if<EntryState>(&*message))
         applyEntryState(std::move(*entry));
+    else if (const auto *origin = std::get_if<StreamOriginResponse>(&*message))
+        applyOriginResponse(*origin, from);
 }
 
 void Edge::relay(std::string_view bytes)
--- a/Source/Edge/edgerequests.cpp
+++ b/Source/Edge/edgerequests.cpp
@@ -175,7 +175,7 @@
     }
     if (!request->adapter_.empty())
         recordAdapterRequest(demand_, nameHash(request->adapter_), now);
-    placeRequest(request);
+    placeNewRequest(request, now);
 }
 
 bool Edge::resolveRoute(EdgeRequest &request)
@@ -340,8 +340,12 @@
     if (refuseIfHeld(*request, now))
         return;
     countMetric("eelgrasscove_placements_total");
-    Placement placement =
-        choosePlacement(targetStates(request->service_), makePlaceQuery(*request, now), now);
+    const std::vector<TargetState *> targets = targetStatesFor(*request);
+    if (request->streamVersion_ != 0 && targets.empty()) {
+        refuse(*request, 503, "no target has the software version that began the stream", {});
+        return;
+    }
+    Placement placement = choosePlacement(targets, makePlaceQuery(*request, now), now);
     holdForUrgent(*request, placement, now);
     if (placement.replicaTarget_ != nullptr) {
         if (const auto replicaTarget = findTarget(placement.replicaTarget_)) {
@@ -449,6 +453,7 @@
     recordAccountUse(accountUses_, request->service_, request->priority_, request->account_,
                      request->tokens_, now);
     TargetState &state = target->state_;
+    request->sentVersion_ = softwareVersionOf(state);
     request->target_ = target;
     request->stage_ = RequestStage::Sent;
     request->sentAt_ = now;
@@ -632,7 +637,9 @@
     const auto requests = requests_;
     for (const EdgeRequestPtr &request : requests) {
         const Time deadline = std::min(request->clientDeadline_, request->routeDeadline_);
-        if (request->stage_ == RequestStage::Waiting) {
+        if (request->originLookup_) {
+            checkOriginLookup(request, now);
+        } else if (request->stage_ == RequestStage::Waiting) {
             if (now > request->waitUntil_)
                 refuse(*request, request->runs_ > 0 ? 504 : 503,
                        "maximum wait in the queue exceeded",
@@ -725,9 +732,10 @@
         newestVersionOf(request.adapter_), "status", status, "outcome", outcome, "target", target,
         "sends", request.sends_, "runs", request.runs_, "first_ms", first.count() / 1000,
         "pause_ms", request.longestPause_.count() / 1000, "total_ms", total.count() / 1000, "held",
-        request.wasHeldForUrgent_, "prompt_tokens", request.promptTokens_, "tokens_ahead",
-        request.tokensAhead_, "predicted_ms", request.predictedFirstEvent_.count() / 1000, "rules",
-        request.rulesVersion_, "rules_age_ms", (now - rulesConfirmedAt()).count() / 1000);
+        request.wasHeldForUrgent_, "stream_version", request.streamVersion_, "prompt_tokens",
+        request.promptTokens_, "tokens_ahead", request.tokensAhead_, "predicted_ms",
+        request.predictedFirstEvent_.count() / 1000, "rules", request.rulesVersion_, "rules_age_ms",
+        (now - rulesConfirmedAt()).count() / 1000);
     countMetric("eelgrasscove_requests_total", fmt::format("status=\"{}\"", status));
     countMetric("eelgrasscove_requests_by_key_check_total",
                 fmt::format("result=\"{}\"", nameOf(keyVerdictNames, request.keyVerdict_)));
--- a/Source/Edge/edgeresponses.cpp
+++ b/Source/Edge/edgeresponses.cpp
@@ -219,6 +219,8 @@
     std::string_view fault;
     if (stream && !continuesStream(*request))
         fault = "events don't continue the stream after the last event";
+    else if (stream && !continuesAtSameVersion(*request))
+        fault = "target started with another software version";
     else if (stream && session)
         forwardEvents(*request, *session, false, now);
     if (request->stage_ == RequestStage::Streaming && request->sendFirstEventAt_ == now
@@ -305,6 +307,7 @@
                 std::chrono::duration<float, std::milli>(interval).count());
         session.sendStreamBytes(events);
     } else {
+        recordStreamBegin(request, now);
         request.firstEventForwarded_ = true;
         request.firstEventAt_ = now;
         session.beginStream(request.response_.status_, formatResponseHeaders(request.response_),
@@ -457,8 +460,12 @@
     const bool repeatable = request->route_.kind_ == RequestKind::Idempotent || resumable;
     const bool canRetry = repeatable && request->runs_ < request->route_.mostTargets_;
     if (request->firstEventForwarded_) {
-        if (!canRetry || request->lastEventId_.empty()) {
-            endRequest(*request, 0, fmt::format("stream interrupted: {}", reason));
+        const bool isVersionKnown = request->streamVersion_ != 0;
+        if (!canRetry || request->lastEventId_.empty() || !isVersionKnown) {
+            endRequest(*request, 0,
+                       fmt::format("stream interrupted{}: {}",
+                                   isVersionKnown ? "" : ", its software version is not known",
+                                   reason));
             if (session)
                 session->abort();
             return;
--- a/Source/Edge/targetstate.cpp
+++ b/Source/Edge/targetstate.cpp
@@ -1,5 +1,7 @@
 #include "Edge/targetstate.h"
 
+#include "Peer/streamorigin.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -127,6 +129,15 @@
         && now - target.lastSentAt_ < trialPeriod;
 }
 
+NameHash softwareVersionOf(const TargetState &target)
+{
+    const bool isListOutdated = target.hasAgentReport_ && target.startedAt_ != 0
+        && target.listed_.startedAt_ != 0 && target.startedAt_ != target.listed_.startedAt_;
+    if (isListOutdated || target.isReplaced_)
+        return 0;
+    return softwareVersionHash(target.listed_.service_, target.listed_.softwareVersion_);
+}
+
 CrashId crashIdOf(const TargetState &target)
 {
     // Both are the target's own start time; the list lags behind the agent.
--- a/Source/Edge/targetstate.h
+++ b/Source/Edge/targetstate.h
@@ -165,6 +165,10 @@
 /// trial is due. medianRatio is the median failure ratio of the service's targets.
 bool isExcludedForFailures(const TargetState &target, double medianRatio, Time now);
 
+/// Returns the hash of the software version of the target's present process; 0 if it isn't known,
+/// as while the list shows an earlier process than the agent.
+NameHash softwareVersionOf(const TargetState &target);
+
 /// Identifies the target instance in reports of its crash; equal at all entries.
 CrashId crashIdOf(const TargetState &target);
 
--- a/Source/Peer/peermessages.cpp
+++ b/Source/Peer/peermessages.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// First byte of every datagram; changed whenever the layout of a message changes.
-constexpr char layoutVersion = 8;
+constexpr char layoutVersion = 9;
 
 // Header before the message: layout version, route, message type and checksum of the message.
 constexpr std::size_t routeAt = 1;
@@ -93,6 +93,12 @@
             return deserialize<EntryLoadRequests>(body);
         case 2:
             return deserialize<EntryState>(body);
+        case 3:
+            return deserialize<StreamOriginReport>(body);
+        case 4:
+            return deserialize<StreamOriginQuery>(body);
+        case 5:
+            return deserialize<StreamOriginResponse>(body);
         default:
             return std::nullopt;
         }
--- a/Source/Peer/peermessages.h
+++ b/Source/Peer/peermessages.h
@@ -247,7 +247,54 @@
     }
 };
 
-using PeerMessage = std::variant<EngineStateMessage, EntryLoadRequests, EntryState>;
+/// Identifies a stream; see streamHash().
+using StreamHash = std::uint64_t;
+
+/// Sent by an entry to the agents that keep the origin of a stream, when it forwards the first
+/// event.
+struct StreamOriginReport
+{
+    StreamHash stream_ = 0;
+    /// Hash of the software version of the target that began the stream.
+    NameHash version_ = 0;
+    /// Time within which the client may take the stream up again.
+    std::uint32_t validMillis_ = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream_, version_, validMillis_);
+    }
+};
+
+/// Sent by an entry to the agents that keep the origin of a stream.
+struct StreamOriginQuery
+{
+    StreamHash stream_ = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream_);
+    }
+};
+
+/// An agent's response to the query.
+struct StreamOriginResponse
+{
+    StreamHash stream_ = 0;
+    /// 0 if the agent doesn't know the stream.
+    NameHash version_ = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream_, version_);
+    }
+};
+
+using PeerMessage = std::variant<EngineStateMessage, EntryLoadRequests, EntryState,
+                                 StreamOriginReport, StreamOriginQuery, StreamOriginResponse>;
 
 /// How a datagram comes from the sender of its message to the receiver.
 enum class DatagramRoute : std::uint8_t {
--- a/Tests/PlatformWire/requestwiretest.cpp
+++ b/Tests/PlatformWire/requestwiretest.cpp
@@ -67,6 +67,8 @@
         {{"Connection", "close, X-Eelgrasscove-Request-Id"}},
         {{"Connection", "close"}, {"Connection", "Authorization"}},
         {{"Connection", "kv-from"}},
+        {{"Resumes", "a"}, {"resumes", "b"}},
+        {{"Connection", "Resumes"}},
     };
     for (const auto &headers : rows)
         BOOST_TEST(wire::headFault(headWith(headers)).has_value(),
@@ -93,3 +95,17 @@
     }
     BOOST_TEST(wire::decodeKey(headWith({})).empty());
 }
+
+BOOST_AUTO_TEST_CASE(request_that_names_a_last_event_takes_a_stream_up)
+{
+    const auto resumption =
+        wire::decodeResumption(headWith({{"last-event-id", "12"}, {"resumes", " 9c41 "}}));
+    BOOST_REQUIRE(resumption.has_value());
+    BOOST_TEST(resumption->lastEventId_ == "12");
+    BOOST_TEST(resumption->firstRequestId_ == "9c41");
+    const auto unnamed = wire::decodeResumption(headWith({{"Last-Event-Id", "12"}}));
+    BOOST_REQUIRE(unnamed.has_value());
+    BOOST_TEST(unnamed->firstRequestId_.empty());
+    BOOST_TEST(!wire::decodeResumption(headWith({{"Resumes", "9c41"}})).has_value());
+    BOOST_TEST(!wire::decodeResumption(headWith({{"Last-Event-Id", " "}})).has_value());
+}
--- a/Tests/PlatformWire/ruleswiretest.cpp
+++ b/Tests/PlatformWire/ruleswiretest.cpp
@@ -155,7 +155,7 @@
 {
     const auto decoded = wire::decodeTarget(
         "i-1", R"({"service":"mind","address":"10.1.0.9:8080","zone":"leiden","slots":64,
-        "state":"draining","born":1772388223625,"sequence":4,
+        "state":"draining","born":1772388223625,"sequence":4,"version":"v1.1",
         "models":[{"name":"base","version":1,"adapters":["a17@2"]}]})");
     BOOST_REQUIRE(ok(decoded));
     const ListedTarget &target = valueOf(decoded);
@@ -164,6 +164,18 @@
     BOOST_TEST(target.dataCentre_ == "leiden");
     BOOST_TEST(target.startedAt_ == 1772388223625U);
     BOOST_TEST(target.adapters_.at(0) == "base/a17@2");
+    BOOST_TEST(target.softwareVersion_ == "v1.1");
+}
+
+BOOST_AUTO_TEST_CASE(target_whose_software_version_cannot_be_read_has_none)
+{
+    const std::string begin =
+        R"({"service":"mind","address":"10.0.0.1:1","state":"ready","slots":4)";
+    for (const char *rest : {"}", R"(,"version":7})", R"(,"version":null})", R"(,"version":""})"}) {
+        const auto decoded = wire::decodeTarget("i-1", begin + rest);
+        BOOST_REQUIRE(ok(decoded));
+        BOOST_TEST(valueOf(decoded).softwareVersion_.empty(), rest);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(malformed_targets_are_rejected)
--- a/Tests/ServingPath/servingpath.h
+++ b/Tests/ServingPath/servingpath.h
@@ -108,11 +108,11 @@
     }
 
     static std::string targetItem(const std::string &address, const std::string &state,
-                                  int startedAt, int slots = 6)
+                                  int startedAt, int slots = 6, const std::string &version = "v1")
     {
         return fmt::format(R"({{"service":"ledger","address":"{}","zone":"here","slots":{},)"
-                           R"("state":"{}","born":{}}})",
-                           address, slots, state, startedAt);
+                           R"("state":"{}","born":{},"version":"{}"}})",
+                           address, slots, state, startedAt, version);
     }
 
     void publishRules(int version, const std::string &keys, int limit)
--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -209,6 +209,8 @@
     std::string service_;
     std::string address_;
     std::string dataCentre_;
+    /// Version of the target's software; empty where it isn't told.
+    std::string softwareVersion_;
     std::uint32_t slots_ = 1;
     bool draining_ = false;
     /// Unix milliseconds of its start; 0 where it isn't told.
