Take echoed time stamps for those of the present process only

Cause: the peers' echoes of stamps of its boot clock from before the loss of power meant times in the future by the new clock, and confirmed its rules until then. Peers ignored the messages of the new process until its clock had passed the last stamp of the old one. The same class as revisions of a store that was restored: a position in one history taken for one in another.

Change: each process adds a random offset to its stamps; an echo that is not of this process, or means a time in the future, counts for nothing. A message of a new start of a peer is taken whatever its clock shows.

--- a/Source/Edge/edge.cpp
+++ b/Source/Edge/edge.cpp
@@ -108,6 +108,10 @@
     parseEndpoint(settings_.peersListen_, peersAddress_);
     dataCentre_ = nameHash(settings_.dataCentre_);
     startedAt_ = bootNow();
+    // Not from random_, whose numbers have 31 bits.
+    std::random_device device;
+    stampClock_ = {startedAt_,
+                   std::uniform_int_distribution<std::int64_t>(0, maxStampOffsetMicros)(device)};
     allowance_.startedAt_ = startedAt_;
     applyBounds();
     sessionCallbacks_ = {
--- a/Source/Edge/edge.h
+++ b/Source/Edge/edge.h
@@ -12,6 +12,7 @@
 #include "Edge/fairshare.h"
 #include "Edge/homes.h"
 #include "Edge/keycheck.h"
+#include "Edge/peercontact.h"
 #include "Edge/placement.h"
 #include "Edge/restoredentries.h"
 #include "Edge/retrybudget.h"
@@ -446,13 +447,12 @@
                                              DatagramRoute route);
     /// Places queued requests at the targets whose resident adapters have changed.
     void placeAtChangedTargets();
-    struct PeerContact;
     void applyEntryState(EntryState &&state);
     /// Records what a peer knows of the store.
     void recordPeersKnowledge(const EntryState &state, const std::string &vm);
     /// Takes from a peer's echoes of this entry's messages up to when the peer confirms what is
     /// known here.
-    void applyEchoes(const EntryState &state, PeerContact &contact);
+    void applyEchoes(const EntryState &state, PeerContact &contact, Time now);
     void sendLoadRequests(EdgeTarget &target, Time now);
     void requestLoad(EdgeTarget &target, const std::string &adapter, Time now);
     void sendEntryStates(Time now);
@@ -552,18 +552,7 @@
     /// A service has had cold targets since the start of the entry.
     bool hasColdLimits_ = false;
     Time startedAt_;
-    /// The newest message of a peer: its timestamp by the peer's clock, and the time at which it
-    /// was received.
-    struct PeerContact
-    {
-        /// 0 before the first message.
-        NameHash dataCentre_ = 0;
-        std::int64_t timestampMicros_ = 0;
-        Time receivedAt_;
-        /// Latest time, by this entry's clock, at which the peer is known to have had a message of
-        /// this entry.
-        Time peerReceivedOursAt_;
-    };
+    StampClock stampClock_;
     std::map<std::string, PeerContact> peerContacts_;
     std::map<NameHash, std::string> vmByHash_;
     std::map<NameHash, std::string> accountByHash_;
--- a/Source/Edge/edgepeers.cpp
+++ b/Source/Edge/edgepeers.cpp
@@ -1,5 +1,6 @@
 #include "Edge/edge.h"
 #include "Observe/eventlog.h"
+#include "Observe/metrics.h"
 #include "Peer/datagrammetrics.h"
 #include "Peer/dissemination.h"
 
@@ -224,8 +225,8 @@
     EntryState state;
     state.vm_ = nameHash(settings_.vm_);
     state.dataCentre_ = dataCentre_;
-    state.timestampMicros_ = now.time_since_epoch().count();
-    state.startedAtMicros_ = startedAt_.time_since_epoch().count();
+    state.timestampMicros_ = stampOf(stampClock_, now);
+    state.startedAtMicros_ = stampOf(stampClock_, startedAt_);
     state.storeEra_ = storeEra_.number();
     state.rulesVersion_ = rules_ ? rules_->rules().version_ : 0;
     if (rules_ && operatorFeed_->confirmedAt()) {
@@ -294,7 +295,7 @@
     recordLostRules(rulesAge_);
 }
 
-void Edge::applyEchoes(const EntryState &state, PeerContact &contact)
+void Edge::applyEchoes(const EntryState &state, PeerContact &contact, Time now)
 {
     const bool isOfKnownEra = state.storeEra_ == storeEra_.number();
     const bool knowsPeersChanges =
@@ -302,10 +303,13 @@
     for (const PeerEcho &echo : state.echoes_) {
         if (echo.vm_ != nameHash(settings_.vm_))
             continue;
-        // By this entry's clock, the peer sent its message no earlier than this entry's echoed time
-        // stamp plus the time for which the peer held it. The message is never considered newer
-        // than that, however late it arrives.
-        const Time peerSentAfter = Time(Duration(echo.timestampMicros_ + echo.holdTimeMicros_));
+        // The message is never considered newer than that, however late it arrives.
+        const std::optional<Time> earliest = sentAfter(stampClock_, echo, now);
+        if (!earliest) {
+            countMetric("eelgrasscove_peer_echoes_ignored_total");
+            continue;
+        }
+        const Time peerSentAfter = *earliest;
         contact.peerReceivedOursAt_ = std::max(contact.peerReceivedOursAt_, peerSentAfter);
         if (isOfKnownEra && state.targetsAgeMicros_ >= 0) {
             targetList_.revision_ = targetFeed_->revision();
@@ -332,14 +336,11 @@
     const std::string &vm = peer->second;
     const Time now = bootNow();
     PeerContact &contact = peerContacts_[vm];
-    if (state.timestampMicros_ <= contact.timestampMicros_)
+    if (!recordMessage(contact, state, now))
         return;
-    contact.timestampMicros_ = state.timestampMicros_;
-    contact.dataCentre_ = state.dataCentre_;
-    contact.receivedAt_ = now;
     applyPeerRows(scarcity_, state.vm_, std::move(state.waitingRows_), now);
     recordPeersKnowledge(state, vm);
-    applyEchoes(state, contact);
+    applyEchoes(state, contact, now);
     if (state.topAdapterRates_)
         applyPeerRates(demand_, vm, std::move(*state.topAdapterRates_), now);
     const bool isMutual =
