--- a/include/eelgrasscove/serving.h
+++ b/include/eelgrasscove/serving.h
@@ -209,7 +209,7 @@
     std::string service_;
     std::string address_;
     std::string dataCentre_;
-    /// Version of the target's software; empty where it isn't told.
+    /// Version of the target's software; empty if the list doesn't state it.
     std::string softwareVersion_;
     std::uint32_t slots_ = 1;
     bool draining_ = false;
