Move a test of stream versions off the port of the cold targets' test

Its port, 18500, is that of the test of cold targets in the same program, so it would fail in every whole run; the cases had been run by name only.

--- a/Tests/ServingPath/streamversiontest.cpp
+++ b/Tests/ServingPath/streamversiontest.cpp
@@ -136,7 +136,7 @@
 
 BOOST_AUTO_TEST_CASE(interrupted_stream_is_not_continued_by_another_software_version)
 {
-    VersionedPath path(110);
+    VersionedPath path(119);
     for (int target = 0; target < 2; ++target)
         path.setBreaksOff(target, true);
     for (int stream = 0; stream < 6; ++stream) {
