--- a/Tests/ServingPath/streamversiontest.cpp
+++ b/Tests/ServingPath/streamversiontest.cpp
@@ -76,12 +76,11 @@
             from->stream_->write("0\r\n\r\n");
     }
 
-    /// Makes the other target's requests last, so that the next stream begins at this one.
+    /// Lets a stream begin at this target and break off; the other target refuses meanwhile.
     void beginStreamAt(int target)
     {
         setBreaksOff(target, true);
         setBreaksOff(1 - target, true);
-        // Without events no stream begins there.
         const auto handler = handlers_[1 - target];
         handlers_[1 - target] = [](const auto &from, SeenRequest &&request) {
             from->answer(503, requestIdHeader(request) + "X-Eelgrasscove-Not-Executed: 1\r\n", "");
